Lay out the slices, the build and the interfaces between slices

Cause: an empty repository. Change: CMake presets, one precompiled header, the timer service, tasks, log, metrics, and the typed messages that slices share. Before: nothing.

--- /dev/null
+++ b/cmake/pch.cpp
@@ -0,0 +1,1 @@
+#include "cmake/pch.h"
--- /dev/null
+++ b/cmake/test_main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE skylarkwing
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/core/asio_timer_service.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace skylarkwing::core {
+
+/** The timer service of a running process: monotonic time and one Asio event loop. */
+class AsioTimerService : public TimerService
+{
+public:
+  /** @param aLoop the event loop on which every call runs; it must outlive this service. */
+  explicit AsioTimerService(boost::asio::io_context& aLoop);
+
+  TimePoint Now() const override;
+  std::int64_t WallClockMilliseconds() const override;
+  TimerId Schedule(Duration aDelay, Callback aCallback) override;
+  void Cancel(TimerId aTimer) override;
+
+private:
+  boost::asio::io_context& mLoop;
+  TimerId mLastId = 0;
+  std::unordered_map<TimerId, std::unique_ptr<boost::asio::steady_timer>> mTimers;
+};
+
+} // namespace skylarkwing::core
--- /dev/null
+++ b/core/log.cpp
@@ -0,0 +1,120 @@
+#include "core/log.h"
+
+#include "core/name_table.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+namespace skylarkwing::core {
+
+namespace {
+
+constexpr NameTable<LogLevel, 4> kLevelNames{ { "debug", "info", "warning", "error" } };
+
+std::atomic<LogFormat> sFormat{ LogFormat::Plain };
+
+boost::log::trivial::severity_level
+ToSeverity(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return boost::log::trivial::debug;
+    case LogLevel::Info:
+      return boost::log::trivial::info;
+    case LogLevel::Warning:
+      return boost::log::trivial::warning;
+    case LogLevel::Error:
+      break;
+  }
+  return boost::log::trivial::error;
+}
+
+std::string
+Timestamp()
+{
+  const auto now = std::chrono::system_clock::now();
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+  const auto sinceEpoch =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  std::ostringstream out;
+  out << std::put_time(&utc, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(3) << std::setfill('0')
+      << sinceEpoch.count() % 1000 << 'Z';
+  return out.str();
+}
+
+std::string
+FormatJson(LogLevel aLevel,
+           std::string_view aSlice,
+           std::string_view aEvent,
+           std::initializer_list<LogField> aFields)
+{
+  nlohmann::ordered_json line;
+  line["time"] = Timestamp();
+  line["level"] = NameOf(aLevel);
+  line["slice"] = aSlice;
+  line["event"] = aEvent;
+  for (const LogField& field : aFields) {
+    line[std::string(field.name)] = field.value;
+  }
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string
+FormatPlain(LogLevel aLevel,
+            std::string_view aSlice,
+            std::string_view aEvent,
+            std::initializer_list<LogField> aFields)
+{
+  std::ostringstream out;
+  out << Timestamp() << ' ' << NameOf(aLevel) << ' ' << aSlice << ' ' << aEvent;
+  for (const LogField& field : aFields) {
+    out << ' ' << field.name << '=' << std::quoted(field.value);
+  }
+  return out.str();
+}
+
+} // namespace
+
+std::string_view
+NameOf(LogLevel aLevel)
+{
+  return kLevelNames.NameOf(aLevel);
+}
+
+void
+InitializeLog(LogLevel aLeast, LogFormat aFormat)
+{
+  sFormat = aFormat;
+  boost::log::add_console_log(std::clog, boost::log::keywords::format = "%Message%");
+  boost::log::core::get()->set_filter(boost::log::trivial::severity >= ToSeverity(aLeast));
+}
+
+void
+LogChange(LogLevel aLevel,
+          std::string_view aSlice,
+          std::string_view aEvent,
+          std::initializer_list<LogField> aFields)
+{
+  thread_local boost::log::sources::severity_logger<boost::log::trivial::severity_level> logger;
+  const bool isJson = sFormat == LogFormat::Json;
+  const std::string line = isJson ? FormatJson(aLevel, aSlice, aEvent, aFields)
+                                  : FormatPlain(aLevel, aSlice, aEvent, aFields);
+  BOOST_LOG_SEV(logger, ToSeverity(aLevel)) << line;
+}
+
+} // namespace skylarkwing::core
--- /dev/null
+++ b/core/random_source.cpp
@@ -0,0 +1,43 @@
+#include "core/random_source.h"
+
+#include <array>
+#include <cstdio>
+
+namespace skylarkwing::core {
+
+RandomSource::RandomSource(std::uint64_t aSeed)
+  : mEngine(aSeed)
+{
+}
+
+double
+RandomSource::Fraction()
+{
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mEngine);
+}
+
+std::uint64_t
+RandomSource::Below(std::uint64_t aBound)
+{
+  if (aBound == 0) {
+    return 0;
+  }
+  return std::uniform_int_distribution<std::uint64_t>(0, aBound - 1)(mEngine);
+}
+
+double
+RandomSource::Around(double aCentre, double aShare)
+{
+  return aCentre * (1.0 + aShare * (2.0 * Fraction() - 1.0));
+}
+
+std::string
+RandomSource::Token()
+{
+  constexpr int kTokenDigits = 16;
+  std::array<char, kTokenDigits + 1> buf{};
+  std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(mEngine()));
+  return { buf.data(), kTokenDigits };
+}
+
+} // namespace skylarkwing::core
--- /dev/null
+++ b/main/main.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
