--- /dev/null
+++ b/standin/vm_list_standin.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::standin {
+
+/** One entry of the platform's VM list. */
+struct VmListEntry
+{
+  std::string vm;
+  std::string failureDomain;
+  std::string region;
+  std::string callerAddress;
+  std::string peerAddress;
+  bool isLeaving = false;
+};
+
+/** The platform's list of VMs; it reports each change only after a lag. All calls on the loop's
+ * own thread. */
+class VmListStandin
+{
+public:
+  VmListStandin(boost::asio::io_context& aLoop, core::TimerService& aTimers, core::Duration aLag);
+  VmListStandin(const VmListStandin&) = delete;
+  VmListStandin& operator=(const VmListStandin&) = delete;
+  ~VmListStandin();
+
+  /** @return false when "IP:port" cannot be bound; port 0 picks a free one. */
+  bool Start(const std::string& aAddress = "127.0.0.1:0");
+
+  /** @return the bound "IP:port". */
+  const std::string& Address() const;
+
+  /** Sets the list that holds from now on; it is reported after the lag, the first one at once. */
+  void Set(std::vector<VmListEntry> aEntries);
+
+private:
+  struct State;
+  std::shared_ptr<State> mState;
+};
+
+} // namespace skylarkwing::standin
