--- /dev/null
+++ b/bench/load_result.cpp
@@ -0,0 +1,89 @@
+#include "bench/load_result.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkwing::bench {
+
+namespace {
+
+constexpr double kMedian = 0.5;
+constexpr double kP99 = 0.99;
+
+double
+Share(double aPart, double aWhole)
+{
+  return aWhole > 0 ? aPart / aWhole : 0.0;
+}
+
+} // namespace
+
+std::uint64_t
+CallerFaults::Total() const
+{
+  return malformed + mixedSnapshots + falseCoverage + wrongHits + falseNotRun;
+}
+
+double
+Quantile(std::vector<double> aValues, double aQuantile)
+{
+  if (aValues.empty()) {
+    return 0.0;
+  }
+  const auto last = static_cast<double>(aValues.size() - 1);
+  const auto n = static_cast<std::ptrdiff_t>(std::ceil(aQuantile * last));
+  std::nth_element(aValues.begin(), aValues.begin() + n, aValues.end());
+  return aValues[static_cast<std::size_t>(n)];
+}
+
+double
+LoadResult::LatencyMs(double aQuantile) const
+{
+  return Quantile(latenciesMs, aQuantile);
+}
+
+double
+LoadResult::Coverage() const
+{
+  return Share(static_cast<double>(partsAnswered), static_cast<double>(partsNeeded));
+}
+
+double
+LoadResult::ExtraLoad() const
+{
+  const auto needed = static_cast<double>(partsNeeded);
+  return Share(static_cast<double>(upstream.received) - needed, needed);
+}
+
+double
+LoadResult::AnsweredShare() const
+{
+  return Share(static_cast<double>(answered), static_cast<double>(sent));
+}
+
+std::uint64_t
+LoadResult::Broken() const
+{
+  return faults.Total() + properties.Total();
+}
+
+void
+to_json(nlohmann::json& aJson, const LoadResult& aResult)
+{
+  aJson = { { "sent", aResult.sent },
+            { "answered", aResult.answered },
+            { "answeredShare", aResult.AnsweredShare() },
+            { "complete", aResult.complete },
+            { "late", aResult.late },
+            { "p50Ms", aResult.LatencyMs(kMedian) },
+            { "p99Ms", aResult.LatencyMs(kP99) },
+            { "coverage", aResult.Coverage() },
+            { "extraLoad", aResult.ExtraLoad() },
+            { "refusals", aResult.refusals },
+            { "callerFaults", aResult.faults },
+            { "properties", aResult.properties },
+            { "upstream", aResult.upstream },
+            { "broken", aResult.Broken() } };
+}
+
+} // namespace skylarkwing::bench
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -580,6 +580,20 @@
   mState->answersToLose = aCount;
 }
 
+std::string
+StoreStandin::Get(const std::string& aKey) const
+{
+  return mState->values.Get(aKey).value;
+}
+
+void
+StoreStandin::Put(const std::string& aKey, const std::string& aValue)
+{
+  mState->values.BeginChanges();
+  mState->values.Put(aKey, aValue, 0);
+  mState->values.EndChanges();
+}
+
 void
 StoreStandin::Compact()
 {
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -71,6 +71,12 @@
    */
   void LoseAnswers(std::uint64_t aCount);
 
+  /** @return the value of a key as the store holds it, without a call. */
+  std::string Get(const std::string& aKey) const;
+
+  /** Writes a key as another client would, without a call. */
+  void Put(const std::string& aKey, const std::string& aValue);
+
   /** Forgets events up to now, so that older watches cannot be taken up again. */
   void Compact();
 
--- /dev/null
+++ b/standin/tests/loopback.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/asio_timer_service.h"
+#include "net/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::standin {
+
+/** An event loop and clients for the tests of one stand-in. */
+class Loopback
+{
+public:
+  boost::asio::io_context loop;
+  core::AsioTimerService timers{ loop };
+
+  Loopback() = default;
+  Loopback(const Loopback&) = delete;
+  Loopback& operator=(const Loopback&) = delete;
+
+  /** Lets tasks that were told to end do so while the timer service is still there. */
+  ~Loopback()
+  {
+    while (loop.poll() > 0) {
+    }
+  }
+
+  /** A client connection of its own. */
+  std::shared_ptr<net::HttpConnection> NewConnection()
+  {
+    return std::make_shared<net::HttpConnection>(loop.get_executor());
+  }
+
+  /** Starts one POST, or a GET when the body is empty; the reply is put where it says. */
+  void Post(std::shared_ptr<net::HttpConnection> aConnection,
+            std::string aAddress,
+            std::string aTarget,
+            std::string aBody,
+            std::shared_ptr<std::vector<net::HttpReply>> aReplies)
+  {
+    core::Start(loop.get_executor(),
+                Exchange(std::move(aConnection),
+                         std::move(aAddress),
+                         std::move(aTarget),
+                         std::move(aBody),
+                         std::move(aReplies)));
+  }
+
+  /** Makes one call and waits for its reply. */
+  net::HttpReply Call(const std::string& aAddress,
+                      const std::string& aTarget,
+                      const nlohmann::json& aBody = nullptr)
+  {
+    auto replies = std::make_shared<std::vector<net::HttpReply>>();
+    Post(NewConnection(), aAddress, aTarget, aBody.is_null() ? "" : aBody.dump(), replies);
+    RunUntilReplies(*replies, 1);
+    return replies->empty() ? net::HttpReply{ net::HttpClientError::TimedOut, {} }
+                            : replies->front();
+  }
+
+  /** Runs the loop until that many replies came; the client's own timeout ends the wait. */
+  void RunUntilReplies(const std::vector<net::HttpReply>& aReplies, std::size_t aCount)
+  {
+    while (aReplies.size() < aCount && loop.run_one() > 0) {
+    }
+  }
+
+private:
+  core::Task<void> Exchange(std::shared_ptr<net::HttpConnection> aConnection,
+                            std::string aAddress,
+                            std::string aTarget,
+                            std::string aBody,
+                            std::shared_ptr<std::vector<net::HttpReply>> aReplies)
+  {
+    constexpr core::Duration kTimeout = std::chrono::seconds{ 20 };
+    net::HttpReply reply;
+    if (!aConnection->IsOpen()) {
+      const bool isConnected = co_await aConnection->Connect(std::move(aAddress), kTimeout);
+      if (!isConnected) {
+        reply.error = net::HttpClientError::ConnectFailed;
+        aReplies->push_back(reply);
+        co_return;
+      }
+    }
+    net::HttpRequest request;
+    request.method = aBody.empty() ? "GET" : "POST";
+    request.target = std::move(aTarget);
+    request.body = std::move(aBody);
+    reply = co_await aConnection->Exchange(std::move(request), kTimeout);
+    aReplies->push_back(std::move(reply));
+  }
+};
+
+} // namespace skylarkwing::standin
