--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -5,8 +5,7 @@
 namespace skylarkwing::core {
 
 Metrics::Metrics()
-  : mRegistry(std::make_shared<prometheus::Registry>(
-      prometheus::Registry::InsertBehavior::Merge))
+  : mRegistry(std::make_shared<prometheus::Registry>(prometheus::Registry::InsertBehavior::Merge))
 {
 }
 
--- a/declaration/declaration.h
+++ b/declaration/declaration.h
@@ -117,7 +117,8 @@
 {
   /** Counts up by one with every accepted change; 0 is none. */
   std::uint64_t generation = 0;
-  /** Identifies the write, so that its writer can tell after a lost answer whether it took effect. */
+  /** Identifies the write, so that its writer can tell after a lost answer whether it took effect.
+   */
   std::string writeId;
   Declaration declaration;
   /** The latest changes, oldest first. */
--- /dev/null
+++ b/net/http_client.cpp
@@ -0,0 +1,251 @@
+#include "net/http_client.h"
+
+#include "core/name_table.h"
+#include "net/endpoint.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace skylarkwing::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr core::NameTable<HttpClientError, 6> kErrorNames{
+  { "none", "connect_failed", "nothing_sent", "broken", "timed_out", "malformed" }
+};
+constexpr std::uint64_t kLargestAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t kPieceBytes = 64 * 1024;
+
+const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+HttpReply
+Fail(HttpClientError aError)
+{
+  HttpReply reply;
+  reply.error = aError;
+  return reply;
+}
+
+HttpClientError
+ReadErrorOf(const beast::error_code& aError)
+{
+  if (aError == beast::error::timeout) {
+    return HttpClientError::TimedOut;
+  }
+  const bool isParseError =
+    aError.category() == http::make_error_code(http::error::bad_version).category();
+  const bool isEnd = aError == http::error::end_of_stream || aError == http::error::partial_message;
+  return isParseError && !isEnd ? HttpClientError::Malformed : HttpClientError::Broken;
+}
+
+http::request<http::string_body>
+ToMessage(HttpRequest aRequest)
+{
+  http::request<http::string_body> message;
+  message.method_string(aRequest.method);
+  message.target(aRequest.target);
+  message.set(http::field::host, "skylarkwing");
+  for (const HttpHeader& header : aRequest.headers) {
+    message.set(header.name, header.value);
+  }
+  message.body() = std::move(aRequest.body);
+  message.prepare_payload();
+  return message;
+}
+
+template<typename Message>
+HttpResponse
+ToResponse(const Message& aMessage)
+{
+  HttpResponse response;
+  response.status = aMessage.result_int();
+  response.contentType = std::string(aMessage[http::field::content_type]);
+  for (const auto& field : aMessage) {
+    response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  return response;
+}
+
+} // namespace
+
+std::string_view
+NameOf(HttpClientError aError)
+{
+  return kErrorNames.NameOf(aError);
+}
+
+/** The connection itself; an exchange keeps it alive when its owner goes away. */
+struct HttpConnection::State
+{
+  explicit State(asio::any_io_executor aExecutor)
+    : stream(std::move(aExecutor))
+  {
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::buffer_body>> streamed;
+  bool isOpen = false;
+
+  void Close()
+  {
+    isOpen = false;
+    beast::error_code ec;
+    stream.socket().close(ec);
+  }
+
+  bool IsClosedByPeer();
+  core::Task<HttpClientError> Send(HttpRequest aRequest, core::Duration aTimeout);
+};
+
+bool
+HttpConnection::State::IsClosedByPeer()
+{
+  // Without a request outstanding, readable means closed or broken.
+  beast::error_code ec;
+  auto& socket = stream.socket();
+  socket.non_blocking(true, ec);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
+core::Task<HttpClientError>
+HttpConnection::State::Send(HttpRequest aRequest, core::Duration aTimeout)
+{
+  if (!isOpen || IsClosedByPeer()) {
+    Close();
+    co_return HttpClientError::NothingSent;
+  }
+  const auto message = ToMessage(std::move(aRequest));
+  stream.expires_after(aTimeout);
+  const auto [ec, n] = co_await http::async_write(stream, message, kAsTuple);
+  if (!ec) {
+    co_return HttpClientError::None;
+  }
+  Close();
+  if (n == 0 && ec != beast::error::timeout) {
+    co_return HttpClientError::NothingSent;
+  }
+  co_return ec == beast::error::timeout ? HttpClientError::TimedOut : HttpClientError::Broken;
+}
+
+HttpConnection::HttpConnection(asio::any_io_executor aExecutor)
+  : mState(std::make_shared<State>(std::move(aExecutor)))
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+  Close();
+}
+
+core::Task<bool>
+HttpConnection::Connect(std::string aAddress, core::Duration aTimeout)
+{
+  const auto state = mState;
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  state->buffer.clear();
+  state->stream.expires_after(aTimeout);
+  const auto [ec] = co_await state->stream.async_connect(*endpoint, kAsTuple);
+  if (ec) {
+    state->Close();
+    co_return false;
+  }
+  beast::error_code ignored;
+  state->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  state->isOpen = true;
+  co_return true;
+}
+
+core::Task<HttpReply>
+HttpConnection::Exchange(HttpRequest aRequest, core::Duration aTimeout)
+{
+  const auto state = mState;
+  const HttpClientError sendError = co_await state->Send(std::move(aRequest), aTimeout);
+  if (sendError != HttpClientError::None) {
+    co_return Fail(sendError);
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kLargestAnswerBytes);
+  const auto [ec, n] = co_await http::async_read(state->stream, state->buffer, parser, kAsTuple);
+  if (ec) {
+    state->Close();
+    co_return Fail(ReadErrorOf(ec));
+  }
+  if (!parser.get().keep_alive()) {
+    state->Close();
+  }
+  HttpReply reply;
+  reply.response = ToResponse(parser.get());
+  reply.response.body = std::move(parser.get().body());
+  co_return reply;
+}
+
+core::Task<HttpReply>
+HttpConnection::OpenStream(HttpRequest aRequest, core::Duration aTimeout)
+{
+  const auto state = mState;
+  const HttpClientError sendError = co_await state->Send(std::move(aRequest), aTimeout);
+  if (sendError != HttpClientError::None) {
+    co_return Fail(sendError);
+  }
+  state->streamed.emplace();
+  state->streamed->body_limit(boost::none);
+  const auto [ec, n] =
+    co_await http::async_read_header(state->stream, state->buffer, *state->streamed, kAsTuple);
+  if (ec) {
+    state->Close();
+    co_return Fail(ReadErrorOf(ec));
+  }
+  HttpReply reply;
+  reply.response = ToResponse(state->streamed->get());
+  co_return reply;
+}
+
+core::Task<std::optional<std::string>>
+HttpConnection::ReadPiece(core::Duration aTimeout)
+{
+  const auto state = mState;
+  if (!state->streamed || state->streamed->is_done()) {
+    co_return std::nullopt;
+  }
+  std::string piece(kPieceBytes, '\0');
+  auto& body = state->streamed->get().body();
+  body.data = piece.data();
+  body.size = piece.size();
+  body.more = true;
+  state->stream.expires_after(aTimeout);
+  const auto [ec, n] =
+    co_await http::async_read_some(state->stream, state->buffer, *state->streamed, kAsTuple);
+  if (ec && ec != http::error::need_buffer) {
+    state->Close();
+    co_return std::nullopt;
+  }
+  piece.resize(piece.size() - body.size);
+  co_return piece;
+}
+
+bool
+HttpConnection::IsOpen() const
+{
+  return mState->isOpen;
+}
+
+void
+HttpConnection::Close()
+{
+  mState->Close();
+}
+
+} // namespace skylarkwing::net
--- /dev/null
+++ b/net/http_server.cpp
@@ -0,0 +1,419 @@
+#include "net/http_server.h"
+
+#include "core/name_table.h"
+#include "net/endpoint.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <unordered_map>
+#include <utility>
+
+namespace skylarkwing::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr core::NameTable<HttpServerFault, 5> kFaultNames{
+  { "malformed", "header_too_large", "body_too_large", "too_slow", "too_many_connections" }
+};
+constexpr int kAcceptBacklog = 1024;
+constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
+constexpr core::Duration kWriteTimeout = std::chrono::seconds{ 30 };
+constexpr core::Duration kLingerTimeout = std::chrono::milliseconds{ 500 };
+
+const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+using Parser = http::request_parser<http::string_body>;
+
+/** Sends the pieces of one streamed response as chunks. */
+class ChunkStream : public HttpStream
+{
+public:
+  explicit ChunkStream(beast::tcp_stream& aStream)
+    : mStream(aStream)
+  {
+  }
+
+  core::Task<bool> Write(std::string aPiece) override
+  {
+    mStream.expires_after(kWriteTimeout);
+    const auto chunk = http::make_chunk(asio::buffer(aPiece));
+    const auto [ec, n] = co_await asio::async_write(mStream, chunk, kAsTuple);
+    co_return !ec;
+  }
+
+private:
+  beast::tcp_stream& mStream;
+};
+
+HttpRequest
+ToRequest(Parser& aParser, const std::string& aClientAddress)
+{
+  auto& message = aParser.get();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.body = std::move(message.body());
+  request.clientAddress = aClientAddress;
+  return request;
+}
+
+template<typename Body>
+void
+FillHead(http::response<Body>& aMessage, const HttpResponse& aResponse, bool aKeepAlive)
+{
+  aMessage.set(http::field::content_type, aResponse.contentType);
+  for (const HttpHeader& header : aResponse.headers) {
+    aMessage.set(header.name, header.value);
+  }
+  aMessage.keep_alive(aKeepAlive);
+}
+
+HttpServerFault
+FaultOf(const beast::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return HttpServerFault::HeaderTooLarge;
+  }
+  if (aError == http::error::body_limit) {
+    return HttpServerFault::BodyTooLarge;
+  }
+  if (aError == beast::error::timeout) {
+    return HttpServerFault::TooSlow;
+  }
+  return HttpServerFault::Malformed;
+}
+
+unsigned
+StatusOf(HttpServerFault aFault)
+{
+  switch (aFault) {
+    case HttpServerFault::HeaderTooLarge:
+      return static_cast<unsigned>(http::status::request_header_fields_too_large);
+    case HttpServerFault::BodyTooLarge:
+      return static_cast<unsigned>(http::status::payload_too_large);
+    case HttpServerFault::TooSlow:
+      return static_cast<unsigned>(http::status::request_timeout);
+    case HttpServerFault::TooManyConnections:
+      return static_cast<unsigned>(http::status::service_unavailable);
+    case HttpServerFault::Malformed:
+      break;
+  }
+  return static_cast<unsigned>(http::status::bad_request);
+}
+
+/**
+ * Cancels what a stream does after a time. A timeout of the stream itself would close it, and the
+ * client would not learn why.
+ */
+void
+CancelAfter(asio::steady_timer& aTimer,
+            core::Duration aDelay,
+            std::shared_ptr<beast::tcp_stream> aStream,
+            std::shared_ptr<bool> aIsLate)
+{
+  aTimer.expires_after(aDelay);
+  aTimer.async_wait(
+    [stream = std::move(aStream), isLate = std::move(aIsLate)](const beast::error_code& aError) {
+      if (!aError) {
+        *isLate = true;
+        stream->cancel();
+      }
+    });
+}
+
+bool
+IsClientGone(const beast::error_code& aError)
+{
+  return aError == http::error::end_of_stream || aError == asio::error::connection_reset ||
+         aError == asio::error::operation_aborted || aError == asio::error::bad_descriptor;
+}
+
+} // namespace
+
+std::string_view
+NameOf(HttpServerFault aFault)
+{
+  return kFaultNames.NameOf(aFault);
+}
+
+/** The part of a server that its tasks share; it lives until the last of them ends. */
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+  State(asio::io_context& aLoop, HttpServerLimits aLimits, HttpHandler aHandler)
+    : loop(aLoop)
+    , limits(aLimits)
+    , handler(std::move(aHandler))
+    , acceptor(aLoop)
+  {
+  }
+
+  asio::io_context& loop;
+  HttpServerLimits limits;
+  HttpHandler handler;
+  HttpFaultHandler faultHandler;
+  asio::ip::tcp::acceptor acceptor;
+  std::unordered_map<std::uint64_t, std::shared_ptr<beast::tcp_stream>> streams;
+  std::uint64_t lastStream = 0;
+  bool isClosing = false;
+  bool isClosed = false;
+
+  core::Task<void> Accept(std::shared_ptr<State> aSelf);
+  core::Task<void> Serve(std::shared_ptr<State> aSelf,
+                         std::uint64_t aId,
+                         std::shared_ptr<beast::tcp_stream> aStream);
+  core::Task<bool> ServeOne(std::shared_ptr<beast::tcp_stream> aStream,
+                            std::shared_ptr<beast::flat_buffer> aBuffer,
+                            std::string aClientAddress);
+  core::Task<beast::error_code> Read(std::shared_ptr<beast::tcp_stream> aStream,
+                                     beast::flat_buffer& aBuffer,
+                                     Parser& aParser);
+  core::Task<bool> Respond(beast::tcp_stream& aStream, HttpResponse aResponse, bool aKeepAlive);
+  core::Task<bool> RespondInPieces(beast::tcp_stream& aStream, HttpResponse aResponse);
+  core::Task<void> RefuseAndLinger(beast::tcp_stream& aStream, HttpServerFault aFault);
+};
+
+core::Task<void>
+HttpServer::State::Accept(std::shared_ptr<State> aSelf)
+{
+  while (acceptor.is_open()) {
+    auto [ec, socket] = co_await acceptor.async_accept(kAsTuple);
+    if (ec == asio::error::operation_aborted || !acceptor.is_open()) {
+      co_return;
+    }
+    if (ec) {
+      // Out of file descriptors, for example: trying again at once would only spin.
+      asio::steady_timer pause(loop, kAcceptRetryDelay);
+      co_await pause.async_wait(kAsTuple);
+      continue;
+    }
+    beast::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const std::uint64_t id = ++lastStream;
+    auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    streams.emplace(id, stream);
+    core::Start(loop.get_executor(), Serve(aSelf, id, std::move(stream)));
+  }
+}
+
+core::Task<void>
+HttpServer::State::Serve([[maybe_unused]] std::shared_ptr<State> aSelf,
+                         std::uint64_t aId,
+                         std::shared_ptr<beast::tcp_stream> aStream)
+{
+  beast::error_code ec;
+  const auto remote = aStream->socket().remote_endpoint(ec);
+  const std::string clientAddress = ec ? std::string() : ToString(remote);
+  if (streams.size() > limits.connections) {
+    co_await RefuseAndLinger(*aStream, HttpServerFault::TooManyConnections);
+  } else {
+    auto buffer = std::make_shared<beast::flat_buffer>();
+    bool isOpen = true;
+    while (isOpen && !isClosed) {
+      isOpen = co_await ServeOne(aStream, buffer, clientAddress);
+    }
+  }
+  aStream->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+  aStream->close();
+  streams.erase(aId);
+}
+
+core::Task<bool>
+HttpServer::State::ServeOne(std::shared_ptr<beast::tcp_stream> aStream,
+                            std::shared_ptr<beast::flat_buffer> aBuffer,
+                            std::string aClientAddress)
+{
+  Parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+  parser.body_limit(limits.bodyBytes);
+  const beast::error_code ec = co_await Read(aStream, *aBuffer, parser);
+  if (IsClientGone(ec)) {
+    co_return false;
+  }
+  if (ec) {
+    co_await RefuseAndLinger(*aStream, FaultOf(ec));
+    co_return false;
+  }
+  HttpRequest request = ToRequest(parser, aClientAddress);
+  const bool isKeepAlive = parser.get().keep_alive();
+  aStream->expires_never();
+  HttpResponse response = co_await handler(std::move(request));
+  if (response.stream) {
+    co_return co_await RespondInPieces(*aStream, std::move(response));
+  }
+  co_return co_await Respond(*aStream, std::move(response), isKeepAlive && !isClosing);
+}
+
+core::Task<beast::error_code>
+HttpServer::State::Read(std::shared_ptr<beast::tcp_stream> aStream,
+                        beast::flat_buffer& aBuffer,
+                        Parser& aParser)
+{
+  // The first byte may take as long as a client keeps an idle connection; the rest may not.
+  auto isLate = std::make_shared<bool>(false);
+  asio::steady_timer limit(loop);
+  if (aBuffer.size() == 0) {
+    CancelAfter(limit, limits.idleTimeout, aStream, isLate);
+    auto room = aBuffer.prepare(limits.headerBytes);
+    const auto [ec, n] = co_await aStream->async_read_some(room, kAsTuple);
+    aBuffer.commit(n);
+    if (ec) {
+      co_return ec == asio::error::eof ? beast::error_code(http::error::end_of_stream) : ec;
+    }
+  }
+  CancelAfter(limit, limits.requestTimeout, aStream, isLate);
+  const auto [ec, n] = co_await http::async_read(*aStream, aBuffer, aParser, kAsTuple);
+  co_return *isLate&& ec ? beast::error_code(beast::error::timeout) : ec;
+}
+
+core::Task<bool>
+HttpServer::State::Respond(beast::tcp_stream& aStream, HttpResponse aResponse, bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.result(aResponse.status);
+  FillHead(message, aResponse, aKeepAlive);
+  message.body() = std::move(aResponse.body);
+  message.prepare_payload();
+  aStream.expires_after(kWriteTimeout);
+  const auto [ec, n] = co_await http::async_write(aStream, message, kAsTuple);
+  co_return !ec && aKeepAlive;
+}
+
+core::Task<bool>
+HttpServer::State::RespondInPieces(beast::tcp_stream& aStream, HttpResponse aResponse)
+{
+  http::response<http::empty_body> message;
+  message.result(aResponse.status);
+  FillHead(message, aResponse, false);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  aStream.expires_after(kWriteTimeout);
+  const auto [ec, n] = co_await http::async_write_header(aStream, serializer, kAsTuple);
+  if (ec) {
+    co_return false;
+  }
+  ChunkStream pieces(aStream);
+  co_await aResponse.stream(pieces);
+  aStream.expires_after(kWriteTimeout);
+  const auto end = http::make_chunk_last();
+  co_await asio::async_write(aStream, end, kAsTuple);
+  co_return false;
+}
+
+core::Task<void>
+HttpServer::State::RefuseAndLinger(beast::tcp_stream& aStream, HttpServerFault aFault)
+{
+  HttpResponse response;
+  if (faultHandler) {
+    response = faultHandler(aFault);
+  } else {
+    response.body = R"({"error":")" + std::string(NameOf(aFault)) + R"("})";
+  }
+  response.status = StatusOf(aFault);
+  co_await Respond(aStream, std::move(response), false);
+  // Closing with unread bytes would reset the connection and lose the refusal on its way.
+  beast::error_code ec;
+  aStream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  aStream.expires_after(kLingerTimeout);
+  std::string rest(limits.headerBytes, '\0');
+  while (!ec) {
+    auto room = asio::buffer(rest);
+    const auto [readError, n] = co_await aStream.async_read_some(room, kAsTuple);
+    ec = readError;
+  }
+}
+
+HttpServer::HttpServer(asio::io_context& aLoop, HttpServerLimits aLimits, HttpHandler aHandler)
+  : mState(std::make_shared<State>(aLoop, aLimits, std::move(aHandler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  Close();
+}
+
+void
+HttpServer::SetFaultHandler(HttpFaultHandler aHandler)
+{
+  mState->faultHandler = std::move(aHandler);
+}
+
+bool
+HttpServer::Listen(const std::string& aAddress)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    mLastError = "not an IP address and port: " + aAddress;
+    return false;
+  }
+  auto& acceptor = mState->acceptor;
+  beast::error_code ec;
+  acceptor.open(endpoint->protocol(), ec);
+  if (!ec) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  }
+  if (!ec) {
+    acceptor.bind(*endpoint, ec);
+  }
+  if (!ec) {
+    acceptor.listen(kAcceptBacklog, ec);
+  }
+  if (ec) {
+    mLastError = aAddress + ": " + ec.message();
+    acceptor.close(ec);
+    return false;
+  }
+  core::Start(mState->loop.get_executor(), mState->Accept(mState));
+  return true;
+}
+
+std::string
+HttpServer::Address() const
+{
+  beast::error_code ec;
+  const auto endpoint = mState->acceptor.local_endpoint(ec);
+  return ec ? std::string() : ToString(endpoint);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  beast::error_code ec;
+  mState->acceptor.close(ec);
+}
+
+void
+HttpServer::CloseAfterResponses()
+{
+  mState->isClosing = true;
+}
+
+std::size_t
+HttpServer::OpenConnections() const
+{
+  return mState->streams.size();
+}
+
+void
+HttpServer::Close()
+{
+  StopAccepting();
+  mState->isClosed = true;
+  for (auto& [id, stream] : mState->streams) {
+    stream->cancel();
+    beast::error_code ec;
+    stream->socket().close(ec);
+  }
+}
+
+} // namespace skylarkwing::net
--- /dev/null
+++ b/net/nng_peer_bus.cpp
@@ -0,0 +1,367 @@
+#include "net/nng_peer_bus.h"
+
+#include "core/log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace skylarkwing::net {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr int kMessageVersion = 1;
+constexpr int kSendBufferMessages = 1024;
+constexpr int kReceiveBufferMessages = 1024;
+constexpr nng_duration kReconnectMinimumMilliseconds = 50;
+constexpr nng_duration kReconnectMaximumMilliseconds = 1000;
+constexpr std::size_t kLargestMessageBytes = 16 * 1024 * 1024;
+
+/** What wraps the body of every message. */
+struct Envelope
+{
+  int version = kMessageVersion;
+  std::string cluster;
+  std::string vm;
+  std::string incarnation;
+  std::string kind;
+  /** The sender's monotonic time; only differences between messages mean anything. */
+  std::int64_t sentMicroseconds = 0;
+  json body;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Envelope,
+                                   version,
+                                   cluster,
+                                   vm,
+                                   incarnation,
+                                   kind,
+                                   sentMicroseconds,
+                                   body)
+
+std::optional<Envelope>
+Decode(const std::vector<std::uint8_t>& aBytes)
+{
+  const json message = json::from_msgpack(aBytes, true, false);
+  if (message.is_discarded()) {
+    return std::nullopt;
+  }
+  try {
+    return message.get<Envelope>();
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::int64_t
+Microseconds(core::TimePoint aTime)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aTime.time_since_epoch()).count();
+}
+
+std::string
+Url(const std::string& aAddress)
+{
+  return "tcp://" + aAddress;
+}
+
+/** The PUSH socket to one VM. */
+struct Outlet
+{
+  explicit Outlet(std::string aAddress)
+    : address(std::move(aAddress))
+  {
+  }
+
+  Outlet(const Outlet&) = delete;
+  Outlet& operator=(const Outlet&) = delete;
+
+  ~Outlet()
+  {
+    if (isOpen) {
+      nng_close(socket);
+    }
+  }
+
+  bool Open()
+  {
+    if (nng_push0_open(&socket) != 0) {
+      return false;
+    }
+    isOpen = true;
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, kSendBufferMessages);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kReconnectMinimumMilliseconds);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kReconnectMaximumMilliseconds);
+    nng_pipe_notify(socket, NNG_PIPE_EV_ADD_POST, OnPipe, this);
+    nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, OnPipe, this);
+    return nng_dial(socket, Url(address).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
+  }
+
+  static void OnPipe(nng_pipe, nng_pipe_ev aEvent, void* aOutlet)
+  {
+    auto* outlet = static_cast<Outlet*>(aOutlet);
+    if (aEvent == NNG_PIPE_EV_ADD_POST) {
+      outlet->isConnected = true;
+      return;
+    }
+    outlet->isConnected = false;
+    outlet->isBroken = true;
+  }
+
+  std::string address;
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  bool isOpen = false;
+  /** Written by nng's threads. */
+  std::atomic<bool> isConnected = false;
+  std::atomic<bool> isBroken = false;
+};
+
+} // namespace
+
+/** What the bus and nng's threads share. */
+struct NngPeerBus::State : std::enable_shared_from_this<NngPeerBus::State>
+{
+  State(asio::io_context& aLoop,
+        core::TimerService& aTimers,
+        core::Metrics& aMetrics,
+        PeerIdentity aIdentity)
+    : loop(aLoop)
+    , timers(aTimers)
+    , identity(std::move(aIdentity))
+    , sentBytes(aMetrics.Counter("skylarkwing_net_peer_sent_bytes_total",
+                                 "Bytes of messages handed over for other daemons."))
+    , receivedBytes(aMetrics.Counter("skylarkwing_net_peer_received_bytes_total",
+                                     "Bytes of messages received from other daemons."))
+    , sentMessages(aMetrics.Counter("skylarkwing_net_peer_sent_messages_total",
+                                    "Messages handed over for other daemons."))
+    , receivedMessages(aMetrics.Counter("skylarkwing_net_peer_received_messages_total",
+                                        "Messages received from other daemons."))
+    , notSent(aMetrics.Counter("skylarkwing_net_peer_not_sent_total",
+                               "Messages that could not be handed over."))
+    , refused(aMetrics.Counter("skylarkwing_net_peer_refused_total",
+                               "Messages refused: damaged, of another cluster or version."))
+  {
+  }
+
+  asio::io_context& loop;
+  core::TimerService& timers;
+  PeerIdentity identity;
+  prometheus::Counter& sentBytes;
+  prometheus::Counter& receivedBytes;
+  prometheus::Counter& sentMessages;
+  prometheus::Counter& receivedMessages;
+  prometheus::Counter& notSent;
+  prometheus::Counter& refused;
+  nng_socket inlet = NNG_SOCKET_INITIALIZER;
+  nng_aio* receiveAio = nullptr;
+  bool isOpen = false;
+  std::map<std::string, std::unique_ptr<Outlet>> outlets;
+  std::unordered_map<std::string, PeerMessageHandler> handlers;
+  /** Smallest difference seen between the clocks of a sender's incarnation and this one. */
+  std::unordered_map<std::string, std::int64_t> smallestOffsets;
+  SendFilter filter;
+
+  static void OnReceived(void* aState);
+  void Receive() { nng_recv_aio(inlet, receiveAio); }
+  void Handle(const std::vector<std::uint8_t>& aBytes);
+  core::Duration AgeOf(const Envelope& aEnvelope);
+  Outlet* UsableOutlet(const std::string& aVm);
+};
+
+void
+NngPeerBus::State::OnReceived(void* aState)
+{
+  auto* state = static_cast<State*>(aState);
+  if (nng_aio_result(state->receiveAio) != 0) {
+    return;
+  }
+  nng_msg* message = nng_aio_get_msg(state->receiveAio);
+  const auto* first = static_cast<const std::uint8_t*>(nng_msg_body(message));
+  std::vector<std::uint8_t> bytes(first, first + nng_msg_len(message));
+  nng_msg_free(message);
+  auto self = state->weak_from_this();
+  asio::post(state->loop, [self, bytes = std::move(bytes)] {
+    if (const auto alive = self.lock(); alive && alive->isOpen) {
+      alive->Handle(bytes);
+    }
+  });
+  state->Receive();
+}
+
+void
+NngPeerBus::State::Handle(const std::vector<std::uint8_t>& aBytes)
+{
+  receivedMessages.Increment();
+  receivedBytes.Increment(static_cast<double>(aBytes.size()));
+  const std::optional<Envelope> envelope = Decode(aBytes);
+  if (!envelope || envelope->version != kMessageVersion ||
+      envelope->cluster != identity.clusterName) {
+    refused.Increment();
+    return;
+  }
+  const auto it = handlers.find(envelope->kind);
+  if (it == handlers.end()) {
+    refused.Increment();
+    return;
+  }
+  PeerMessageOrigin origin;
+  origin.vm = envelope->vm;
+  origin.incarnation = envelope->incarnation;
+  origin.age = AgeOf(*envelope);
+  try {
+    it->second(origin, envelope->body);
+  } catch (const json::exception&) {
+    // The body does not have the fields of its kind: the sender speaks another dialect.
+    refused.Increment();
+  }
+}
+
+core::Duration
+NngPeerBus::State::AgeOf(const Envelope& aEnvelope)
+{
+  const std::int64_t offset = Microseconds(timers.Now()) - aEnvelope.sentMicroseconds;
+  const auto [it, isNew] = smallestOffsets.try_emplace(aEnvelope.incarnation, offset);
+  it->second = std::min(it->second, offset);
+  return std::chrono::microseconds{ offset - it->second };
+}
+
+Outlet*
+NngPeerBus::State::UsableOutlet(const std::string& aVm)
+{
+  const auto it = outlets.find(aVm);
+  if (it == outlets.end()) {
+    return nullptr;
+  }
+  if (it->second->isBroken) {
+    // What was queued for the connection that broke must not reach a later process.
+    auto fresh = std::make_unique<Outlet>(it->second->address);
+    fresh->Open();
+    it->second = std::move(fresh);
+  }
+  return it->second->isConnected ? it->second.get() : nullptr;
+}
+
+NngPeerBus::NngPeerBus(asio::io_context& aLoop,
+                       core::TimerService& aTimers,
+                       core::Metrics& aMetrics,
+                       PeerIdentity aIdentity)
+  : mState(std::make_shared<State>(aLoop, aTimers, aMetrics, std::move(aIdentity)))
+{
+}
+
+NngPeerBus::~NngPeerBus()
+{
+  Close();
+}
+
+bool
+NngPeerBus::Listen(const std::string& aAddress)
+{
+  if (nng_pull0_open(&mState->inlet) != 0) {
+    mLastError = "no nng socket";
+    return false;
+  }
+  nng_socket_set_int(mState->inlet, NNG_OPT_RECVBUF, kReceiveBufferMessages);
+  nng_socket_set_size(mState->inlet, NNG_OPT_RECVMAXSZ, kLargestMessageBytes);
+  const int error = nng_listen(mState->inlet, Url(aAddress).c_str(), nullptr, 0);
+  if (error != 0) {
+    mLastError = aAddress + ": " + nng_strerror(error);
+    nng_close(mState->inlet);
+    return false;
+  }
+  nng_aio_alloc(&mState->receiveAio, State::OnReceived, mState.get());
+  mState->isOpen = true;
+  mState->Receive();
+  return true;
+}
+
+void
+NngPeerBus::Connect(const std::string& aVm, const std::string& aAddress)
+{
+  const auto it = mState->outlets.find(aVm);
+  if (it != mState->outlets.end() && it->second->address == aAddress) {
+    return;
+  }
+  auto outlet = std::make_unique<Outlet>(aAddress);
+  if (!outlet->Open()) {
+    core::LogChange(core::LogLevel::Warning,
+                    "net",
+                    "peer_address_refused",
+                    { { "vm", aVm }, { "address", aAddress } });
+    return;
+  }
+  mState->outlets[aVm] = std::move(outlet);
+}
+
+void
+NngPeerBus::Disconnect(const std::string& aVm)
+{
+  mState->outlets.erase(aVm);
+}
+
+bool
+NngPeerBus::Send(const std::string& aVm, std::string_view aKind, const json& aBody)
+{
+  Outlet* outlet = mState->UsableOutlet(aVm);
+  if (!outlet || (mState->filter && !mState->filter(aVm))) {
+    mState->notSent.Increment();
+    return false;
+  }
+  Envelope envelope;
+  envelope.cluster = mState->identity.clusterName;
+  envelope.vm = mState->identity.vm;
+  envelope.incarnation = mState->identity.incarnation;
+  envelope.kind = std::string(aKind);
+  envelope.sentMicroseconds = Microseconds(mState->timers.Now());
+  envelope.body = aBody;
+  std::vector<std::uint8_t> bytes = json::to_msgpack(json(std::move(envelope)));
+  if (nng_send(outlet->socket, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK) != 0) {
+    mState->notSent.Increment();
+    return false;
+  }
+  mState->sentMessages.Increment();
+  mState->sentBytes.Increment(static_cast<double>(bytes.size()));
+  return true;
+}
+
+void
+NngPeerBus::OnMessage(const std::string& aKind, PeerMessageHandler aHandler)
+{
+  mState->handlers[aKind] = std::move(aHandler);
+}
+
+void
+NngPeerBus::SetSendFilter(SendFilter aFilter)
+{
+  mState->filter = std::move(aFilter);
+}
+
+void
+NngPeerBus::Close()
+{
+  mState->outlets.clear();
+  if (!mState->isOpen) {
+    return;
+  }
+  mState->isOpen = false;
+  nng_close(mState->inlet);
+  nng_aio_stop(mState->receiveAio);
+  nng_aio_free(mState->receiveAio);
+  mState->receiveAio = nullptr;
+}
+
+} // namespace skylarkwing::net
--- a/net/peer_bus.h
+++ b/net/peer_bus.h
@@ -52,7 +52,9 @@
    * @param aBody the message.
    * @return false when it was certainly not sent; true promises nothing.
    */
-  virtual bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody) = 0;
+  virtual bool Send(const std::string& aVm,
+                    std::string_view aKind,
+                    const nlohmann::json& aBody) = 0;
 
   /** Sets the handler of one kind of message. */
   virtual void OnMessage(const std::string& aKind, PeerMessageHandler aHandler) = 0;
--- /dev/null
+++ b/net/tests/nng_peer_bus_test.cpp
@@ -0,0 +1,130 @@
+#include "core/asio_timer_service.h"
+#include "net/http_server.h"
+#include "net/nng_peer_bus.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace skylarkwing::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Runs a loop until a condition holds; the test's own time limit bounds a failure. */
+template<typename Condition>
+bool
+RunUntil(boost::asio::io_context& aLoop, Condition aCondition)
+{
+  constexpr int kTries = 2000;
+  const auto work = boost::asio::make_work_guard(aLoop);
+  for (int n = 0; n < kTries; ++n) {
+    if (aCondition()) {
+      return true;
+    }
+    aLoop.restart();
+    aLoop.run_for(5ms);
+  }
+  return false;
+}
+
+/** @return a loopback address that was free a moment ago. */
+std::string
+FreeAddress(boost::asio::io_context& aLoop)
+{
+  HttpServer probe(aLoop, {}, nullptr);
+  BOOST_REQUIRE(probe.Listen("127.0.0.1:0"));
+  return probe.Address();
+}
+
+struct Daemon
+{
+  Daemon(boost::asio::io_context& aLoop, std::string aCluster, std::string aVm)
+    : timers(aLoop)
+    , address(FreeAddress(aLoop))
+    , bus(aLoop, timers, metrics, { std::move(aCluster), aVm, aVm + "-1" })
+  {
+    BOOST_REQUIRE(bus.Listen(address));
+    bus.OnMessage("number", [this](const PeerMessageOrigin& aOrigin, const nlohmann::json& aBody) {
+      lastOrigin = aOrigin;
+      received.push_back(aBody.at("n").get<int>());
+    });
+  }
+
+  core::AsioTimerService timers;
+  core::Metrics metrics;
+  std::string address;
+  NngPeerBus bus;
+  PeerMessageOrigin lastOrigin;
+  std::vector<int> received;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(nng_peer_bus)
+
+BOOST_AUTO_TEST_CASE(messages_arrive_in_order_and_name_their_sender)
+{
+  boost::asio::io_context loop;
+  Daemon a(loop, "c", "vm-a");
+  Daemon b(loop, "c", "vm-b");
+  a.bus.Connect("vm-b", b.address);
+  BOOST_TEST(!a.bus.Send("vm-c", "number", { { "n", 0 } }));
+  BOOST_REQUIRE(RunUntil(loop, [&] { return a.bus.Send("vm-b", "number", { { "n", 1 } }); }));
+  BOOST_TEST(a.bus.Send("vm-b", "number", { { "n", 2 } }));
+  BOOST_REQUIRE(RunUntil(loop, [&] { return b.received.size() == 2; }));
+  BOOST_TEST(b.received[0] == 1);
+  BOOST_TEST(b.received[1] == 2);
+  BOOST_TEST(b.lastOrigin.vm == "vm-a");
+  BOOST_TEST(b.lastOrigin.incarnation == "vm-a-1");
+}
+
+BOOST_AUTO_TEST_CASE(other_clusters_and_damaged_bodies_are_refused)
+{
+  boost::asio::io_context loop;
+  Daemon a(loop, "c", "vm-a");
+  Daemon b(loop, "c", "vm-b");
+  Daemon stranger(loop, "other", "vm-s");
+  stranger.bus.Connect("vm-b", b.address);
+  a.bus.Connect("vm-b", b.address);
+  BOOST_REQUIRE(RunUntil(loop, [&] {
+    return stranger.bus.Send("vm-b", "number", { { "n", 9 } });
+  }));
+  BOOST_REQUIRE(RunUntil(loop, [&] { return a.bus.Send("vm-b", "number", { { "m", 9 } }); }));
+  BOOST_TEST(a.bus.Send("vm-b", "number", { { "n", 5 } }));
+  BOOST_REQUIRE(RunUntil(loop, [&] { return !b.received.empty(); }));
+  BOOST_TEST(b.received.front() == 5);
+  const auto refused = [&] {
+    return b.metrics.Render().find("skylarkwing_net_peer_refused_total 2") != std::string::npos;
+  };
+  BOOST_TEST(RunUntil(loop, refused));
+}
+
+BOOST_AUTO_TEST_CASE(a_later_process_at_the_address_gets_nothing_queued_before)
+{
+  boost::asio::io_context loop;
+  Daemon a(loop, "c", "vm-a");
+  auto b = std::make_unique<Daemon>(loop, "c", "vm-b");
+  const std::string address = b->address;
+  a.bus.Connect("vm-b", address);
+  BOOST_REQUIRE(RunUntil(loop, [&] { return a.bus.Send("vm-b", "number", { { "n", 1 } }); }));
+  b->bus.Close();
+  BOOST_REQUIRE(RunUntil(loop, [&] { return !a.bus.Send("vm-b", "number", { { "n", 2 } }); }));
+  Daemon later(loop, "c", "vm-c");
+  NngPeerBus reborn(loop, later.timers, later.metrics, { "c", "vm-b", "vm-b-2" });
+  std::vector<int> received;
+  reborn.OnMessage("number", [&](const PeerMessageOrigin&, const nlohmann::json& aBody) {
+    received.push_back(aBody.at("n").get<int>());
+  });
+  BOOST_REQUIRE(reborn.Listen(address));
+  BOOST_REQUIRE(RunUntil(loop, [&] { return a.bus.Send("vm-b", "number", { { "n", 3 } }); }));
+  BOOST_REQUIRE(RunUntil(loop, [&] { return !received.empty(); }));
+  BOOST_TEST(received.front() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::net
