Read and check declarations and settings, with every fault at once

Cause: operators and daemons need one strict reader for the two kinds of JSON that people write. A reader that stops at the first fault, or ignores a misspelt key, lets a wrong value stand unseen.

Change: core/json_reader reads an object into a struct and notes each fault with its JSON pointer, what was expected and what was found; keys that nobody asked for are refused with the nearest known one, and keys named twice are refused. declaration/ and settings/ are built on it; references, uniqueness and limits that depend on each other are checked on the struct, so that a changed declaration can be checked again without text.

--- /dev/null
+++ b/core/json_reader.cpp
@@ -0,0 +1,371 @@
+#include "core/json_reader.h"
+
+#include "core/nearest_name.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace skylarkwing::core {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLongestExcerpt = 60;
+
+std::string
+EscapePointer(std::string_view aKey)
+{
+  std::string escaped;
+  for (const char c : aKey) {
+    if (c == '~') {
+      escaped += "~0";
+      continue;
+    }
+    if (c == '/') {
+      escaped += "~1";
+      continue;
+    }
+    escaped += c;
+  }
+  return escaped;
+}
+
+std::string
+WholeNumberWords(IntegerRange aRange)
+{
+  if (aRange.most == std::numeric_limits<std::uint64_t>::max()) {
+    return "a whole number of at least " + std::to_string(aRange.least);
+  }
+  return "a whole number from " + std::to_string(aRange.least) + " to " +
+         std::to_string(aRange.most);
+}
+
+/** Finds keys that stand twice in one object while the library parses. */
+class TwiceNamedKeys
+{
+public:
+  bool operator()(int, json::parse_event_t aEvent, json& aValue)
+  {
+    if (aEvent == json::parse_event_t::object_start) {
+      mOpenObjects.emplace_back();
+    }
+    if (aEvent == json::parse_event_t::object_end) {
+      mOpenObjects.pop_back();
+    }
+    if (aEvent == json::parse_event_t::key) {
+      const auto& key = aValue.get_ref<const std::string&>();
+      if (!mOpenObjects.back().insert(key).second) {
+        mTwice.insert(key);
+      }
+    }
+    return true;
+  }
+
+  const std::set<std::string>& Keys() const { return mTwice; }
+
+private:
+  std::vector<std::set<std::string>> mOpenObjects;
+  std::set<std::string> mTwice;
+};
+
+} // namespace
+
+std::string
+ToText(const JsonFault& aFault)
+{
+  const std::string path = aFault.path.empty() ? "(document)" : aFault.path;
+  return path + ": expected " + aFault.expected + ", found " + aFault.found;
+}
+
+std::string
+Excerpt(const json& aValue)
+{
+  if (aValue.is_object()) {
+    return "an object";
+  }
+  if (aValue.is_array()) {
+    return "a list";
+  }
+  std::string text = aValue.dump(-1, ' ', true, json::error_handler_t::replace);
+  if (text.size() > kLongestExcerpt) {
+    text.resize(kLongestExcerpt);
+    text += "...";
+  }
+  return text;
+}
+
+std::optional<json>
+ParseJson(std::string_view aText, std::vector<JsonFault>& aFaults)
+{
+  TwiceNamedKeys twice;
+  json document;
+  try {
+    document = json::parse(aText, std::ref(twice));
+  } catch (const json::parse_error& error) {
+    const std::string found = "text that breaks off or goes wrong at byte ";
+    aFaults.push_back({ "", "JSON", found + std::to_string(error.byte) });
+    return std::nullopt;
+  } catch (const json::exception&) {
+    aFaults.push_back({ "", "JSON", "a number that is too large" });
+    return std::nullopt;
+  }
+  for (const std::string& key : twice.Keys()) {
+    aFaults.push_back({ "", "each key once in its object", "\"" + key + "\" twice" });
+  }
+  return document;
+}
+
+JsonReader::JsonReader(const json& aValue, std::string aPath, std::vector<JsonFault>& aFaults)
+  : mPath(std::move(aPath))
+  , mFaults(aFaults)
+{
+  if (!aValue.is_object()) {
+    Note(mPath, "an object", Excerpt(aValue));
+    return;
+  }
+  mObject = &aValue;
+}
+
+void
+JsonReader::Text(const char* aKey, std::string& aTarget, const TextRule& aRule, Presence aPresence)
+{
+  const json* value = Find(aKey, aRule.expected, aPresence);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_string() || !aRule.isMet(value->get_ref<const std::string&>())) {
+    Note(PathOf(aKey), std::string(aRule.expected), Excerpt(*value));
+    return;
+  }
+  aTarget = value->get<std::string>();
+}
+
+void
+JsonReader::Texts(const char* aKey,
+                  std::vector<std::string>& aTarget,
+                  const TextRule& aRule,
+                  Presence aPresence,
+                  std::size_t aLeast)
+{
+  const json* value = FindList(aKey, aPresence, aLeast);
+  if (value == nullptr) {
+    return;
+  }
+  aTarget.clear();
+  for (std::size_t n = 0; n < value->size(); ++n) {
+    const json& item = (*value)[n];
+    const bool isGood = item.is_string() && aRule.isMet(item.get_ref<const std::string&>());
+    if (!isGood) {
+      Note(PathOf(aKey) + "/" + std::to_string(n), std::string(aRule.expected), Excerpt(item));
+    }
+    aTarget.push_back(isGood ? item.get<std::string>() : std::string());
+  }
+}
+
+void
+JsonReader::Boolean(const char* aKey, bool& aTarget, Presence aPresence)
+{
+  const json* value = Find(aKey, "true or false", aPresence);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_boolean()) {
+    Note(PathOf(aKey), "true or false", Excerpt(*value));
+    return;
+  }
+  aTarget = value->get<bool>();
+}
+
+void
+JsonReader::Integer(const char* aKey,
+                    std::uint32_t& aTarget,
+                    IntegerRange aRange,
+                    Presence aPresence)
+{
+  aRange.most = std::min<std::uint64_t>(aRange.most, std::numeric_limits<std::uint32_t>::max());
+  if (const auto value = Whole(aKey, aRange, aPresence)) {
+    aTarget = static_cast<std::uint32_t>(*value);
+  }
+}
+
+void
+JsonReader::Integer64(const char* aKey,
+                      std::uint64_t& aTarget,
+                      IntegerRange aRange,
+                      Presence aPresence)
+{
+  if (const auto value = Whole(aKey, aRange, aPresence)) {
+    aTarget = *value;
+  }
+}
+
+void
+JsonReader::Integer64(const char* aKey,
+                      std::optional<std::uint64_t>& aTarget,
+                      IntegerRange aRange,
+                      Presence aPresence)
+{
+  if (const auto value = Whole(aKey, aRange, aPresence)) {
+    aTarget = *value;
+  }
+}
+
+void
+JsonReader::Milliseconds(const char* aKey,
+                         std::chrono::milliseconds& aTarget,
+                         IntegerRange aRange,
+                         Presence aPresence)
+{
+  if (const auto value = Whole(aKey, aRange, aPresence)) {
+    aTarget = std::chrono::milliseconds{ *value };
+  }
+}
+
+void
+JsonReader::Share(const char* aKey, double& aTarget, Presence aPresence)
+{
+  const json* value = Find(aKey, "a number from 0 to 1", aPresence);
+  if (value == nullptr) {
+    return;
+  }
+  const double share = value->is_number() ? value->get<double>() : -1.0;
+  if (share < 0.0 || share > 1.0) {
+    Note(PathOf(aKey), "a number from 0 to 1", Excerpt(*value));
+    return;
+  }
+  aTarget = share;
+}
+
+void
+JsonReader::Object(const char* aKey, const ObjectFunction& aRead, Presence aPresence)
+{
+  const json* value = Find(aKey, "an object", aPresence);
+  if (value == nullptr) {
+    return;
+  }
+  JsonReader reader(*value, PathOf(aKey), mFaults);
+  aRead(reader);
+  reader.RefuseUnknownKeys();
+}
+
+void
+JsonReader::Objects(const char* aKey,
+                    const ObjectFunction& aRead,
+                    Presence aPresence,
+                    std::size_t aLeast)
+{
+  const json* value = FindList(aKey, aPresence, aLeast);
+  if (value == nullptr) {
+    return;
+  }
+  for (std::size_t n = 0; n < value->size(); ++n) {
+    JsonReader reader((*value)[n], PathOf(aKey) + "/" + std::to_string(n), mFaults);
+    aRead(reader);
+    reader.RefuseUnknownKeys();
+  }
+}
+
+void
+JsonReader::Any(const char* aKey,
+                std::string_view aExpected,
+                const AnyFunction& aRead,
+                Presence aPresence)
+{
+  if (const json* value = Find(aKey, aExpected, aPresence)) {
+    aRead(*value);
+  }
+}
+
+void
+JsonReader::RefuseUnknownKeys()
+{
+  if (mObject == nullptr) {
+    return;
+  }
+  for (const auto& [key, value] : mObject->items()) {
+    if (std::find(mKnown.begin(), mKnown.end(), key) != mKnown.end()) {
+      continue;
+    }
+    const auto nearest = NearestName(key, mKnown);
+    std::string expected = "a known key";
+    if (nearest) {
+      expected += " such as \"" + std::string(*nearest) + "\"";
+    }
+    Note(PathOf(key), std::move(expected), Excerpt(json(key)));
+  }
+}
+
+const json*
+JsonReader::FindList(const char* aKey, Presence aPresence, std::size_t aLeast)
+{
+  std::string expected = "a list";
+  if (aLeast > 0) {
+    expected += " of at least " + std::to_string(aLeast);
+  }
+  const json* value = Find(aKey, expected, aPresence);
+  if (value == nullptr) {
+    return nullptr;
+  }
+  if (!value->is_array()) {
+    Note(PathOf(aKey), std::move(expected), Excerpt(*value));
+    return nullptr;
+  }
+  if (value->size() < aLeast) {
+    Note(PathOf(aKey), std::move(expected), "a list of " + std::to_string(value->size()));
+  }
+  return value;
+}
+
+const json*
+JsonReader::Find(const char* aKey, std::string_view aExpected, Presence aPresence)
+{
+  mKnown.emplace_back(aKey);
+  if (mObject == nullptr) {
+    return nullptr;
+  }
+  const auto it = mObject->find(aKey);
+  if (it != mObject->end()) {
+    return &*it;
+  }
+  if (aPresence == Presence::Required) {
+    Note(PathOf(aKey), std::string(aExpected), "nothing");
+  }
+  return nullptr;
+}
+
+std::string
+JsonReader::PathOf(std::string_view aKey) const
+{
+  return mPath + "/" + EscapePointer(aKey);
+}
+
+void
+JsonReader::Note(std::string aPath, std::string aExpected, std::string aFound)
+{
+  mFaults.push_back({ std::move(aPath), std::move(aExpected), std::move(aFound) });
+}
+
+std::optional<std::uint64_t>
+JsonReader::Whole(const char* aKey, IntegerRange aRange, Presence aPresence)
+{
+  const json* value = Find(aKey, WholeNumberWords(aRange), aPresence);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  const bool isNatural =
+    value->is_number_unsigned() || (value->is_number_integer() && value->get<std::int64_t>() >= 0);
+  const std::uint64_t number = isNatural ? value->get<std::uint64_t>() : 0;
+  if (!isNatural || number < aRange.least || number > aRange.most) {
+    Note(PathOf(aKey), WholeNumberWords(aRange), Excerpt(*value));
+    return std::nullopt;
+  }
+  return number;
+}
+
+} // namespace skylarkwing::core
--- /dev/null
+++ b/core/socket_address.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string_view>
+
+namespace skylarkwing::core {
+
+/** @return whether a text is an IP address and a port other than 0: "10.0.0.1:80", "[::1]:80". */
+bool
+IsSocketAddress(std::string_view aText);
+
+} // namespace skylarkwing::core
--- /dev/null
+++ b/settings/tests/settings_test.cpp
@@ -0,0 +1,77 @@
+#include "settings/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace skylarkwing::settings {
+
+namespace {
+
+using nlohmann::json;
+
+json
+GoodDocument()
+{
+  return json::parse(R"({
+    "vm": "vm-1", "failureDomain": "Ikeja", "region": "Lagos", "clusterName": "adebayo",
+    "listen": {"caller": "10.0.0.1:7100", "peer": "10.0.0.1:7200", "operator": "10.0.0.1:7300"},
+    "store": {"endpoints": ["10.0.9.1:2379", "10.0.9.2:2379"]},
+    "vmList": {"address": "10.0.9.3:80"},
+    "operators": {"readTokenFile": "/etc/read", "changeTokenFile": "/etc/change"},
+    "log": {"level": "warning", "format": "json"},
+    "stopGraceSeconds": 20
+  })");
+}
+
+std::string
+OnlyFaultWith(const std::string& aPath, const json& aValue)
+{
+  json document = GoodDocument();
+  document[json::json_pointer(aPath)] = aValue;
+  const LoadResult result = ParseSettings(document.dump());
+  BOOST_TEST(!result.settings.has_value());
+  BOOST_REQUIRE(result.faults.size() == 1);
+  return result.faults.front();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(good_settings_are_read)
+{
+  const LoadResult result = ParseSettings(GoodDocument().dump());
+  BOOST_REQUIRE(result.settings.has_value());
+  BOOST_TEST(result.settings->storeEndpoints.size() == 2);
+  BOOST_TEST((result.settings->logLevel == core::LogLevel::Warning));
+  BOOST_TEST((result.settings->logFormat == core::LogFormat::Json));
+  BOOST_TEST(!result.settings->randomSeed.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_fault_names_path_expectation_and_finding)
+{
+  BOOST_TEST(OnlyFaultWith("/store/endpoints/0", "store.example:2379") ==
+             "/store/endpoints/0: expected an IP address and a port such as \"10.0.0.1:7300\", "
+             "found \"store.example:2379\"");
+  BOOST_TEST(OnlyFaultWith("/log/level", "loud") ==
+             "/log/level: expected \"debug\", \"info\", \"warning\" or \"error\", found \"loud\"");
+  BOOST_TEST(OnlyFaultWith("/stopGraceSecond", 3) ==
+             "/stopGraceSecond: expected a known key such as \"stopGraceSeconds\", "
+             "found \"stopGraceSecond\"");
+  BOOST_TEST(OnlyFaultWith("/listen/operator", "10.0.0.1:7100") ==
+             "/listen/operator: expected an address of its own, "
+             "found \"10.0.0.1:7100\" as at /listen/caller");
+}
+
+BOOST_AUTO_TEST_CASE(a_file_that_is_not_there_is_one_fault)
+{
+  const LoadResult result = LoadSettings("/nonexistent/settings.json");
+  BOOST_REQUIRE(result.faults.size() == 1);
+  BOOST_TEST(result.faults.front() ==
+             "/nonexistent/settings.json: expected a readable file, found none");
+  BOOST_TEST(LoadSettings("/").faults.size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::settings
