--- /dev/null
+++ b/upstream/latency_window.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace skylarkwing::upstream {
+
+/** The latest times of one replica's parts: their quantiles, and whether they have risen. */
+class LatencyWindow
+{
+public:
+  /**
+   * Takes in one time.
+   *
+   * @param aMicroseconds how long the exchange took.
+   * @return whether latency has risen: most of the latest times are far above the usual.
+   */
+  bool Record(std::uint32_t aMicroseconds);
+
+  /** Forgets everything, for another process at the same address. */
+  void Reset();
+
+  /** @return the median in microseconds, 0 while nothing is known. */
+  std::uint32_t Median() const { return mMedian; }
+
+  /** @return the 95th percentile in microseconds, 0 while nothing is known. */
+  std::uint32_t P95() const { return mP95; }
+
+private:
+  static constexpr std::size_t kSize = 128;
+
+  std::array<std::uint32_t, kSize> mTimes{};
+  std::size_t mCount = 0;
+  std::uint32_t mSlowBits = 0;
+  std::uint32_t mMedian = 0;
+  std::uint32_t mP95 = 0;
+
+  bool RecordSlow(bool aIsSlow);
+  void ComputeQuantiles();
+};
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/replica_worker.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/random_source.h"
+#include "core/task.h"
+#include "core/timer_service.h"
+#include "declaration/declaration.h"
+#include "upstream/latency_window.h"
+#include "upstream/part.h"
+#include "upstream/part_queue.h"
+#include "upstream/replica_fact.h"
+#include "upstream/replica_lifecycle.h"
+#include "upstream/upstream_connection.h"
+#include "upstream/warmup_ramp.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace skylarkwing::upstream {
+
+/** A replica that this daemon owns. */
+struct OwnedReplica
+{
+  declaration::ReplicaDeclaration declaration;
+  std::string index;
+  std::string service;
+  declaration::UpstreamLimits limits;
+  bool isDomainOut = false;
+};
+
+/** How a replica's worker reaches the rest of the daemon. */
+struct ReplicaWorkerHooks
+{
+  ConnectionFactory connect;
+  /** Asks for the permit of that name; false when it can't be had now. */
+  std::function<core::Task<bool>(std::string)> acquirePermit;
+  /** Whether the permit is certainly held at this moment. */
+  std::function<bool(const std::string&)> isPermitHeld;
+  std::function<void(const std::string&)> releasePermit;
+  /** The last look before a part is written: an answer here stops it. */
+  std::function<std::optional<PartAnswer>(const PartRequest&)> refuseBeforeSend;
+  /** A process went away while it ran the part; called before the part is answered. */
+  std::function<void(const PartRequest&, const std::string& aIncarnation)> onCrash;
+  /** A process was seen alive on a connection made after the last crash. */
+  std::function<void(const std::string& aReplica, const std::string& aIncarnation)> onAlive;
+  /** The replica's fact changed in more than its counts. */
+  std::function<void()> onChange;
+};
+
+/**
+ * Everything that an owner does with one replica: its queue, its few connections, its allowance and
+ * its life.
+ *
+ * One task serves each connection. Not thread-safe: one instance belongs to one event loop; its
+ * tasks keep it alive until they end.
+ */
+class ReplicaWorker : public std::enable_shared_from_this<ReplicaWorker>
+{
+public:
+  ReplicaWorker(boost::asio::any_io_executor aExecutor,
+                core::TimerService& aTimers,
+                core::RandomSource& aRandom,
+                core::Metrics& aMetrics,
+                OwnedReplica aReplica,
+                ReplicaWorkerHooks aHooks);
+  ReplicaWorker(const ReplicaWorker&) = delete;
+  ReplicaWorker& operator=(const ReplicaWorker&) = delete;
+  ~ReplicaWorker();
+
+  /** Begins to look at the replica; to be called once. */
+  void Start();
+
+  /** Takes a part; its callback comes exactly once, possibly before this returns. */
+  void Submit(PendingPartPtr aPart);
+
+  /** Gives up a part that is here; its callback still comes once. */
+  void Cancel(const PendingPartPtr& aPart);
+
+  /** Takes the replica's failure domain out or brings it back. */
+  void SetDomainOut(bool aIsOut);
+
+  /** Refuses what waits, finishes what runs and then closes the connections. */
+  void Retire();
+
+  /** Closes the connections at once; what runs ends as unknown. */
+  void Abort();
+
+  /** @return whether every task has ended. */
+  bool IsDone() const { return mTasks == 0; }
+
+  /** @return the replica as it was declared. */
+  const OwnedReplica& Replica() const { return mReplica; }
+
+  /** @return what this owner knows, without the owner's name. */
+  ReplicaFact Fact() const;
+
+private:
+  struct Lane;
+  struct ControlOrder;
+  using LanePtr = std::shared_ptr<Lane>;
+  using Self = std::shared_ptr<ReplicaWorker>;
+
+  boost::asio::any_io_executor mExecutor;
+  core::TimerService& mTimers;
+  core::RandomSource& mRandom;
+  core::Metrics& mMetrics;
+  OwnedReplica mReplica;
+  ReplicaWorkerHooks mHooks;
+  ReplicaLifecycle mLife;
+  WarmupRamp mRamp;
+  LatencyWindow mLatency;
+  PartQueue mQueue;
+  std::vector<LanePtr> mLanes;
+  std::shared_ptr<UpstreamConnection> mControl;
+  std::shared_ptr<core::Mailbox<ControlOrder>> mControlOrders;
+  std::string mIncarnation;
+  std::vector<SnapshotHolding> mHoldings;
+  /** Snapshots that answers deny although the load endpoint names them, and until when. */
+  std::unordered_map<std::uint64_t, core::TimePoint> mDeniedSnapshots;
+  std::uint32_t mInFlight = 0;
+  std::size_t mTasks = 0;
+  bool mIsRetired = false;
+  bool mIsAborted = false;
+  bool mIsAcquiring = false;
+  bool mHoldsPermit = false;
+  core::TimePoint mNextPermitTry;
+  core::TimePoint mLastAnswer;
+  core::TimePoint mLastCrash;
+  core::TimePoint mDrainNotice;
+  core::TimerId mQueueTimer = 0;
+  core::TimerId mPermitTimer = 0;
+
+  static core::Task<void> RunControl(Self aSelf);
+  static core::Task<void> RunLane(Self aSelf, LanePtr aLane);
+  static core::Task<void> RunPermit(Self aSelf);
+  core::Task<bool> OpenLane(LanePtr aLane);
+  core::Task<void> RunPart(LanePtr aLane, PendingPartPtr aPart);
+
+  void Pump();
+  void AddLanes();
+  void Assign();
+  std::size_t WantedLanes() const;
+  LanePtr ReadyLane() const;
+  std::uint32_t Allowance() const;
+  bool IsServing() const;
+  bool NeedsPermit() const;
+  bool MaySend() const;
+  bool HasRecentAnswer() const;
+  core::Duration RunTime() const;
+  core::Duration PollInterval() const;
+  std::size_t QueueLimit() const;
+  PartRefusal RefusalOf(const PartRequest& aRequest) const;
+  void Answer(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal);
+  void RefuseAll(PartRefusal aRefusal);
+  void RefuseLate();
+  void ScheduleQueueCheck();
+  void RequestPermit();
+  void ReleasePermit();
+  void SchedulePermitRelease();
+  void OnStateChange(ReplicaState aFrom, ReplicaState aTo);
+  void OnLoad(const LoadReply& aReply);
+  void OnControlLost();
+  void OnProcessSeen(const Lane& aLane);
+  void OnError(const LanePtr& aLane, const PendingPartPtr& aPart, ExchangeError aError);
+  void OnReply(const LanePtr& aLane,
+               const PendingPartPtr& aPart,
+               SearchReply& aReply,
+               core::Duration aTook);
+  bool IsMatching(const Lane& aLane, const PartRequest& aRequest, const SearchReply& aReply) const;
+  void RecordAnswerState(const SearchReply& aReply, core::Duration aTook);
+  void OnShed(const PendingPartPtr& aPart, ShedReason aReason);
+  void Forget(const std::string& aIncarnation);
+  void NotifyChange();
+};
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/warmup_ramp.cpp
@@ -0,0 +1,49 @@
+#include "upstream/warmup_ramp.h"
+
+#include <algorithm>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+// A round is long enough that every request allowed at a time has been answered about twice.
+constexpr std::uint32_t kCalmAnswersPerSlot = 2;
+
+} // namespace
+
+WarmupRamp::WarmupRamp(std::uint32_t aColdSlots, std::uint32_t aSlots)
+  : mColdSlots(std::max(1U, std::min(aColdSlots, aSlots)))
+  , mSlots(std::max(1U, aSlots))
+  , mAllowance(mColdSlots)
+{
+}
+
+void
+WarmupRamp::RecordCalm()
+{
+  if (IsComplete()) {
+    return;
+  }
+  ++mCalmAnswers;
+  if (mCalmAnswers < mAllowance * kCalmAnswersPerSlot) {
+    return;
+  }
+  mCalmAnswers = 0;
+  ++mAllowance;
+}
+
+void
+WarmupRamp::Drop()
+{
+  mAllowance = mColdSlots;
+  mCalmAnswers = 0;
+}
+
+void
+WarmupRamp::BackOff()
+{
+  mAllowance = std::max(mColdSlots, mAllowance / 2);
+  mCalmAnswers = 0;
+}
+
+} // namespace skylarkwing::upstream
