--- /dev/null
+++ b/query/attempt_budget.cpp
@@ -0,0 +1,23 @@
+#include "query/attempt_budget.h"
+
+#include <algorithm>
+
+namespace skylarkwing::query {
+
+void
+AttemptBudget::RecordFirstAttempt(double aShare)
+{
+  mTokens = std::min(mTokens + aShare, kMostTokens);
+}
+
+bool
+AttemptBudget::Take()
+{
+  if (mTokens < 1.0) {
+    return false;
+  }
+  mTokens -= 1.0;
+  return true;
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/canary_order.cpp
@@ -0,0 +1,37 @@
+#include "query/canary_order.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace skylarkwing::query {
+
+const ReplicaView*
+FirstInCanaryOrder(const IndexView& aView,
+                   const std::vector<std::size_t>& aHolders,
+                   const std::set<std::string>& aTried,
+                   std::uint64_t aFingerprint)
+{
+  const ReplicaView* first = nullptr;
+  std::uint64_t firstWeight = 0;
+  for (const std::size_t position : aHolders) {
+    const ReplicaView& replica = aView.replicas[position];
+    if (!MayGetWork(replica.state) || aTried.contains(replica.replica)) {
+      continue;
+    }
+    const std::uint64_t weight =
+      XXH64(replica.replica.data(), replica.replica.size(), aFingerprint);
+    if (first == nullptr || weight > firstWeight) {
+      first = &replica;
+      firstWeight = weight;
+    }
+  }
+  return first;
+}
+
+std::uint32_t
+CanaryShardOf(std::uint64_t aFingerprint, std::uint32_t aShardCount)
+{
+  return aShardCount == 0 ? 0 : static_cast<std::uint32_t>(aFingerprint % aShardCount);
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/fingerprint.cpp
@@ -0,0 +1,31 @@
+#include "query/fingerprint.h"
+
+#include <nlohmann/json.hpp>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace skylarkwing::query {
+
+namespace {
+
+std::string
+CanonicalText(const std::string& aSearch)
+{
+  const nlohmann::json document = nlohmann::json::parse(aSearch, nullptr, false);
+  if (document.is_discarded()) {
+    return aSearch;
+  }
+  // Members of an object are kept sorted, and invalid UTF-8 must not throw.
+  return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::uint64_t
+FingerprintOf(const std::string& aIndex, const std::string& aSearch)
+{
+  const std::string text = aIndex + '\n' + CanonicalText(aSearch);
+  return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/index_view.cpp
@@ -0,0 +1,119 @@
+#include "query/index_view.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace skylarkwing::query {
+
+namespace {
+
+using CountVotes = std::map<std::uint32_t, std::size_t>;
+
+ReplicaView
+ViewOf(const upstream::ReplicaFact& aFact)
+{
+  ReplicaView view;
+  view.replica = aFact.replica;
+  view.owner = aFact.owner;
+  view.failureDomain = aFact.failureDomain;
+  view.state = aFact.state;
+  view.allowance = aFact.allowance;
+  view.inFlight = aFact.inFlight + aFact.queued;
+  view.medianMicroseconds = aFact.medianMicroseconds;
+  view.p95Microseconds = aFact.p95Microseconds;
+  return view;
+}
+
+std::uint32_t
+MostAnnounced(const CountVotes& aVotes)
+{
+  std::uint32_t best = 0;
+  std::size_t bestVotes = 0;
+  for (const auto& [count, votes] : aVotes) {
+    if (votes >= bestVotes) {
+      best = count;
+      bestVotes = votes;
+    }
+  }
+  return best;
+}
+
+void
+AddHolding(SnapshotView& aView, const upstream::SnapshotHolding& aHolding, std::size_t aReplica)
+{
+  if (aHolding.shardCount != aView.shardCount) {
+    return;
+  }
+  for (const std::uint32_t shard : aHolding.shards) {
+    if (shard < aView.shardCount) {
+      aView.holders[shard].push_back(aReplica);
+    }
+  }
+}
+
+} // namespace
+
+const SnapshotView*
+IndexView::Find(std::uint64_t aSnapshot) const
+{
+  for (const SnapshotView& view : snapshots) {
+    if (view.snapshot == aSnapshot) {
+      return &view;
+    }
+  }
+  return nullptr;
+}
+
+IndexView
+BuildIndexView(const std::vector<upstream::ReplicaFact>& aFacts, const std::string& aIndex)
+{
+  IndexView view;
+  view.index = aIndex;
+  std::vector<const upstream::ReplicaFact*> facts;
+  std::map<std::uint64_t, CountVotes, std::greater<>> votes;
+  for (const upstream::ReplicaFact& fact : aFacts) {
+    if (fact.index != aIndex) {
+      continue;
+    }
+    facts.push_back(&fact);
+    view.replicas.push_back(ViewOf(fact));
+    for (const upstream::SnapshotHolding& holding : fact.holdings) {
+      ++votes[holding.snapshot][holding.shardCount];
+    }
+  }
+  for (const auto& [snapshot, counts] : votes) {
+    SnapshotView version;
+    version.snapshot = snapshot;
+    version.shardCount = MostAnnounced(counts);
+    version.holders.resize(version.shardCount);
+    for (std::size_t n = 0; n < facts.size(); ++n) {
+      for (const upstream::SnapshotHolding& holding : facts[n]->holdings) {
+        if (holding.snapshot == snapshot) {
+          AddHolding(version, holding, n);
+        }
+      }
+    }
+    view.snapshots.push_back(std::move(version));
+  }
+  return view;
+}
+
+bool
+MayGetWork(upstream::ReplicaState aState)
+{
+  switch (aState) {
+    case upstream::ReplicaState::Unknown:
+    case upstream::ReplicaState::Cold:
+    case upstream::ReplicaState::Warming:
+    case upstream::ReplicaState::Warm:
+      return true;
+    case upstream::ReplicaState::Draining:
+    case upstream::ReplicaState::Out:
+    case upstream::ReplicaState::Gone:
+      return false;
+  }
+  return false;
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/part_latency.cpp
@@ -0,0 +1,91 @@
+#include "query/part_latency.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace skylarkwing::query {
+
+namespace {
+
+constexpr std::size_t kWindowSamples = 256;
+constexpr std::size_t kLeastSamples = 64;
+constexpr std::size_t kSamplesBetweenQuantiles = 16;
+constexpr std::size_t kLeastMedianSamples = 8;
+
+std::uint32_t
+MicrosecondsOf(core::Duration aLatency)
+{
+  const auto n = std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(n, 0, UINT32_MAX));
+}
+
+} // namespace
+
+LatencyWindow::LatencyWindow()
+  : mSamples(kWindowSamples)
+{
+}
+
+void
+LatencyWindow::Record(core::Duration aLatency)
+{
+  mSamples.push_back(MicrosecondsOf(aLatency));
+  if (++mSinceComputed >= kSamplesBetweenQuantiles) {
+    mQuantiles.clear();
+    mSinceComputed = 0;
+  }
+}
+
+core::Duration
+LatencyWindow::Quantile(double aQuantile)
+{
+  if (mSamples.empty()) {
+    return {};
+  }
+  const auto it = mQuantiles.find(aQuantile);
+  if (it != mQuantiles.end()) {
+    return it->second;
+  }
+  std::vector<std::uint32_t> samples(mSamples.begin(), mSamples.end());
+  const auto last = static_cast<double>(samples.size() - 1);
+  const auto position = static_cast<std::size_t>(std::clamp(aQuantile, 0.0, 1.0) * last);
+  const auto nth = samples.begin() + static_cast<std::ptrdiff_t>(position);
+  std::nth_element(samples.begin(), nth, samples.end());
+  const core::Duration value = std::chrono::microseconds{ *nth };
+  mQuantiles[aQuantile] = value;
+  return value;
+}
+
+void
+PartLatency::Record(const std::string& aIndex, std::uint32_t aShard, core::Duration aLatency)
+{
+  IndexLatency& index = mIndexes[aIndex];
+  index.all.Record(aLatency);
+  index.shards[aShard].Record(aLatency);
+}
+
+std::optional<core::Duration>
+PartLatency::Quantile(const std::string& aIndex, std::uint32_t aShard, double aQuantile)
+{
+  const auto it = mIndexes.find(aIndex);
+  if (it == mIndexes.end() || it->second.all.Count() < kLeastSamples) {
+    return std::nullopt;
+  }
+  const auto shard = it->second.shards.find(aShard);
+  if (shard == it->second.shards.end() || shard->second.Count() < kLeastSamples) {
+    return it->second.all.Quantile(aQuantile);
+  }
+  return shard->second.Quantile(aQuantile);
+}
+
+core::Duration
+PartLatency::Median(const std::string& aIndex)
+{
+  const auto it = mIndexes.find(aIndex);
+  if (it == mIndexes.end() || it->second.all.Count() < kLeastMedianSamples) {
+    return {};
+  }
+  return it->second.all.Quantile(0.5);
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/replica_chooser.cpp
@@ -0,0 +1,155 @@
+#include "query/replica_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace skylarkwing::query {
+
+namespace {
+
+/** Replicas whose costs differ by less than this share are even. */
+constexpr double kEvenShare = 0.1;
+
+/** A cold replica is chosen before warm ones with this probability, so that it warms up. */
+constexpr double kColdShare = 0.05;
+
+/** Stands for the latency of a replica that has none measured. */
+constexpr double kUnmeasuredMicroseconds = 5000.0;
+
+} // namespace
+
+ReplicaChooser::ReplicaChooser(core::RandomSource& aRandom,
+                               std::string aFailureDomain,
+                               WayEstimate aWayTo)
+  : mRandom(aRandom)
+  , mFailureDomain(std::move(aFailureDomain))
+  , mWayTo(std::move(aWayTo))
+{
+}
+
+const ReplicaView*
+ReplicaChooser::Choose(const IndexView& aView,
+                       const std::vector<std::size_t>& aHolders,
+                       const std::set<std::string>& aTried,
+                       AttemptKind aKind)
+{
+  std::vector<const ReplicaView*> best;
+  std::vector<const ReplicaView*> cold;
+  Tier bestTier = Tier::Never;
+  for (const std::size_t position : aHolders) {
+    const ReplicaView& replica = aView.replicas[position];
+    const Tier tier = TierOf(replica, aKind);
+    if (tier == Tier::Never || aTried.contains(replica.replica)) {
+      continue;
+    }
+    if (replica.state == upstream::ReplicaState::Cold && HasRoom(replica)) {
+      cold.push_back(&replica);
+    }
+    if (tier < bestTier) {
+      best.clear();
+      bestTier = tier;
+    }
+    if (tier == bestTier) {
+      best.push_back(&replica);
+    }
+  }
+  if (aKind == AttemptKind::First && !cold.empty() && mRandom.Fraction() < kColdShare) {
+    return DrawTwo(cold);
+  }
+  return best.empty() ? nullptr : DrawTwo(best);
+}
+
+void
+ReplicaChooser::RecordSent(const std::string& aReplica)
+{
+  ++mOutstanding[aReplica];
+}
+
+void
+ReplicaChooser::RecordEnded(const std::string& aReplica)
+{
+  const auto it = mOutstanding.find(aReplica);
+  if (it != mOutstanding.end() && --it->second == 0) {
+    mOutstanding.erase(it);
+  }
+}
+
+std::uint32_t
+ReplicaChooser::Outstanding(const std::string& aReplica) const
+{
+  const auto it = mOutstanding.find(aReplica);
+  return it == mOutstanding.end() ? 0 : it->second;
+}
+
+ReplicaChooser::Tier
+ReplicaChooser::TierOf(const ReplicaView& aReplica, AttemptKind aKind) const
+{
+  if (!MayGetWork(aReplica.state)) {
+    return Tier::Never;
+  }
+  const bool isHedge = aKind == AttemptKind::Hedge;
+  if (aReplica.state == upstream::ReplicaState::Unknown) {
+    return isHedge ? Tier::Never : Tier::LastResort;
+  }
+  if (isHedge && !HasRoom(aReplica)) {
+    return Tier::Never;
+  }
+  if (aReplica.state == upstream::ReplicaState::Cold || aReplica.allowance == 0) {
+    return Tier::Reserve;
+  }
+  return Tier::Preferred;
+}
+
+bool
+ReplicaChooser::HasRoom(const ReplicaView& aReplica) const
+{
+  const std::uint32_t busy = std::max(aReplica.inFlight, Outstanding(aReplica.replica));
+  return busy < aReplica.allowance;
+}
+
+double
+ReplicaChooser::CostOf(const ReplicaView& aReplica) const
+{
+  // The owner's count includes parts of this asker, as of a moment ago.
+  const std::uint32_t busy = std::max(aReplica.inFlight, Outstanding(aReplica.replica));
+  const double share = (busy + 1.0) / std::max(aReplica.allowance, 1U);
+  const double latency =
+    aReplica.medianMicroseconds == 0 ? kUnmeasuredMicroseconds : aReplica.medianMicroseconds;
+  double cost = latency * std::max(share, 1.0) + latency * share;
+  if (mWayTo) {
+    const auto way = mWayTo(aReplica.owner);
+    cost += 2.0 * std::chrono::duration<double, std::micro>(way).count();
+  }
+  return cost;
+}
+
+const ReplicaView*
+ReplicaChooser::Better(const ReplicaView* aLeft, const ReplicaView* aRight) const
+{
+  const double left = CostOf(*aLeft);
+  const double right = CostOf(*aRight);
+  const bool isEven = std::abs(left - right) <= kEvenShare * std::max(left, right);
+  const bool isLeftNear = aLeft->failureDomain == mFailureDomain;
+  const bool isRightNear = aRight->failureDomain == mFailureDomain;
+  if (isEven && isLeftNear != isRightNear) {
+    return isLeftNear ? aLeft : aRight;
+  }
+  return left <= right ? aLeft : aRight;
+}
+
+const ReplicaView*
+ReplicaChooser::DrawTwo(const std::vector<const ReplicaView*>& aCandidates)
+{
+  if (aCandidates.size() == 1) {
+    return aCandidates.front();
+  }
+  const std::size_t first = mRandom.Below(aCandidates.size());
+  std::size_t second = mRandom.Below(aCandidates.size() - 1);
+  if (second >= first) {
+    ++second;
+  }
+  return Better(aCandidates[first], aCandidates[second]);
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/tests/query_fixture.cpp
@@ -0,0 +1,204 @@
+#include "query/tests/query_fixture.h"
+
+#include <algorithm>
+
+namespace skylarkwing::query::test {
+
+namespace {
+
+constexpr std::uint32_t kSlots = 3;
+const std::vector<std::string> kDomains = { "Ikeja", "Nassarawa", "Trans-Amadi" };
+
+} // namespace
+
+QueryFixture::QueryFixture()
+{
+  profile.name = "interactive";
+  profile.indexes = { "catalogue" };
+  behaviour = [](const upstream::PartRequest&) { return PartBehaviour{}; };
+  QueryHooks hooks;
+  hooks.sendPart = [this](upstream::PartRequest aRequest, upstream::PartCallback aCallback) {
+    Send(std::move(aRequest), std::move(aCallback));
+  };
+  hooks.cancelPart = [this](const std::string&, const std::string& aPartId) { Cancel(aPartId); };
+  hooks.indexView = [this](const std::string& aIndex) {
+    return std::make_shared<const IndexView>(BuildIndexView(facts, aIndex));
+  };
+  hooks.crashedReplicas = [this](std::uint64_t) { return knownCrashes; };
+  QuerySettings settings;
+  settings.failureDomain = "Ikeja";
+  engine = std::make_unique<QueryEngine>(timers, random, metrics, hooks, settings);
+}
+
+void
+QueryFixture::AddVersion(std::uint64_t aSnapshot, std::uint32_t aShards, std::uint32_t aReplicas)
+{
+  for (std::uint32_t shard = 0; shard < aShards; ++shard) {
+    for (std::uint32_t n = 0; n < aReplicas; ++n) {
+      const std::string name = "r" + std::to_string(shard) + "-" + std::to_string(n);
+      upstream::ReplicaFact& fact = Fact(name);
+      fact.holdings.push_back({ aSnapshot, aShards, { shard } });
+      fact.failureDomain = kDomains[n % kDomains.size()];
+    }
+  }
+}
+
+void
+QueryFixture::RemoveVersion(std::uint64_t aSnapshot)
+{
+  for (upstream::ReplicaFact& fact : facts) {
+    std::erase_if(fact.holdings, [aSnapshot](const upstream::SnapshotHolding& aHolding) {
+      return aHolding.snapshot == aSnapshot;
+    });
+  }
+}
+
+upstream::ReplicaFact&
+QueryFixture::Fact(const std::string& aReplica)
+{
+  const auto it =
+    std::find_if(facts.begin(), facts.end(), [&aReplica](const upstream::ReplicaFact& aFact) {
+      return aFact.replica == aReplica;
+    });
+  if (it != facts.end()) {
+    return *it;
+  }
+  upstream::ReplicaFact fact;
+  fact.replica = aReplica;
+  fact.index = "catalogue";
+  fact.owner = "vm-of-" + aReplica;
+  fact.state = upstream::ReplicaState::Warm;
+  fact.allowance = kSlots;
+  fact.medianMicroseconds = 5000;
+  facts.push_back(fact);
+  return facts.back();
+}
+
+void
+QueryFixture::StartQuery(const std::string& aSearch, core::Duration aPatience)
+{
+  QueryRequest request;
+  request.index = "catalogue";
+  request.profile = std::make_shared<const declaration::ProfileDeclaration>(profile);
+  request.search = aSearch;
+  request.deadline = timers.Now() + aPatience;
+  request.size = 1000;
+  const core::TimePoint start = timers.Now();
+  boost::asio::co_spawn(loop,
+                        engine->Run(std::move(request)),
+                        [this, start](std::exception_ptr aError, QueryResult aResult) {
+                          if (aError) {
+                            std::rethrow_exception(aError);
+                          }
+                          latencies.push_back(timers.Now() - start);
+                          results.push_back(std::move(aResult));
+                        });
+  Settle();
+}
+
+QueryResult
+QueryFixture::Ask(const std::string& aSearch, core::Duration aPatience)
+{
+  const std::size_t before = results.size();
+  StartQuery(aSearch, aPatience);
+  while (results.size() == before && timers.RunNext()) {
+    Settle();
+  }
+  return results.back();
+}
+
+void
+QueryFixture::Advance(core::Duration aSpan)
+{
+  const core::TimePoint end = timers.Now() + aSpan;
+  Settle();
+  while (timers.NextDue().value_or(core::TimePoint::max()) <= end) {
+    timers.RunNext();
+    Settle();
+  }
+  timers.Advance(end - timers.Now());
+}
+
+std::vector<upstream::Hit>
+QueryFixture::HitsOf(std::uint64_t aSnapshot, std::uint32_t aShard)
+{
+  std::vector<upstream::Hit> hits;
+  for (std::uint32_t n = 0; n < 3; ++n) {
+    const std::string id =
+      "v" + std::to_string(aSnapshot) + "-s" + std::to_string(aShard) + "-" + std::to_string(n);
+    hits.push_back({ id, 1.0 / (1 + aShard + n), "{}" });
+  }
+  return hits;
+}
+
+std::size_t
+QueryFixture::RunCount(std::uint32_t aShard) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(sent.begin(), sent.end(), [this, aShard](const SentPart& aPart) {
+      return aPart.request.shard == aShard && !mNotRun.contains(aPart.request.partId);
+    }));
+}
+
+void
+QueryFixture::Settle()
+{
+  loop.restart();
+  loop.poll();
+}
+
+void
+QueryFixture::Send(upstream::PartRequest aRequest, upstream::PartCallback aCallback)
+{
+  const PartBehaviour part = behaviour(aRequest);
+  sent.push_back({ aRequest, timers.Now(), false });
+  mRunning[aRequest.partId] = std::move(aCallback);
+  if (part.status == upstream::PartStatus::NotRun) {
+    mNotRun.insert(aRequest.partId);
+  }
+  if (part.isSilent) {
+    return;
+  }
+  upstream::PartAnswer answer;
+  answer.partId = aRequest.partId;
+  answer.status = part.status;
+  answer.refusal = part.refusal;
+  answer.snapshot = aRequest.snapshot + (part.isMislabelled ? 1 : 0);
+  answer.shard = aRequest.shard;
+  answer.isComplete = part.isComplete;
+  answer.crashedReplicas = aRequest.crashedReplicas;
+  if (part.status == upstream::PartStatus::Answered) {
+    answer.hits = HitsOf(answer.snapshot, aRequest.shard);
+    if (!part.isComplete) {
+      answer.hits.resize(1);
+    }
+  }
+  if (part.status == upstream::PartStatus::Crashed) {
+    answer.crashedReplicas.push_back(aRequest.replica);
+  }
+  timers.Schedule(part.latency, [this, answer] { End(answer.partId, answer); });
+}
+
+void
+QueryFixture::Cancel(const std::string& aPartId)
+{
+  for (SentPart& part : sent) {
+    if (part.request.partId == aPartId) {
+      part.isCancelled = true;
+    }
+  }
+}
+
+void
+QueryFixture::End(const std::string& aPartId, upstream::PartAnswer aAnswer)
+{
+  const auto it = mRunning.find(aPartId);
+  if (it == mRunning.end()) {
+    return;
+  }
+  const upstream::PartCallback callback = std::move(it->second);
+  mRunning.erase(it);
+  callback(std::move(aAnswer));
+}
+
+} // namespace skylarkwing::query::test
