--- /dev/null
+++ b/console/change_json.cpp
@@ -0,0 +1,235 @@
+#include "console/change_json.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <initializer_list>
+#include <string_view>
+#include <utility>
+
+namespace skylarkwing::console {
+
+namespace {
+
+using nlohmann::json;
+
+/** Reads fields of a JSON object and remembers the first fault. */
+class FieldReader
+{
+public:
+  explicit FieldReader(const std::string& aText)
+    : mObject(json::parse(aText, nullptr, false))
+  {
+    if (!mObject.is_object()) {
+      mFault = "the body is not a JSON object";
+    }
+  }
+
+  std::string Text(const char* aName, bool aIsRequired)
+  {
+    const json* field = Find(aName, aIsRequired);
+    if (field == nullptr) {
+      return {};
+    }
+    if (!field->is_string()) {
+      Fail(aName, "must be text");
+      return {};
+    }
+    return field->get<std::string>();
+  }
+
+  bool Flag(const char* aName, bool aIsRequired)
+  {
+    const json* field = Find(aName, aIsRequired);
+    if (field == nullptr) {
+      return false;
+    }
+    if (!field->is_boolean()) {
+      Fail(aName, "must be true or false");
+      return false;
+    }
+    return field->get<bool>();
+  }
+
+  std::optional<std::uint64_t> Number(const char* aName)
+  {
+    const json* field = Find(aName, false);
+    if (field == nullptr || field->is_null()) {
+      return std::nullopt;
+    }
+    if (!field->is_number_unsigned()) {
+      Fail(aName, "must be a whole number from 0");
+      return std::nullopt;
+    }
+    return field->get<std::uint64_t>();
+  }
+
+  /** A field that is not known is a fault, because a misspelt "force" must not pass. */
+  void RefuseOthers(std::initializer_list<std::string_view> aKnown)
+  {
+    if (!mObject.is_object()) {
+      return;
+    }
+    for (const auto& [name, value] : mObject.items()) {
+      const bool isKnown = std::find(aKnown.begin(), aKnown.end(), name) != aKnown.end();
+      if (!isKnown) {
+        Fail(name, "is not a known field");
+      }
+    }
+  }
+
+  const std::string& Fault() const { return mFault; }
+
+private:
+  json mObject;
+  std::string mFault;
+
+  const json* Find(const char* aName, bool aIsRequired)
+  {
+    if (!mObject.is_object()) {
+      return nullptr;
+    }
+    const auto it = mObject.find(aName);
+    if (it != mObject.end()) {
+      return &*it;
+    }
+    if (aIsRequired) {
+      Fail(aName, "is missing");
+    }
+    return nullptr;
+  }
+
+  void Fail(const std::string& aName, const char* aWhat)
+  {
+    if (mFault.empty()) {
+      mFault = "\"" + aName + "\" " + aWhat;
+    }
+  }
+};
+
+ChangeTerms
+ReadTerms(FieldReader& aReader)
+{
+  ChangeTerms terms;
+  terms.expectedGeneration = aReader.Number("expectedGeneration");
+  terms.author = aReader.Text("author", true);
+  terms.reason = aReader.Text("reason", false);
+  terms.force = aReader.Flag("force", false);
+  return terms;
+}
+
+template<typename T>
+BodyReading<T>
+Finish(T aBody, const FieldReader& aReader)
+{
+  BodyReading<T> reading;
+  reading.fault = aReader.Fault();
+  if (reading.fault.empty()) {
+    reading.value = std::move(aBody);
+  }
+  return reading;
+}
+
+json
+ToJson(const DeclarationFault& aFault)
+{
+  return { { "path", aFault.path }, { "reason", aFault.reason } };
+}
+
+declaration::ChangeRecord
+RecordFromJson(const json& aJson)
+{
+  declaration::ChangeRecord record;
+  record.generation = aJson.at("generation").get<std::uint64_t>();
+  record.author = aJson.at("author").get<std::string>();
+  record.reason = aJson.at("reason").get<std::string>();
+  record.changes = aJson.at("changes").get<std::vector<std::string>>();
+  record.writtenAt = aJson.at("writtenAt").get<std::int64_t>();
+  return record;
+}
+
+DeclarationFault
+FaultFromJson(const json& aJson)
+{
+  return { aJson.at("path").get<std::string>(), aJson.at("reason").get<std::string>() };
+}
+
+} // namespace
+
+BodyReading<DeclarationBody>
+ReadDeclarationBody(const std::string& aText)
+{
+  FieldReader reader(aText);
+  DeclarationBody body;
+  body.declaration = reader.Text("declaration", true);
+  body.terms = ReadTerms(reader);
+  reader.RefuseOthers({ "declaration", "expectedGeneration", "author", "reason", "force" });
+  return Finish(std::move(body), reader);
+}
+
+BodyReading<DomainBody>
+ReadDomainBody(const std::string& aText)
+{
+  FieldReader reader(aText);
+  DomainBody body;
+  body.out = reader.Flag("out", true);
+  body.terms = ReadTerms(reader);
+  reader.RefuseOthers({ "out", "expectedGeneration", "author", "reason", "force" });
+  return Finish(std::move(body), reader);
+}
+
+json
+ToJson(const declaration::ChangeRecord& aRecord)
+{
+  return { { "generation", aRecord.generation },
+           { "author", aRecord.author },
+           { "reason", aRecord.reason },
+           { "changes", aRecord.changes },
+           { "writtenAt", aRecord.writtenAt } };
+}
+
+json
+ToJson(const ChangeOutcome& aOutcome)
+{
+  json conflicts = json::array();
+  for (const declaration::ChangeRecord& record : aOutcome.conflicts) {
+    conflicts.push_back(ToJson(record));
+  }
+  json faults = json::array();
+  for (const DeclarationFault& fault : aOutcome.faults) {
+    faults.push_back(ToJson(fault));
+  }
+  return { { "outcome", NameOf(aOutcome.verdict) },
+           { "generation", aOutcome.generation },
+           { "conflicts", std::move(conflicts) },
+           { "faults", std::move(faults) },
+           { "harms", aOutcome.harms },
+           { "reason", aOutcome.reason } };
+}
+
+std::optional<ChangeOutcome>
+ChangeOutcomeFromJson(const json& aJson)
+{
+  try {
+    const auto verdict = ChangeVerdictOf(aJson.at("outcome").get<std::string>());
+    if (!verdict) {
+      return std::nullopt;
+    }
+    ChangeOutcome outcome;
+    outcome.verdict = *verdict;
+    outcome.generation = aJson.at("generation").get<std::uint64_t>();
+    outcome.harms = aJson.at("harms").get<std::vector<std::string>>();
+    outcome.reason = aJson.at("reason").get<std::string>();
+    for (const json& record : aJson.at("conflicts")) {
+      outcome.conflicts.push_back(RecordFromJson(record));
+    }
+    for (const json& fault : aJson.at("faults")) {
+      outcome.faults.push_back(FaultFromJson(fault));
+    }
+    return outcome;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace skylarkwing::console
--- /dev/null
+++ b/console/change_service.cpp
@@ -0,0 +1,183 @@
+#include "console/change_service.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace skylarkwing::console {
+
+namespace {
+
+constexpr std::size_t kLongestAuthor = 128;
+constexpr std::size_t kLongestReason = 1024;
+
+ChangeOutcome
+Refuse(std::string aReason)
+{
+  ChangeOutcome outcome;
+  outcome.verdict = ChangeVerdict::Refused;
+  outcome.reason = std::move(aReason);
+  return outcome;
+}
+
+std::optional<ChangeOutcome>
+CheckTerms(const ChangeTerms& aTerms)
+{
+  if (aTerms.author.empty()) {
+    return Refuse("the author is missing");
+  }
+  if (aTerms.author.size() > kLongestAuthor || aTerms.reason.size() > kLongestReason) {
+    return Refuse("the author or the reason is too long");
+  }
+  return std::nullopt;
+}
+
+std::vector<declaration::ChangeRecord>
+RecordsSince(const declaration::Configuration& aPresent, std::uint64_t aGeneration)
+{
+  std::vector<declaration::ChangeRecord> records;
+  std::copy_if(aPresent.history.begin(),
+               aPresent.history.end(),
+               std::back_inserter(records),
+               [aGeneration](const declaration::ChangeRecord& aRecord) {
+                 return aRecord.generation > aGeneration;
+               });
+  return records;
+}
+
+bool
+Names(const declaration::ChangeRecord& aRecord, const std::string& aDomain)
+{
+  return std::any_of(
+    aRecord.changes.begin(), aRecord.changes.end(), [&aDomain](const std::string& aLine) {
+      return aLine.find(aDomain) != std::string::npos;
+    });
+}
+
+ChangeOutcome
+ConflictWith(const declaration::Configuration& aPresent,
+             std::vector<declaration::ChangeRecord> aRecords,
+             std::uint64_t aExpected)
+{
+  ChangeOutcome outcome;
+  outcome.verdict = ChangeVerdict::Conflict;
+  outcome.generation = aPresent.generation;
+  outcome.conflicts = std::move(aRecords);
+  outcome.reason = "generation " + std::to_string(aExpected) + " was expected, and generation " +
+                   std::to_string(aPresent.generation) + " is accepted";
+  return outcome;
+}
+
+/** @return the conflict of a change to one domain, or nothing when only other things changed. */
+std::optional<ChangeOutcome>
+FindDomainConflict(const declaration::Configuration& aPresent,
+                   std::uint64_t aExpected,
+                   const std::string& aDomain)
+{
+  if (aExpected == aPresent.generation) {
+    return std::nullopt;
+  }
+  std::vector<declaration::ChangeRecord> records = RecordsSince(aPresent, aExpected);
+  const bool isFromHere = aExpected < aPresent.generation;
+  // Every generation has one record; fewer records mean that the history does not reach back.
+  const bool isHistoryWhole = isFromHere && records.size() == aPresent.generation - aExpected;
+  if (isHistoryWhole) {
+    std::erase_if(records, [&aDomain](const auto& aRecord) { return !Names(aRecord, aDomain); });
+    if (records.empty()) {
+      return std::nullopt;
+    }
+  }
+  return ConflictWith(aPresent, std::move(records), aExpected);
+}
+
+} // namespace
+
+ChangeService::ChangeService(const ConsoleHooks& aHooks)
+  : mHooks(aHooks)
+{
+}
+
+void
+ChangeService::ApplyDeclaration(const std::string& aText,
+                                ChangeTerms aTerms,
+                                ChangeCallback aCallback)
+{
+  if (const std::optional<ChangeOutcome> refusal = CheckTerms(aTerms)) {
+    aCallback(*refusal);
+    return;
+  }
+  DeclarationReading reading = mHooks.readDeclaration(aText);
+  if (!reading.declaration || !reading.faults.empty()) {
+    ChangeOutcome outcome = Refuse("the declaration has faults");
+    outcome.faults = std::move(reading.faults);
+    aCallback(std::move(outcome));
+    return;
+  }
+  const declaration::Configuration present =
+    mHooks.configuration().value_or(declaration::Configuration());
+  const std::uint64_t expected = aTerms.expectedGeneration.value_or(present.generation);
+  if (expected != present.generation) {
+    aCallback(ConflictWith(present, RecordsSince(present, expected), expected));
+    return;
+  }
+  Submit(present, std::move(*reading.declaration), std::move(aTerms), std::move(aCallback));
+}
+
+void
+ChangeService::ApplyDomain(const DomainChange& aChange,
+                           ChangeTerms aTerms,
+                           ChangeCallback aCallback)
+{
+  if (const std::optional<ChangeOutcome> refusal = CheckTerms(aTerms)) {
+    aCallback(*refusal);
+    return;
+  }
+  const std::optional<declaration::Configuration> present = mHooks.configuration();
+  if (!present) {
+    aCallback(Refuse("no configuration is known here yet"));
+    return;
+  }
+  declaration::Declaration wanted = present->declaration;
+  const auto it =
+    std::find_if(wanted.failureDomains.begin(),
+                 wanted.failureDomains.end(),
+                 [&aChange](const auto& aDomain) { return aDomain.name == aChange.name; });
+  if (it == wanted.failureDomains.end()) {
+    aCallback(Refuse("there is no failure domain named " + aChange.name));
+    return;
+  }
+  const std::uint64_t expected = aTerms.expectedGeneration.value_or(present->generation);
+  if (std::optional<ChangeOutcome> conflict =
+        FindDomainConflict(*present, expected, aChange.name)) {
+    aCallback(std::move(*conflict));
+    return;
+  }
+  it->out = aChange.out;
+  it->reason = aChange.out ? aTerms.reason : std::string();
+  Submit(*present, std::move(wanted), std::move(aTerms), std::move(aCallback));
+}
+
+void
+ChangeService::Submit(const declaration::Configuration& aPresent,
+                      declaration::Declaration aDeclaration,
+                      ChangeTerms aTerms,
+                      ChangeCallback aCallback)
+{
+  if (!aTerms.force && mHooks.findHarms) {
+    std::vector<std::string> harms = mHooks.findHarms(aPresent.declaration, aDeclaration);
+    if (!harms.empty()) {
+      ChangeOutcome outcome = Refuse("the change would do harm; force makes it nevertheless");
+      outcome.harms = std::move(harms);
+      aCallback(std::move(outcome));
+      return;
+    }
+  }
+  ChangeRequest request;
+  request.declaration = std::move(aDeclaration);
+  request.expectedGeneration = aPresent.generation;
+  request.author = std::move(aTerms.author);
+  request.reason = std::move(aTerms.reason);
+  mHooks.applyChange(std::move(request), std::move(aCallback));
+}
+
+} // namespace skylarkwing::console
--- /dev/null
+++ b/console/change_service.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "console/console_hooks.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace skylarkwing::console {
+
+/** What all requests for a change say. */
+struct ChangeTerms
+{
+  /** The generation that the operator saw; absent means the present one. */
+  std::optional<std::uint64_t> expectedGeneration;
+  std::string author;
+  std::string reason;
+  /** Makes the change in spite of the harm that it does. */
+  bool force = false;
+};
+
+/** A failure domain to take out or back. */
+struct DomainChange
+{
+  std::string name;
+  bool out = false;
+};
+
+/**
+ * Turns an operator's wish into a checked change of the configuration.
+ *
+ * A new declaration replaces the whole document, so any change since the generation that the
+ * operator saw is a conflict. Taking a failure domain out or back changes one field: it conflicts
+ * only with changes that name the same domain, so that it is not held up by unrelated work.
+ *
+ * Not thread-safe: one instance belongs to one event loop.
+ */
+class ChangeService
+{
+public:
+  /** @param aHooks must outlive this service. */
+  explicit ChangeService(const ConsoleHooks& aHooks);
+
+  /** Puts a declaration in force; the callback may come at once. */
+  void ApplyDeclaration(const std::string& aText, ChangeTerms aTerms, ChangeCallback aCallback);
+
+  /** Takes a failure domain out or back; the callback may come at once. */
+  void ApplyDomain(const DomainChange& aChange, ChangeTerms aTerms, ChangeCallback aCallback);
+
+private:
+  const ConsoleHooks& mHooks;
+
+  void Submit(const declaration::Configuration& aPresent,
+              declaration::Declaration aDeclaration,
+              ChangeTerms aTerms,
+              ChangeCallback aCallback);
+};
+
+} // namespace skylarkwing::console
