--- /dev/null
+++ b/console/burn_tracker.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "console/burn_ring.h"
+#include "console/latency_histogram.h"
+#include "console/shard_fault_table.h"
+#include "core/timer_service.h"
+#include "declaration/declaration.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::console {
+
+/** What a caller got for one query. */
+struct AnswerOutcome
+{
+  std::string profile;
+  /** From the query's arrival to its answer. */
+  core::Duration latency{};
+  /** The system refused it, for example as overloaded; a caller's own mistake is not recorded. */
+  bool isRefused = false;
+  bool isComplete = true;
+  /** The parts that spoilt it, as far as they are known. */
+  std::vector<ShardFault> faults;
+};
+
+/** How much a snapshot tells. */
+enum class BurnDetail
+{
+  /** The sums of the windows, for screens. */
+  Windows,
+  /** The course over time and the worst shards as well, for reports. */
+  Full,
+};
+
+/**
+ * Counts what callers got against the objectives of their profiles, on one daemon and in bounded
+ * space. Nothing of it outlives the process; a snapshot says since when it counts.
+ *
+ * Not thread-safe: one instance belongs to one event loop.
+ */
+class BurnTracker
+{
+public:
+  explicit BurnTracker(core::TimerService& aTimers);
+
+  /** Takes the objectives of a declaration; profiles that it lacks are forgotten. */
+  void SetProfiles(const std::vector<declaration::ProfileDeclaration>& aProfiles);
+
+  /** Counts one answer or refusal; one of an unknown profile is ignored. */
+  void Record(const AnswerOutcome& aOutcome);
+
+  /** @return what was counted here, for BurnMerger on this or another daemon. */
+  nlohmann::json Snapshot(BurnDetail aDetail);
+
+private:
+  struct ProfileCounts
+  {
+    ProfileCounts();
+
+    declaration::Objective objective;
+    BurnRing tenSeconds;
+    BurnRing minutes;
+    BurnRing fiveMinutes;
+    BurnRing hours;
+    /** Latencies of the present and the previous span of kLatencySpan. */
+    LatencyHistogram presentLatencies;
+    LatencyHistogram previousLatencies;
+    core::TimePoint presentSince{};
+
+    void Add(core::TimePoint aNow, const BurnCounts& aCounts);
+    void RotateLatencies(core::TimePoint aNow);
+    BurnCounts Sum(core::TimePoint aNow, BurnWindow aWindow) const;
+  };
+
+  core::TimerService& mTimers;
+  core::TimePoint mStartedAt;
+  std::map<std::string, ProfileCounts> mProfiles;
+  ShardFaultTable mFaults;
+
+  nlohmann::json ProfileSnapshot(const std::string& aName,
+                                 ProfileCounts& aProfile,
+                                 BurnDetail aDetail) const;
+};
+
+} // namespace skylarkwing::console
