--- /dev/null
+++ b/console/burn_report_json.cpp
@@ -0,0 +1,92 @@
+#include "console/burn_report.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace skylarkwing::console {
+
+void
+to_json(nlohmann::json& aJson, const ShardFaultCount& aFault)
+{
+  aJson = { { "index", aFault.place.index },
+            { "shard", aFault.place.shard },
+            { "failureDomain", aFault.place.failureDomain },
+            { "missing", aFault.missing },
+            { "slow", aFault.slow } };
+}
+
+void
+from_json(const nlohmann::json& aJson, ShardFaultCount& aFault)
+{
+  aJson.at("index").get_to(aFault.place.index);
+  aJson.at("shard").get_to(aFault.place.shard);
+  aJson.at("failureDomain").get_to(aFault.place.failureDomain);
+  aJson.at("missing").get_to(aFault.missing);
+  aJson.at("slow").get_to(aFault.slow);
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BurnHistory, vm, seconds)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DomainFaultCount, failureDomain, missing, slow)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WindowReport, window, counts, latencyBurn, coverageBurn, known)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProfileReport,
+                                   profile,
+                                   latencyMilliseconds,
+                                   latencyShare,
+                                   completeShare,
+                                   p99Milliseconds,
+                                   windows,
+                                   latencyUrgency,
+                                   coverageUrgency,
+                                   latencyBudgetLeft,
+                                   coverageBudgetLeft,
+                                   minutes,
+                                   hours)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BurnReport,
+                                   deployment,
+                                   madeAt,
+                                   vms,
+                                   missingVms,
+                                   profiles,
+                                   worstShards,
+                                   worstDomains)
+
+nlohmann::json
+ToJson(const BurnReport& aReport)
+{
+  return aReport;
+}
+
+std::optional<BurnReport>
+BurnReportFromJson(const nlohmann::json& aJson)
+{
+  try {
+    return aJson.get<BurnReport>();
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+ProfileStatus
+ToProfileStatus(const ProfileReport& aReport)
+{
+  ProfileStatus status;
+  status.profile = aReport.profile;
+  status.p99Milliseconds = aReport.p99Milliseconds;
+  for (const WindowReport& window : aReport.windows) {
+    if (window.window == NameOf(BurnWindow::FiveMinutes)) {
+      const double seconds = static_cast<double>(SpanOf(BurnWindow::FiveMinutes).count());
+      const double known = std::max(window.known * seconds, 1.0);
+      status.queriesPerSecond = static_cast<double>(window.counts.total) / known;
+      status.latencyBurn5m = window.latencyBurn;
+      status.coverageBurn5m = window.coverageBurn;
+    }
+    if (window.window == NameOf(BurnWindow::OneHour)) {
+      status.latencyBurn1h = window.latencyBurn;
+      status.coverageBurn1h = window.coverageBurn;
+    }
+  }
+  return status;
+}
+
+} // namespace skylarkwing::console
--- /dev/null
+++ b/console/burn_report_page.cpp
@@ -0,0 +1,238 @@
+#include "console/burn_report_page.h"
+
+#include "console/burn_report_text.h"
+
+#include <algorithm>
+#include <sstream>
+#include <string_view>
+#include <vector>
+
+namespace skylarkwing::console {
+
+namespace {
+
+constexpr double kPlotWidth = 720.0;
+constexpr double kPlotHeight = 120.0;
+constexpr double kPlotMargin = 34.0;
+constexpr double kPercent = 100.0;
+/** The plot shows at least this burn rate, so that a calm course is not blown up. */
+constexpr double kLeastScale = 2.0;
+
+constexpr std::string_view kStyle = R"css(
+body{font:16px/1.45 system-ui,sans-serif;margin:2rem auto;max-width:60rem;padding:0 1rem;
+  color:#16202a;background:#fff}
+h1{font-size:1.7rem}h2{margin-top:2.2rem;border-top:2px solid #16202a;padding-top:.6rem}
+table{border-collapse:collapse;margin:.6rem 0;font-variant-numeric:tabular-nums}
+th,td{padding:.25rem .8rem;text-align:right;border-bottom:1px solid #b9c2ca}
+th:first-child,td:first-child{text-align:left}
+.page{font-weight:700;color:#a30000}.ticket{font-weight:700;color:#7a4b00}.none{color:#0b5a2a}
+svg{display:block;max-width:100%;height:auto}figcaption{font-size:.9rem}
+figure{margin:1rem 0}
+)css";
+
+std::string
+Escape(std::string_view aText)
+{
+  std::string escaped;
+  for (const char byte : aText) {
+    switch (byte) {
+      case '&':
+        escaped += "&amp;";
+        break;
+      case '<':
+        escaped += "&lt;";
+        break;
+      case '>':
+        escaped += "&gt;";
+        break;
+      case '"':
+        escaped += "&quot;";
+        break;
+      case '\'':
+        escaped += "&#39;";
+        break;
+      default:
+        escaped += byte;
+    }
+  }
+  return escaped;
+}
+
+std::string
+Percent(double aShare, int aDecimals)
+{
+  return Fixed(aShare * kPercent, aDecimals) + "%";
+}
+
+/** One course of burn rates, newest first, and how it is drawn. */
+struct Course
+{
+  std::string_view name;
+  std::string_view colour;
+  std::string_view dash;
+  std::vector<double> rates;
+};
+
+double
+ScaleOf(const std::vector<Course>& aCourses)
+{
+  double scale = kLeastScale;
+  for (const Course& course : aCourses) {
+    for (const double rate : course.rates) {
+      scale = std::max(scale, rate);
+    }
+  }
+  return scale;
+}
+
+double
+HeightOf(double aRate, double aScale)
+{
+  return kPlotHeight - kPlotHeight * aRate / aScale;
+}
+
+void
+WriteCourse(std::ostream& aOut, const Course& aCourse, double aScale)
+{
+  aOut << "<polyline fill=\"none\" stroke=\"" << aCourse.colour
+       << "\" stroke-width=\"2\" stroke-dasharray=\"" << aCourse.dash << "\" points=\"";
+  const auto last = static_cast<double>(std::max<std::size_t>(aCourse.rates.size(), 2) - 1);
+  for (std::size_t age = 0; age < aCourse.rates.size(); ++age) {
+    const double x = kPlotWidth * (1.0 - static_cast<double>(age) / last);
+    aOut << Fixed(x, 1) << ',' << Fixed(HeightOf(aCourse.rates[age], aScale), 1) << ' ';
+  }
+  aOut << "\"/>";
+}
+
+void
+WriteLevel(std::ostream& aOut, double aRate, double aScale)
+{
+  const std::string y = Fixed(HeightOf(aRate, aScale), 1);
+  aOut << "<line x1=\"0\" x2=\"" << kPlotWidth << "\" y1=\"" << y << "\" y2=\"" << y
+       << "\" stroke=\"#8a949d\"/><text x=\"-6\" y=\"" << y
+       << "\" text-anchor=\"end\" dominant-baseline=\"middle\" font-size=\"12\">"
+       << Fixed(aRate, aRate < 10.0 ? 1 : 0) << "</text>";
+}
+
+void
+WritePlot(std::ostream& aOut, const std::vector<Course>& aCourses, const std::string& aCaption)
+{
+  const double scale = ScaleOf(aCourses);
+  aOut << "<figure><svg role=\"img\" aria-label=\"" << Escape(aCaption) << "\" viewBox=\""
+       << -kPlotMargin << " -8 " << kPlotWidth + 2 * kPlotMargin << ' ' << kPlotHeight + 20
+       << "\" width=\"" << kPlotWidth + 2 * kPlotMargin << "\">";
+  WriteLevel(aOut, 0.0, scale);
+  WriteLevel(aOut, 1.0, scale);
+  if (scale > kLeastScale) {
+    WriteLevel(aOut, scale, scale);
+  }
+  for (const Course& course : aCourses) {
+    WriteCourse(aOut, course, scale);
+  }
+  aOut << "</svg><figcaption>" << Escape(aCaption) << "</figcaption></figure>\n";
+}
+
+std::vector<Course>
+CoursesOf(const ProfileReport& aProfile, const std::vector<BurnCounts>& aSeries)
+{
+  Course latency{ "latency", "#0047ab", "none", {} };
+  Course coverage{ "coverage", "#b34700", "6 4", {} };
+  for (const BurnCounts& counts : aSeries) {
+    latency.rates.push_back(BurnRate(counts.slow, counts.total, aProfile.latencyShare));
+    coverage.rates.push_back(BurnRate(counts.incomplete, counts.total, aProfile.completeShare));
+  }
+  return { std::move(latency), std::move(coverage) };
+}
+
+void
+WriteObjective(std::ostream& aOut,
+               const char* aName,
+               const std::string& aUrgency,
+               double aBudgetLeft)
+{
+  aOut << "<p>" << aName << ": <span class=\"" << Escape(aUrgency) << "\">urgency "
+       << Escape(aUrgency) << "</span>, budget left " << Percent(aBudgetLeft, 1) << ".</p>\n";
+}
+
+void
+WriteWindows(std::ostream& aOut, const ProfileReport& aProfile)
+{
+  aOut << "<table><thead><tr><th scope=\"col\">Window</th><th scope=\"col\">Answers</th>"
+          "<th scope=\"col\">Late</th><th scope=\"col\">Incomplete</th>"
+          "<th scope=\"col\">Latency burn</th><th scope=\"col\">Coverage burn</th>"
+          "<th scope=\"col\">Known</th></tr></thead><tbody>\n";
+  for (const WindowReport& window : aProfile.windows) {
+    aOut << "<tr><th scope=\"row\">" << Escape(window.window) << "</th><td>" << window.counts.total
+         << "</td><td>" << window.counts.slow << "</td><td>" << window.counts.incomplete
+         << "</td><td>" << Fixed(window.latencyBurn, 2) << "</td><td>"
+         << Fixed(window.coverageBurn, 2) << "</td><td>" << Percent(window.known, 0)
+         << "</td></tr>\n";
+  }
+  aOut << "</tbody></table>\n";
+}
+
+void
+WriteProfile(std::ostream& aOut, const ProfileReport& aProfile)
+{
+  const std::string name = Escape(aProfile.profile);
+  aOut << "<h2>" << name << "</h2>\n<p>Objective: " << Percent(aProfile.latencyShare, 3)
+       << " of answers within " << aProfile.latencyMilliseconds << " ms, "
+       << Percent(aProfile.completeShare, 3) << " complete. The present p99 is "
+       << Fixed(aProfile.p99Milliseconds, 0) << " ms.</p>\n";
+  WriteObjective(aOut, "Latency", aProfile.latencyUrgency, aProfile.latencyBudgetLeft);
+  WriteObjective(aOut, "Coverage", aProfile.coverageUrgency, aProfile.coverageBudgetLeft);
+  WriteWindows(aOut, aProfile);
+  const std::string legend = " (latency: solid, coverage: dashed; 1 spends exactly the budget)";
+  WritePlot(aOut,
+            CoursesOf(aProfile, aProfile.minutes),
+            "Burn of " + aProfile.profile + " in each minute of the last hour" + legend);
+  WritePlot(aOut,
+            CoursesOf(aProfile, aProfile.hours),
+            "Burn of " + aProfile.profile + " in each hour of the last 3 days" + legend);
+}
+
+void
+WriteFaults(std::ostream& aOut, const BurnReport& aReport)
+{
+  aOut << "<h2>What spoilt answers in the last hours</h2>\n";
+  if (aReport.worstShards.empty()) {
+    aOut << "<p>No shard did.</p>\n";
+    return;
+  }
+  aOut << "<table><thead><tr><th scope=\"col\">Shard</th><th scope=\"col\">Missing</th>"
+          "<th scope=\"col\">Slow</th></tr></thead><tbody>\n";
+  for (const ShardFaultCount& fault : aReport.worstShards) {
+    const std::string& domain = fault.place.failureDomain;
+    aOut << "<tr><th scope=\"row\">" << Escape(fault.place.index) << " shard " << fault.place.shard
+         << " in " << (domain.empty() ? "no failure domain" : Escape(domain)) << "</th><td>"
+         << fault.missing << "</td><td>" << fault.slow << "</td></tr>\n";
+  }
+  for (const DomainFaultCount& fault : aReport.worstDomains) {
+    const std::string& domain = fault.failureDomain;
+    aOut << "<tr><th scope=\"row\">all of " << (domain.empty() ? "no domain" : Escape(domain))
+         << "</th><td>" << fault.missing << "</td><td>" << fault.slow << "</td></tr>\n";
+  }
+  aOut << "</tbody></table>\n";
+}
+
+} // namespace
+
+std::string
+ToHtml(const BurnReport& aReport)
+{
+  const std::string deployment = Escape(aReport.deployment);
+  std::ostringstream out;
+  out << "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+         "<meta name=\"viewport\" content=\"width=device-width\">\n<title>Service-level burn of "
+      << deployment << "</title><style>" << kStyle << "</style></head><body>\n"
+      << "<h1>Service-level burn of " << deployment << "</h1>\n<p>Made at "
+      << FormatUtc(aReport.madeAt) << ". " << Escape(DescribeHistory(aReport)) << "</p>\n";
+  for (const ProfileReport& profile : aReport.profiles) {
+    WriteProfile(out, profile);
+  }
+  WriteFaults(out, aReport);
+  out << "</body></html>\n";
+  return out.str();
+}
+
+} // namespace skylarkwing::console
--- a/console/burn_tracker.cpp
+++ b/console/burn_tracker.cpp
@@ -11,7 +11,6 @@
 
 using nlohmann::json;
 
-constexpr int kSnapshotVersion = 1;
 constexpr core::Duration kLatencySpan = std::chrono::minutes{ 5 };
 constexpr std::size_t kTenSecondBuckets = 30;
 constexpr std::size_t kMinuteBuckets = 60;
@@ -141,7 +140,7 @@
 {
   const core::TimePoint now = mTimers.Now();
   const auto history = std::chrono::duration_cast<std::chrono::seconds>(now - mStartedAt);
-  json snapshot{ { "version", kSnapshotVersion },
+  json snapshot{ { "version", kBurnSnapshotVersion },
                  { "historySeconds", history.count() },
                  { "profiles", json::array() } };
   for (auto& [name, profile] : mProfiles) {
--- a/console/burn_tracker.h
+++ b/console/burn_tracker.h
@@ -14,6 +14,9 @@
 
 namespace skylarkwing::console {
 
+/** The layout of BurnTracker::Snapshot(); another one is not merged. */
+constexpr int kBurnSnapshotVersion = 1;
+
 /** What a caller got for one query. */
 struct AnswerOutcome
 {
