--- /dev/null
+++ b/membership/fact_spread.cpp
@@ -0,0 +1,155 @@
+#include "membership/fact_spread.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+/** What fact changes may cost in sent bytes; the rest of the control budget is heartbeats. */
+constexpr double kBytesPerSecond = 8.0 * 1024;
+constexpr double kBurstBytes = 48.0 * 1024;
+constexpr std::size_t kFactsPerMessage = 32;
+constexpr std::uint32_t kRoundsInMesh = 1;
+/** With a few receivers in each round, two rounds leave fewer than one daemon in a hundred out. */
+constexpr std::uint32_t kRoundsInFleet = 2;
+
+} // namespace
+
+FactSpread::FactSpread(core::TimerService& aTimers,
+                       core::Metrics& aMetrics,
+                       std::string aSelf,
+                       FactSpreadHooks aHooks)
+  : mTimers(aTimers)
+  , mHooks(std::move(aHooks))
+  , mTable(std::move(aSelf))
+  , mBytesLeft(kBurstBytes)
+  , mEarnedAt(aTimers.Now())
+  , mStated(aMetrics.Counter("skylarkwing_membership_facts_stated_total",
+                             "Changes of this daemon's own replica facts."))
+  , mHeard(aMetrics.Counter("skylarkwing_membership_facts_heard_total",
+                            "Newer replica facts from other daemons."))
+  , mWaiting(
+      aMetrics.Gauge("skylarkwing_membership_facts_waiting", "Replica facts that wait to be sent."))
+{
+}
+
+void
+FactSpread::Run()
+{
+  StateOwn();
+  Earn();
+  SendFrom(mUrgent);
+  if (mUrgent.IsEmpty()) {
+    SendFrom(mPatient);
+  }
+  mWaiting.Set(static_cast<double>(mUrgent.Size() + mPatient.Size()));
+}
+
+void
+FactSpread::Hear(const std::string& aFrom, const nlohmann::json& aFacts)
+{
+  std::vector<NamedFact> newer;
+  for (auto& fact : FactsFromJson(aFacts)) {
+    const FactEntry* known = mTable.Find(fact.replica);
+    if (known != nullptr && known->version > fact.entry.version) {
+      newer.push_back({ fact.replica, *known });
+      continue;
+    }
+    const std::string replica = fact.replica;
+    if (Take(std::move(fact)) && !mHooks.isFullMesh()) {
+      mUrgent.Add(replica, kRoundsInFleet);
+    }
+  }
+  // A daemon that restarted counts from the start again until it hears where it was.
+  if (!newer.empty()) {
+    mHooks.send(aFrom, FactsToJson(newer));
+  }
+}
+
+std::size_t
+FactSpread::HearComparison(const nlohmann::json& aFacts)
+{
+  std::size_t n = 0;
+  for (auto& fact : FactsFromJson(aFacts)) {
+    n += Take(std::move(fact)) ? 1 : 0;
+  }
+  return n;
+}
+
+void
+FactSpread::StateOwn()
+{
+  if (!mHooks.ownFacts) {
+    return;
+  }
+  const std::uint32_t rounds = mHooks.isFullMesh() ? kRoundsInMesh : kRoundsInFleet;
+  for (const auto& fact : mHooks.ownFacts()) {
+    const auto before = mTable.State(fact);
+    if (!before) {
+      continue;
+    }
+    mStated.Increment();
+    const std::string replica = fact["replica"].get<std::string>();
+    const bool isUrgent = !mHooks.isUrgent || mHooks.isUrgent(*before, fact);
+    SpreadQueue& queue = isUrgent ? mUrgent : mPatient;
+    queue.Add(replica, rounds);
+  }
+}
+
+void
+FactSpread::Earn()
+{
+  const std::chrono::duration<double> span = mTimers.Now() - mEarnedAt;
+  mEarnedAt = mTimers.Now();
+  mBytesLeft = std::min(mBytesLeft + span.count() * kBytesPerSecond, kBurstBytes);
+}
+
+void
+FactSpread::SendFrom(SpreadQueue& aQueue)
+{
+  while (!aQueue.IsEmpty() && mBytesLeft > 0.0) {
+    const auto receivers = mHooks.receivers();
+    if (receivers.empty()) {
+      return;
+    }
+    std::vector<NamedFact> facts;
+    std::size_t bytes = 0;
+    for (const auto& replica : aQueue.Take(kFactsPerMessage)) {
+      const FactEntry* entry = mTable.Find(replica);
+      facts.push_back({ replica, *entry });
+      bytes += entry->bytes;
+    }
+    const nlohmann::json message = FactsToJson(facts);
+    for (const auto& vm : receivers) {
+      mHooks.send(vm, message);
+    }
+    mBytesLeft -= static_cast<double>(bytes * receivers.size());
+    if (!mHooks.isFullMesh()) {
+      // The next round of the same facts goes to other peers, a little later.
+      return;
+    }
+  }
+}
+
+bool
+FactSpread::Take(NamedFact aFact)
+{
+  const std::string replica = aFact.replica;
+  if (!mTable.Merge(std::move(aFact))) {
+    return false;
+  }
+  mHeard.Increment();
+  // What this daemon itself said before is replaced; saying it again would undo that.
+  mUrgent.Drop(replica);
+  mPatient.Drop(replica);
+  if (mHooks.onFact) {
+    const FactEntry* entry = mTable.Find(replica);
+    mHooks.onFact(entry->owner, entry->fact);
+  }
+  return true;
+}
+
+} // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/fact_spread.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/timer_service.h"
+#include "membership/fact_table.h"
+#include "membership/spread_queue.h"
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::membership {
+
+/** What a fact spread needs from its daemon. */
+struct FactSpreadHooks
+{
+  /** The facts that this daemon states now, each a JSON object with the name under "replica". */
+  std::function<std::vector<nlohmann::json>()> ownFacts;
+  /**
+   * Whether a change is worth sending at once; others wait for spare bytes. All are when unset.
+   * The fact before is null when there was none.
+   */
+  std::function<bool(const nlohmann::json& aBefore, const nlohmann::json& aAfter)> isUrgent;
+  /** Receives every newer fact of another daemon, with the VM that stated it. */
+  std::function<void(const std::string& aVm, const nlohmann::json& aFact)> onFact;
+  /** Peers to send to now: all of a full mesh, else a few random ones. */
+  std::function<std::vector<std::string>()> receivers;
+  /** Whether the receivers are all members, so that nobody needs to pass facts on. */
+  std::function<bool()> isFullMesh;
+  std::function<void(const std::string& aVm, const nlohmann::json& aFacts)> send;
+};
+
+/**
+ * Spreads facts about replicas to every daemon within a budget of bytes.
+ *
+ * Changes wait in a queue with one entry for each replica; every round sends what the budget
+ * allows, urgent changes first. In a larger fleet a daemon passes new facts on to a few random
+ * peers.
+ */
+class FactSpread
+{
+public:
+  FactSpread(core::TimerService& aTimers,
+             core::Metrics& aMetrics,
+             std::string aSelf,
+             FactSpreadHooks aHooks);
+
+  /** Looks for changes of this daemon's own facts and sends what the budget allows. */
+  void Run();
+
+  /** Takes facts from another daemon's message. */
+  void Hear(const std::string& aFrom, const nlohmann::json& aFacts);
+
+  /** Takes facts from a comparison; they are not passed on. @return how many were new. */
+  std::size_t HearComparison(const nlohmann::json& aFacts);
+
+  const FactTable& Table() const { return mTable; }
+
+private:
+  void StateOwn();
+  void Earn();
+  void SendFrom(SpreadQueue& aQueue);
+  bool Take(NamedFact aFact);
+
+  core::TimerService& mTimers;
+  FactSpreadHooks mHooks;
+  FactTable mTable;
+  SpreadQueue mUrgent;
+  SpreadQueue mPatient;
+  double mBytesLeft;
+  core::TimePoint mEarnedAt;
+  prometheus::Counter& mStated;
+  prometheus::Counter& mHeard;
+  prometheus::Gauge& mWaiting;
+};
+
+} // namespace skylarkwing::membership
--- a/membership/member.h
+++ b/membership/member.h
@@ -29,6 +29,13 @@
   std::string vm;
   /** Tells two processes at the same address apart. */
   std::string incarnation;
+  /**
+   * Orders the incarnations of one VM: the time of the process's start, in ms since the Unix epoch,
+   * raised above that of any earlier incarnation that it hears of.
+   */
+  std::uint64_t startOrder = 0;
+  /** Counts the process's heartbeats; the higher of two reports about it is the newer. */
+  std::uint64_t beat = 0;
   std::string failureDomain;
   std::string region;
   /** "IP:port" for callers. */
--- /dev/null
+++ b/membership/member_table.cpp
@@ -0,0 +1,431 @@
+#include "membership/member_table.h"
+
+#include "core/name_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+constexpr core::NameTable<ReportOutcome, 3> kOutcomeNames{ { "known", "changed", "outdated" } };
+
+bool
+MayOwn(const MemberEntry& aEntry, core::TimePoint aNow)
+{
+  const MemberState state = aEntry.member.state;
+  const bool isThere = state == MemberState::Alive || state == MemberState::Suspect;
+  return isThere && aNow >= aEntry.settledAt;
+}
+
+} // namespace
+
+std::string_view
+NameOf(ReportOutcome aOutcome)
+{
+  return kOutcomeNames.NameOf(aOutcome);
+}
+
+MemberTable::MemberTable(core::TimerService& aTimers, Member aSelf, MemberTableLimits aLimits)
+  : mTimers(aTimers)
+  , mLimits(aLimits)
+{
+  mSelf.member = std::move(aSelf);
+  mSelf.member.state = MemberState::Alive;
+  mSelf.aliveSince = mTimers.Now();
+  mSelf.settledAt = mSelf.aliveSince + mLimits.newSettling;
+}
+
+void
+MemberTable::MergeVmList(const std::vector<VmRecord>& aVms)
+{
+  std::set<std::string> listed;
+  for (const auto& record : aVms) {
+    listed.insert(record.vm);
+    if (record.vm != mSelf.member.vm) {
+      MergeListed(record);
+    }
+  }
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    const bool isListed = listed.count(it->first) > 0;
+    const bool wasOnlyListed = it->second.member.state == MemberState::Joining;
+    if (!isListed && wasOnlyListed) {
+      it = mEntries.erase(it);
+      continue;
+    }
+    if (!isListed) {
+      MergeUnlisted(it->second);
+    }
+    ++it;
+  }
+}
+
+ReportOutcome
+MemberTable::HearHeartbeat(const Member& aMember, bool aWatched)
+{
+  auto it = mEntries.find(aMember.vm);
+  if (it == mEntries.end()) {
+    MemberEntry& entry = Insert(aMember);
+    entry.heardDirectly = mTimers.Now();
+    entry.isWatched = aWatched;
+    EndOthersAt(aMember);
+    return ReportOutcome::Changed;
+  }
+  MemberEntry& entry = it->second;
+  const Order order = OrderOf(aMember, entry.member);
+  if (order == Order::Older) {
+    return ReportOutcome::Outdated;
+  }
+  entry.heardDirectly = mTimers.Now();
+  entry.isWatched = aWatched;
+  entry.toleratedSilence = mLimits.suspectAfter;
+  if (order == Order::Newer) {
+    Replace(entry, aMember);
+    entry.heardDirectly = mTimers.Now();
+    entry.isWatched = aWatched;
+    EndOthersAt(aMember);
+    return ReportOutcome::Changed;
+  }
+  if (aMember.state == MemberState::Leaving) {
+    TakeVitals(entry, aMember);
+    entry.isDeparted = false;
+    const bool isNew = entry.member.state != MemberState::Leaving;
+    SetState(entry, MemberState::Leaving);
+    return isNew ? ReportOutcome::Changed : ReportOutcome::Known;
+  }
+  // A heartbeat that was overtaken by newer news of the same life still proves that life.
+  return TakeLife(entry, aMember);
+}
+
+ReportOutcome
+MemberTable::HearReport(const Member& aMember)
+{
+  auto it = mEntries.find(aMember.vm);
+  if (it == mEntries.end()) {
+    if (aMember.state == MemberState::Gone || aMember.incarnation.empty()) {
+      return ReportOutcome::Known;
+    }
+    Insert(aMember);
+    return ReportOutcome::Changed;
+  }
+  MemberEntry& entry = it->second;
+  const Order order = OrderOf(aMember, entry.member);
+  if (order == Order::Older) {
+    return ReportOutcome::Outdated;
+  }
+  if (order == Order::Newer) {
+    Replace(entry, aMember);
+    return ReportOutcome::Changed;
+  }
+  if (aMember.state == MemberState::Suspect || aMember.state == MemberState::Gone) {
+    return TakeDoubt(entry, aMember);
+  }
+  if (aMember.state == MemberState::Leaving) {
+    const bool isNew =
+      entry.member.state == MemberState::Alive || entry.member.state == MemberState::Suspect;
+    if (isNew) {
+      TakeVitals(entry, aMember);
+      SetState(entry, MemberState::Leaving);
+    }
+    return isNew ? ReportOutcome::Changed : ReportOutcome::Known;
+  }
+  if (aMember.beat < entry.member.beat) {
+    return ReportOutcome::Outdated;
+  }
+  if (aMember.beat == entry.member.beat) {
+    // A doubt that was raised at the same heartbeat outweighs it.
+    const bool isDoubted =
+      entry.member.state == MemberState::Suspect || entry.member.state == MemberState::Gone;
+    return isDoubted ? ReportOutcome::Outdated : ReportOutcome::Known;
+  }
+  if (entry.member.state == MemberState::Suspect) {
+    entry.toleratedSilence = std::min(2 * entry.toleratedSilence, mLimits.longestSilence);
+  }
+  return TakeLife(entry, aMember);
+}
+
+void
+MemberTable::Judge()
+{
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    MemberEntry& entry = it->second;
+    JudgeSilence(entry);
+    const bool isOver = entry.isForgotten && entry.member.state == MemberState::Gone &&
+                        mTimers.Now() - entry.goneSince >= mLimits.goneMemory;
+    it = isOver ? mEntries.erase(it) : std::next(it);
+  }
+}
+
+void
+MemberTable::ExcuseSilences()
+{
+  for (auto& [vm, entry] : mEntries) {
+    if (entry.heardDirectly) {
+      entry.heardDirectly = mTimers.Now();
+    }
+    if (entry.member.state == MemberState::Suspect) {
+      entry.suspectSince = mTimers.Now();
+    }
+  }
+}
+
+void
+MemberTable::ReturnSelf()
+{
+  Revive(mSelf);
+}
+
+const MemberEntry*
+MemberTable::Find(const std::string& aVm) const
+{
+  const auto it = mEntries.find(aVm);
+  return it != mEntries.end() ? &it->second : nullptr;
+}
+
+std::vector<Member>
+MemberTable::Members() const
+{
+  std::vector<Member> members{ mSelf.member };
+  for (const auto& [vm, entry] : mEntries) {
+    if (!entry.isForgotten) {
+      members.push_back(entry.member);
+    }
+  }
+  return members;
+}
+
+std::vector<Member>
+MemberTable::Owners() const
+{
+  const core::TimePoint now = mTimers.Now();
+  std::vector<Member> members;
+  if (MayOwn(mSelf, now)) {
+    members.push_back(mSelf.member);
+  }
+  for (const auto& [vm, entry] : mEntries) {
+    if (MayOwn(entry, now)) {
+      members.push_back(entry.member);
+    }
+  }
+  return members;
+}
+
+std::size_t
+MemberTable::KnownCount() const
+{
+  std::size_t n = 1;
+  for (const auto& [vm, entry] : mEntries) {
+    const bool wasHeardOf = entry.member.state != MemberState::Joining;
+    n += wasHeardOf && !entry.isForgotten && !entry.isDeparted ? 1 : 0;
+  }
+  return n;
+}
+
+MemberTable::Order
+MemberTable::OrderOf(const Member& aReported, const Member& aKnown) const
+{
+  if (aReported.incarnation == aKnown.incarnation) {
+    return Order::Same;
+  }
+  const std::pair reported(aReported.startOrder, aReported.incarnation);
+  const std::pair known(aKnown.startOrder, aKnown.incarnation);
+  return reported > known ? Order::Newer : Order::Older;
+}
+
+void
+MemberTable::MergeListed(const VmRecord& aRecord)
+{
+  const bool isNew = mEntries.count(aRecord.vm) == 0;
+  MemberEntry& entry = mEntries[aRecord.vm];
+  entry.isInVmList = true;
+  entry.isLeavingInVmList = aRecord.isLeaving;
+  entry.isForgotten = false;
+  if (!isNew) {
+    return;
+  }
+  entry.toleratedSilence = mLimits.suspectAfter;
+  entry.member.vm = aRecord.vm;
+  entry.member.failureDomain = aRecord.failureDomain;
+  entry.member.region = aRecord.region;
+  entry.member.callerAddress = aRecord.callerAddress;
+  entry.member.peerAddress = aRecord.peerAddress;
+  if (mListener) {
+    mListener(entry.member);
+  }
+}
+
+void
+MemberTable::MergeUnlisted(MemberEntry& aEntry)
+{
+  aEntry.isInVmList = false;
+  aEntry.isLeavingInVmList = false;
+  aEntry.isForgotten = aEntry.isForgotten || aEntry.member.state == MemberState::Gone;
+}
+
+MemberEntry&
+MemberTable::Insert(const Member& aMember)
+{
+  MemberEntry& entry = mEntries[aMember.vm];
+  Replace(entry, aMember);
+  return entry;
+}
+
+void
+MemberTable::Replace(MemberEntry& aEntry, const Member& aMember)
+{
+  const bool isInVmList = aEntry.isInVmList;
+  const bool wasThere = !aEntry.member.incarnation.empty();
+  const std::uint32_t returns = aEntry.returns;
+  aEntry = MemberEntry{};
+  aEntry.member = aMember;
+  aEntry.isInVmList = isInVmList;
+  aEntry.toleratedSilence = mLimits.suspectAfter;
+  aEntry.aliveSince = mTimers.Now();
+  aEntry.settledAt = aEntry.aliveSince + mLimits.newSettling;
+  aEntry.suspectSince = mTimers.Now();
+  aEntry.goneSince = mTimers.Now();
+  // A process that restarts again and again flaps like one whose network does.
+  aEntry.returns = returns;
+  if (wasThere && returns > 0) {
+    Revive(aEntry);
+  }
+  if (mListener) {
+    mListener(aEntry.member);
+  }
+}
+
+void
+MemberTable::Revive(MemberEntry& aEntry)
+{
+  const core::TimePoint now = mTimers.Now();
+  if (now - aEntry.aliveSince >= mLimits.flapMemory) {
+    aEntry.returns = 0;
+  }
+  constexpr std::uint32_t kMostDoublings = 10;
+  const core::Duration settling =
+    mLimits.returnSettling * (1U << std::min(aEntry.returns, kMostDoublings));
+  ++aEntry.returns;
+  aEntry.aliveSince = now;
+  aEntry.settledAt = now + std::min(settling, mLimits.longestSettling);
+}
+
+void
+MemberTable::SetState(MemberEntry& aEntry, MemberState aState)
+{
+  const MemberState before = aEntry.member.state;
+  if (before == aState) {
+    return;
+  }
+  if (before == MemberState::Gone && aState == MemberState::Alive) {
+    Revive(aEntry);
+  }
+  if (aState == MemberState::Suspect) {
+    aEntry.suspectSince = mTimers.Now();
+  }
+  if (aState == MemberState::Gone) {
+    aEntry.goneSince = mTimers.Now();
+    aEntry.isDeparted = before == MemberState::Leaving;
+  }
+  if (aState == MemberState::Alive) {
+    aEntry.isForgotten = false;
+    aEntry.isDeparted = false;
+  }
+  aEntry.member.state = aState;
+  if (mListener) {
+    mListener(aEntry.member);
+  }
+}
+
+void
+MemberTable::TakeVitals(MemberEntry& aEntry, const Member& aMember)
+{
+  if (aMember.beat < aEntry.member.beat) {
+    return;
+  }
+  aEntry.member.beat = aMember.beat;
+  aEntry.member.generation = std::max(aEntry.member.generation, aMember.generation);
+  aEntry.member.load = aMember.load;
+  aEntry.member.identityEpoch = std::max(aEntry.member.identityEpoch, aMember.identityEpoch);
+}
+
+ReportOutcome
+MemberTable::TakeDoubt(MemberEntry& aEntry, const Member& aMember)
+{
+  const MemberState state = aEntry.member.state;
+  if (state == MemberState::Gone || state == aMember.state) {
+    return ReportOutcome::Known;
+  }
+  if (aMember.beat < aEntry.member.beat || WasHeardLately(aEntry)) {
+    return ReportOutcome::Outdated;
+  }
+  if (aMember.state == MemberState::Suspect && state == MemberState::Leaving) {
+    return ReportOutcome::Known;
+  }
+  aEntry.member.beat = aMember.beat;
+  SetState(aEntry, aMember.state);
+  return ReportOutcome::Changed;
+}
+
+ReportOutcome
+MemberTable::TakeLife(MemberEntry& aEntry, const Member& aMember)
+{
+  TakeVitals(aEntry, aMember);
+  if (aEntry.member.state == MemberState::Leaving) {
+    return ReportOutcome::Known;
+  }
+  // What left stays away: its last heartbeats may arrive after the news that it is gone.
+  if (aEntry.member.state == MemberState::Gone && aEntry.isDeparted) {
+    return ReportOutcome::Outdated;
+  }
+  const bool isNew = aEntry.member.state != MemberState::Alive;
+  SetState(aEntry, MemberState::Alive);
+  return isNew ? ReportOutcome::Changed : ReportOutcome::Known;
+}
+
+bool
+MemberTable::WasHeardLately(const MemberEntry& aEntry) const
+{
+  return aEntry.heardDirectly && mTimers.Now() - *aEntry.heardDirectly < mLimits.suspectAfter;
+}
+
+void
+MemberTable::JudgeSilence(MemberEntry& aEntry)
+{
+  const core::TimePoint now = mTimers.Now();
+  const MemberState state = aEntry.member.state;
+  if (state == MemberState::Suspect && now - aEntry.suspectSince >= mLimits.goneAfter) {
+    SetState(aEntry, MemberState::Gone);
+    return;
+  }
+  if (!aEntry.isWatched || !aEntry.heardDirectly) {
+    return;
+  }
+  const core::Duration silence = now - *aEntry.heardDirectly;
+  if (state == MemberState::Alive && silence >= aEntry.toleratedSilence) {
+    SetState(aEntry, MemberState::Suspect);
+    return;
+  }
+  const bool isLeftSilent = silence >= mLimits.suspectAfter + mLimits.goneAfter;
+  if (state == MemberState::Leaving && isLeftSilent) {
+    SetState(aEntry, MemberState::Gone);
+  }
+}
+
+void
+MemberTable::EndOthersAt(const Member& aMember)
+{
+  for (auto& [vm, entry] : mEntries) {
+    const bool isSameAddress = entry.member.peerAddress == aMember.peerAddress;
+    if (vm == aMember.vm || !isSameAddress || aMember.peerAddress.empty()) {
+      continue;
+    }
+    const bool isThere = entry.member.state != MemberState::Gone;
+    if (isThere && entry.member.startOrder < aMember.startOrder) {
+      SetState(entry, MemberState::Gone);
+    }
+  }
+}
+
+} // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/member_table.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "membership/member.h"
+#include "membership/vm_list.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkwing::membership {
+
+/** Times by which a member table judges. */
+struct MemberTableLimits
+{
+  /** Silence of a member whose heartbeats come here, until it is suspect. */
+  core::Duration suspectAfter = std::chrono::milliseconds{ 1000 };
+  /** Time from suspect to gone, in which it or whoever hears it can object. */
+  core::Duration goneAfter = std::chrono::milliseconds{ 500 };
+  /** How long a new member is alive before it may own replicas. */
+  core::Duration newSettling = std::chrono::milliseconds{ 1000 };
+  /** The same for one that was gone and came back; doubles with every return. */
+  core::Duration returnSettling = std::chrono::milliseconds{ 2000 };
+  core::Duration longestSettling = std::chrono::minutes{ 2 };
+  /** After this long without going, a member's returns are forgotten. */
+  core::Duration flapMemory = std::chrono::minutes{ 10 };
+  /** How long a gone member is remembered, so that an older incarnation cannot come back. */
+  core::Duration goneMemory = std::chrono::hours{ 2 };
+  /** Longest silence that a member may have after its suspicion was refuted again and again. */
+  core::Duration longestSilence = std::chrono::seconds{ 8 };
+};
+
+/** What a report about a member came to. */
+enum class ReportOutcome
+{
+  /** It told nothing new. */
+  Known,
+  /** It changed what is known. */
+  Changed,
+  /** What is known here is newer: whoever reported should hear it. */
+  Outdated,
+};
+
+/** @return the name of an outcome, for metric labels. */
+std::string_view
+NameOf(ReportOutcome aOutcome);
+
+/** Everything known about one member. */
+struct MemberEntry
+{
+  Member member;
+  /** When a heartbeat of it arrived here, or nothing when none did. */
+  std::optional<core::TimePoint> heardDirectly;
+  /** Whether its heartbeats are meant to come here, so that their absence tells something. */
+  bool isWatched = false;
+  /** Silence that is taken for now before it is suspect. */
+  core::Duration toleratedSilence{};
+  core::TimePoint suspectSince;
+  core::TimePoint goneSince;
+  /** When it came to be alive the last time. */
+  core::TimePoint aliveSince;
+  /** From then on it may own replicas. */
+  core::TimePoint settledAt;
+  std::uint32_t returns = 0;
+  /** It announced that it leaves, and then went. */
+  bool isDeparted = false;
+  bool isInVmList = false;
+  /** The platform says that it is about to stop the VM. */
+  bool isLeavingInVmList = false;
+  /** A VM list fetched after it went does not show it any more. */
+  bool isForgotten = false;
+};
+
+/**
+ * All known members, and the judgement of evidence about them.
+ *
+ * - The VM list lags: it proves that a VM exists. Neither its presence nor its absence changes
+ *   whether a member is alive; absence only confirms that a member that is silent is gone for good.
+ * - A heartbeat proves that its sender is alive, and ends any doubt.
+ * - A report from another daemon counts when it is newer, by incarnation and heartbeat count; a
+ *   suspicion counts only when no heartbeat arrived here lately.
+ * - A leaving notice holds for the rest of that incarnation.
+ *
+ * Not thread-safe: one instance belongs to one event loop.
+ */
+class MemberTable
+{
+public:
+  /** Called when a member's state or incarnation changed. */
+  using ChangeListener = std::function<void(const Member&)>;
+
+  MemberTable(core::TimerService& aTimers, Member aSelf, MemberTableLimits aLimits = {});
+
+  /** Sets who hears of changes; there is one listener. */
+  void OnChange(ChangeListener aListener) { mListener = std::move(aListener); }
+
+  /** @return this daemon's own member; to be changed only by its own daemon. */
+  Member& Self() { return mSelf.member; }
+  const Member& Self() const { return mSelf.member; }
+
+  /** Merges a freshly fetched VM list. */
+  void MergeVmList(const std::vector<VmRecord>& aVms);
+
+  /**
+   * Takes a heartbeat that arrived from the member itself.
+   *
+   * @param aMember what it says of itself.
+   * @param aWatched whether this daemon is to watch it from now on.
+   */
+  ReportOutcome HearHeartbeat(const Member& aMember, bool aWatched);
+
+  /** Takes another daemon's report about a member other than self. */
+  ReportOutcome HearReport(const Member& aMember);
+
+  /** Judges silences; to be called several times in each suspectAfter. */
+  void Judge();
+
+  /** Restarts all silences, for when this daemon itself was paused and so heard nobody. */
+  void ExcuseSilences();
+
+  /** Makes self wait before it owns replicas again, after others held it for gone. */
+  void ReturnSelf();
+
+  /** @return what is known about a VM other than self, or null. */
+  const MemberEntry* Find(const std::string& aVm) const;
+
+  /** @return all entries but self, by VM. */
+  const std::map<std::string, MemberEntry>& Entries() const { return mEntries; }
+
+  /** @return all members with self, without those that are forgotten. */
+  std::vector<Member> Members() const;
+
+  /**
+   * @return the members that may own replicas: alive or suspect, and settled. A suspect member
+   *         keeps its replicas until it is gone.
+   */
+  std::vector<Member> Owners() const;
+
+  /** @return how many members should be there: with self, without departed and forgotten ones. */
+  std::size_t KnownCount() const;
+
+private:
+  enum class Order
+  {
+    Older,
+    Same,
+    Newer,
+  };
+
+  Order OrderOf(const Member& aReported, const Member& aKnown) const;
+  void MergeListed(const VmRecord& aRecord);
+  void MergeUnlisted(MemberEntry& aEntry);
+  MemberEntry& Insert(const Member& aMember);
+  void Replace(MemberEntry& aEntry, const Member& aMember);
+  void Revive(MemberEntry& aEntry);
+  void SetState(MemberEntry& aEntry, MemberState aState);
+  void TakeVitals(MemberEntry& aEntry, const Member& aMember);
+  ReportOutcome TakeDoubt(MemberEntry& aEntry, const Member& aMember);
+  ReportOutcome TakeLife(MemberEntry& aEntry, const Member& aMember);
+  bool WasHeardLately(const MemberEntry& aEntry) const;
+  void JudgeSilence(MemberEntry& aEntry);
+  void EndOthersAt(const Member& aMember);
+
+  core::TimerService& mTimers;
+  MemberTableLimits mLimits;
+  ChangeListener mListener;
+  MemberEntry mSelf;
+  std::map<std::string, MemberEntry> mEntries;
+};
+
+} // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/membership_service.cpp
@@ -0,0 +1,737 @@
+#include "membership/membership_service.h"
+
+#include "core/log.h"
+#include "membership/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kHeartbeatPeriod{ 250 };
+constexpr milliseconds kJudgementPeriod{ 100 };
+constexpr milliseconds kFactPeriod{ 100 };
+constexpr milliseconds kNewsDelay{ 20 };
+constexpr milliseconds kQuickComparisonPeriod{ 200 };
+constexpr milliseconds kSlowComparisonPeriod{ 5000 };
+constexpr milliseconds kProbePeriod{ 1000 };
+constexpr milliseconds kVmListPeriod{ 5000 };
+
+/** A process that runs this much late was paused: others may hold it for gone. */
+constexpr milliseconds kPause{ 1000 };
+/** How long a process waits to hear how its peers hold it after a pause. */
+constexpr milliseconds kLongestRelearning{ 1000 };
+/** How young a process is while it may still raise its start order above an earlier one's. */
+constexpr seconds kStartOrderSettling{ 10 };
+
+/** The first heartbeats to a monitor, and one in so many after them, carry the whole member. */
+constexpr std::uint32_t kFirstIntroductions = 4;
+constexpr std::uint32_t kIntroductionInterval = 20;
+constexpr std::size_t kProbesAtATime = 16;
+constexpr std::size_t kVitalsPerHeartbeat = 4;
+constexpr std::size_t kNewsPerMessage = 32;
+constexpr std::size_t kNewsReceivers = 3;
+/** Three receivers in each of two rounds leave about one daemon in four hundred out. */
+constexpr std::uint32_t kNewsRounds = 2;
+constexpr std::size_t kComparisonMembers = 128;
+constexpr std::size_t kComparisonFactBytes = 16 * 1024;
+/** A comparison that brings more than this is followed by another one soon. */
+constexpr std::size_t kMuchNew = 8;
+
+constexpr std::array kAllStates{ MemberState::Joining,
+                                 MemberState::Alive,
+                                 MemberState::Suspect,
+                                 MemberState::Leaving,
+                                 MemberState::Gone };
+
+bool
+IsThere(const Member& aMember)
+{
+  return aMember.state != MemberState::Joining && aMember.state != MemberState::Gone;
+}
+
+} // namespace
+
+MembershipService::MembershipService(boost::asio::any_io_executor aExecutor,
+                                     core::TimerService& aTimers,
+                                     core::RandomSource& aRandom,
+                                     core::Metrics& aMetrics,
+                                     net::PeerBus& aBus,
+                                     Member aSelf,
+                                     MembershipHooks aHooks)
+  : mExecutor(std::move(aExecutor))
+  , mTimers(aTimers)
+  , mRandom(aRandom)
+  , mMetrics(aMetrics)
+  , mBus(aBus)
+  , mHooks(std::move(aHooks))
+  , mTable(aTimers, std::move(aSelf))
+  , mFacts(
+      aTimers,
+      aMetrics,
+      mTable.Self().vm,
+      { .ownFacts = mHooks.ownFacts,
+        .isUrgent = mHooks.isUrgentFact,
+        .onFact = mHooks.onFact,
+        .receivers = [this] { return mRing.IsFullMesh() ? Peers() : RandomPeers(kNewsReceivers); },
+        .isFullMesh = [this] { return mRing.IsFullMesh(); },
+        .send = [this](const std::string& aVm,
+                       const nlohmann::json& aFacts) { Send(aVm, kFactsKind, aFacts); } })
+  , mHeartbeatTimer(aTimers, aRandom)
+  , mJudgementTimer(aTimers, aRandom)
+  , mFactTimer(aTimers, aRandom)
+  , mComparisonTimer(aTimers, aRandom)
+  , mProbeTimer(aTimers, aRandom)
+  , mVmListTimer(aTimers, aRandom)
+  , mStartedAt(aTimers.Now())
+  , mWeakSelf(std::make_shared<MembershipService*>(this))
+{
+  if (mTable.Self().startOrder == 0) {
+    mTable.Self().startOrder = static_cast<std::uint64_t>(aTimers.WallClockMilliseconds());
+  }
+  SetUpMetrics();
+  SetUpHandlers();
+  mTable.OnChange([this](const Member& aMember) { HearChange(aMember); });
+}
+
+MembershipService::~MembershipService()
+{
+  Stop();
+}
+
+void
+MembershipService::Start()
+{
+  mIsStarted = true;
+  mStartedAt = mTimers.Now();
+  mHeartbeatTimer.Start(kHeartbeatPeriod, [this](core::Duration) { RunHeartbeat(); });
+  mJudgementTimer.Start(kJudgementPeriod,
+                        [this](core::Duration aLateness) { RunJudgement(aLateness); });
+  mFactTimer.Start(kFactPeriod, [this](core::Duration) { mFacts.Run(); });
+  mComparisonPeriod = kQuickComparisonPeriod;
+  mComparisonTimer.Start(mComparisonPeriod, [this](core::Duration) { RunComparison(); });
+  mProbeTimer.Start(kProbePeriod, [this](core::Duration) { RunProbes(); });
+  mVmListTimer.Start(kVmListPeriod, [this](core::Duration) { StartVmListFetch(); });
+  StartVmListFetch();
+  RunProbes();
+}
+
+void
+MembershipService::Stop()
+{
+  mIsStarted = false;
+  mHeartbeatTimer.Stop();
+  mJudgementTimer.Stop();
+  mFactTimer.Stop();
+  mComparisonTimer.Stop();
+  mProbeTimer.Stop();
+  mVmListTimer.Stop();
+  mTimers.Cancel(mNewsTimer);
+  mNewsTimer = 0;
+}
+
+void
+MembershipService::LearnVms(const std::vector<VmRecord>& aVms)
+{
+  const bool wasAlone = mTable.Entries().empty();
+  mTable.MergeVmList(aVms);
+  if (wasAlone && mIsStarted) {
+    RunProbes();
+  }
+}
+
+void
+MembershipService::AnnounceLeaving()
+{
+  Member& self = mTable.Self();
+  if (self.state == MemberState::Leaving) {
+    return;
+  }
+  self.state = MemberState::Leaving;
+  core::LogChange(core::LogLevel::Info, "membership", "leaving", { { "vm", self.vm } });
+  // Whoever hears it from this heartbeat needs no news; the news reaches the others.
+  RunHeartbeat();
+  AddNews(self.vm);
+  for (const auto& listener : mListeners) {
+    listener(self);
+  }
+  CheckOwners();
+}
+
+void
+MembershipService::SetLoad(double aLoad)
+{
+  mTable.Self().load = std::clamp(aLoad, 0.0, 1.0);
+}
+
+void
+MembershipService::SetGeneration(std::uint64_t aGeneration)
+{
+  if (aGeneration <= mTable.Self().generation) {
+    return;
+  }
+  mTable.Self().generation = aGeneration;
+  if (mIsStarted) {
+    RunHeartbeat();
+  }
+}
+
+std::vector<std::string>
+MembershipService::RandomPeers(std::size_t aMost)
+{
+  RefreshRing();
+  std::vector<std::string> peers = mRing.Peers();
+  const std::size_t n = std::min(aMost, peers.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    std::swap(peers[i], peers[i + mRandom.Below(peers.size() - i)]);
+  }
+  peers.resize(n);
+  return peers;
+}
+
+bool
+MembershipService::Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody)
+{
+  auto it = mSent.find(aKind);
+  if (it == mSent.end()) {
+    auto& counter = mMetrics.Counter("skylarkwing_membership_messages_sent_total",
+                                     "Messages to other daemons, by kind.",
+                                     { { "kind", std::string(aKind) } });
+    it = mSent.emplace(std::string(aKind), &counter).first;
+  }
+  it->second->Increment();
+  return mBus.Send(aVm, aKind, aBody);
+}
+
+void
+MembershipService::SetUpMetrics()
+{
+  for (const MemberState state : kAllStates) {
+    const std::string name(NameOf(state));
+    mStates[name] = &mMetrics.Gauge(
+      "skylarkwing_membership_members", "Members with self, by state.", { { "state", name } });
+  }
+  mPauses = &mMetrics.Counter("skylarkwing_membership_own_pauses_total",
+                              "Times that this process noticed that it had stood still.");
+  mSuspicions = &mMetrics.Counter("skylarkwing_membership_suspicions_total",
+                                  "Times that a member became suspect here.");
+  mVmListFailures = &mMetrics.Counter("skylarkwing_membership_vm_list_failures_total",
+                                      "Fetches of the VM list that failed.");
+}
+
+void
+MembershipService::SetUpHandlers()
+{
+  using Origin = net::PeerMessageOrigin;
+  mBus.OnMessage(kHeartbeatKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    HearHeartbeat(aOrigin, aBody);
+  });
+  mBus.OnMessage(kMembersKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    HearMembers(aOrigin, aBody);
+  });
+  mBus.OnMessage(kFactsKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    mFacts.Hear(aOrigin.vm, aBody);
+  });
+  mBus.OnMessage(kDigestKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    HearComparison(aOrigin, aBody);
+  });
+  mBus.OnMessage(kStandingRequestKind, [this](const Origin& aOrigin, const nlohmann::json&) {
+    HearStandingRequest(aOrigin);
+  });
+  mBus.OnMessage(kStandingKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    HearStanding(aOrigin, aBody);
+  });
+}
+
+void
+MembershipService::RunHeartbeat()
+{
+  RefreshRing();
+  ++mTable.Self().beat;
+  for (const auto& vm : mRing.Monitors()) {
+    SendHeartbeat(vm, true);
+  }
+}
+
+void
+MembershipService::RunJudgement(core::Duration aLateness)
+{
+  if (aLateness > kPause) {
+    BeginRelearning(aLateness);
+  }
+  mTable.Judge();
+  CheckOwners();
+  std::map<MemberState, std::size_t> counts;
+  ++counts[mTable.Self().state];
+  for (const auto& [vm, entry] : mTable.Entries()) {
+    counts[entry.member.state] += entry.isForgotten ? 0 : 1;
+  }
+  for (const MemberState state : kAllStates) {
+    mStates.find(NameOf(state))->second->Set(static_cast<double>(counts[state]));
+  }
+}
+
+void
+MembershipService::RunComparison()
+{
+  const bool isMuchNew = mNewByComparison > kMuchNew;
+  mNewByComparison = 0;
+  mComparisonPeriod = isMuchNew
+                        ? core::Duration(kQuickComparisonPeriod)
+                        : std::min<core::Duration>(2 * mComparisonPeriod, kSlowComparisonPeriod);
+  mComparisonTimer.SetPeriod(mComparisonPeriod);
+  for (const auto& vm : RandomPeers(1)) {
+    SendComparison(vm, false);
+  }
+}
+
+void
+MembershipService::RunProbes()
+{
+  std::vector<const Member*> silent;
+  for (const auto& [vm, entry] : mTable.Entries()) {
+    const bool mayReturn = !IsThere(entry.member) && !entry.isForgotten && !entry.isDeparted;
+    if (mayReturn) {
+      silent.push_back(&entry.member);
+    }
+  }
+  const std::size_t n = std::min(kProbesAtATime, silent.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    std::swap(silent[i], silent[i + mRandom.Below(silent.size() - i)]);
+    mBus.Connect(silent[i]->vm, silent[i]->peerAddress);
+    // The member may have lost everything about this daemon meanwhile.
+    mHeartbeatsSent.erase(silent[i]->vm);
+    SendHeartbeat(silent[i]->vm, false);
+  }
+}
+
+void
+MembershipService::SendHeartbeat(const std::string& aVm, bool aWatched)
+{
+  const Member& self = mTable.Self();
+  Heartbeat heartbeat;
+  heartbeat.vitals = VitalsOf(self);
+  heartbeat.state = self.state;
+  heartbeat.isWatched = aWatched;
+  const std::uint32_t n = mHeartbeatsSent[aVm]++;
+  if (n < kFirstIntroductions || n % kIntroductionInterval == 0) {
+    heartbeat.introduction = self;
+  }
+  if (!mRing.IsFullMesh()) {
+    heartbeat.others = SampleOthers();
+  }
+  Send(aVm, kHeartbeatKind, HeartbeatToJson(heartbeat));
+}
+
+std::vector<Vitals>
+MembershipService::SampleOthers()
+{
+  std::vector<Vitals> others;
+  const auto& peers = mRing.Peers();
+  for (std::size_t i = 0; i < kVitalsPerHeartbeat && !peers.empty(); ++i) {
+    const MemberEntry* entry = mTable.Find(peers[mRandom.Below(peers.size())]);
+    if (entry != nullptr && entry->member.state == MemberState::Alive) {
+      others.push_back(VitalsOf(entry->member));
+    }
+  }
+  return others;
+}
+
+void
+MembershipService::ScheduleNews()
+{
+  if (mNewsTimer != 0 || mNews.IsEmpty() || !mIsStarted) {
+    return;
+  }
+  mNewsTimer = mTimers.Schedule(kNewsDelay, [this] {
+    mNewsTimer = 0;
+    SendNews();
+  });
+}
+
+void
+MembershipService::AddNews(const std::string& aVm)
+{
+  mNews.Add(aVm, kNewsRounds);
+  ScheduleNews();
+}
+
+void
+MembershipService::SendNews()
+{
+  MembersReport report;
+  for (const auto& vm : mNews.Take(kNewsPerMessage)) {
+    const MemberEntry* entry = mTable.Find(vm);
+    if (vm == mTable.Self().vm) {
+      report.members.push_back(mTable.Self());
+    } else if (entry != nullptr) {
+      report.members.push_back(entry->member);
+    }
+  }
+  const nlohmann::json body = MembersReportToJson(report);
+  const auto receivers = RandomPeers(mRing.IsFullMesh() ? kFullMeshMembers : kNewsReceivers);
+  for (const auto& vm : receivers) {
+    Send(vm, kMembersKind, body);
+  }
+  ScheduleNews();
+}
+
+void
+MembershipService::SendComparison(const std::string& aVm, bool aIsAnswer)
+{
+  const nlohmann::json body{ { "m", SummarizeMembers().ToJson() },
+                             { "f", mFacts.Table().Summarize().ToJson() },
+                             { "a", aIsAnswer } };
+  Send(aVm, kDigestKind, body);
+}
+
+void
+MembershipService::HearHeartbeat(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+{
+  const auto heartbeat = HeartbeatFromJson(aBody);
+  if (!heartbeat || heartbeat->vitals.vm != aOrigin.vm || aOrigin.vm == mTable.Self().vm) {
+    return;
+  }
+  const MemberEntry* known = mTable.Find(aOrigin.vm);
+  const bool isKnown = known != nullptr && known->member.incarnation == aOrigin.incarnation;
+  if (!isKnown && !heartbeat->introduction) {
+    return;
+  }
+  const bool wasGone = isKnown && known->member.state == MemberState::Gone;
+  Member member = heartbeat->introduction ? *heartbeat->introduction : known->member;
+  ApplyVitals(heartbeat->vitals, member);
+  member.state = heartbeat->state;
+  const ReportOutcome outcome = mTable.HearHeartbeat(member, heartbeat->isWatched);
+  if (outcome == ReportOutcome::Outdated) {
+    const MembersReport report{ ReportReason::Correction, { mTable.Find(aOrigin.vm)->member } };
+    Send(aOrigin.vm, kMembersKind, MembersReportToJson(report));
+    return;
+  }
+  if (wasGone && member.state == MemberState::Alive) {
+    Send(aOrigin.vm, kStandingKind, { { "g", true } });
+  }
+  for (const auto& vitals : heartbeat->others) {
+    HearVitals(vitals);
+  }
+}
+
+void
+MembershipService::HearVitals(const Vitals& aVitals)
+{
+  const MemberEntry* known = mTable.Find(aVitals.vm);
+  const bool isKnown = known != nullptr && known->member.startOrder == aVitals.startOrder;
+  if (!isKnown || aVitals.beat <= known->member.beat) {
+    return;
+  }
+  Member member = known->member;
+  ApplyVitals(aVitals, member);
+  member.state = MemberState::Alive;
+  mTable.HearReport(member);
+}
+
+void
+MembershipService::HearMembers(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+{
+  const auto report = MembersReportFromJson(aBody);
+  if (!report) {
+    return;
+  }
+  mIsPassingOn = report->reason != ReportReason::Comparison;
+  MembersReport correction{ ReportReason::Correction, {} };
+  for (const auto& member : report->members) {
+    if (member.vm == mTable.Self().vm) {
+      HearAboutSelf(member, aOrigin.vm);
+      continue;
+    }
+    const ReportOutcome outcome = mTable.HearReport(member);
+    if (outcome == ReportOutcome::Outdated) {
+      correction.members.push_back(mTable.Find(member.vm)->member);
+    }
+    const bool isByComparison = report->reason == ReportReason::Comparison;
+    mNewByComparison += isByComparison && outcome == ReportOutcome::Changed ? 1 : 0;
+  }
+  mIsPassingOn = true;
+  const bool isAnswered = report->reason != ReportReason::Correction;
+  if (isAnswered && !correction.members.empty()) {
+    Send(aOrigin.vm, kMembersKind, MembersReportToJson(correction));
+  }
+}
+
+void
+MembershipService::HearAboutSelf(const Member& aReport, const std::string& aFrom)
+{
+  Member& self = mTable.Self();
+  if (aReport.incarnation == self.incarnation) {
+    const bool isDoubted =
+      aReport.state == MemberState::Suspect || aReport.state == MemberState::Gone;
+    if (!isDoubted) {
+      return;
+    }
+    self.beat = std::max(self.beat, aReport.beat) + 1;
+    AddNews(self.vm);
+    if (aReport.state == MemberState::Gone) {
+      CountStanding(aFrom, true);
+    }
+    return;
+  }
+  const std::pair reported(aReport.startOrder, aReport.incarnation);
+  if (reported < std::pair(self.startOrder, self.incarnation)) {
+    AddNews(self.vm);
+    return;
+  }
+  if (mTimers.Now() - mStartedAt < kStartOrderSettling) {
+    self.startOrder = aReport.startOrder + 1;
+    mHeartbeatsSent.clear();
+    AddNews(self.vm);
+    return;
+  }
+  if (!mIsSuperseded) {
+    mIsSuperseded = true;
+    core::LogChange(core::LogLevel::Error,
+                    "membership",
+                    "superseded",
+                    { { "vm", self.vm }, { "by", aReport.incarnation } });
+    mHooks.onSuperseded ? mHooks.onSuperseded() : void();
+  }
+}
+
+void
+MembershipService::HearComparison(const net::PeerMessageOrigin& aOrigin,
+                                  const nlohmann::json& aBody)
+{
+  if (!aBody.is_object() || !aBody.contains("a") || !aBody["a"].is_boolean()) {
+    return;
+  }
+  if (aBody.contains("l")) {
+    mNewByComparison += mFacts.HearComparison(aBody["l"]);
+    return;
+  }
+  const auto members = Digest::FromJson(aBody.value("m", nlohmann::json()));
+  const auto facts = Digest::FromJson(aBody.value("f", nlohmann::json()));
+  if (!members || !facts) {
+    return;
+  }
+  SendDifferences(aOrigin.vm, *members, *facts);
+  const bool isSame = SummarizeMembers().Differences(*members).empty() &&
+                      mFacts.Table().Summarize().Differences(*facts).empty();
+  if (!aBody["a"].get<bool>() && !isSame) {
+    SendComparison(aOrigin.vm, true);
+  }
+}
+
+void
+MembershipService::SendDifferences(const std::string& aVm,
+                                   const Digest& aTheirMembers,
+                                   const Digest& aTheirFacts)
+{
+  const auto buckets = SummarizeMembers().Differences(aTheirMembers);
+  MembersReport report{ ReportReason::Comparison, {} };
+  for (const auto& member : mTable.Members()) {
+    const std::size_t bucket = Digest::BucketOf(member.vm);
+    const bool isDifferent = std::find(buckets.begin(), buckets.end(), bucket) != buckets.end();
+    const bool isKnown = member.state != MemberState::Joining;
+    if (isDifferent && isKnown && report.members.size() < kComparisonMembers) {
+      report.members.push_back(member);
+    }
+  }
+  if (!report.members.empty()) {
+    Send(aVm, kMembersKind, MembersReportToJson(report));
+  }
+  const auto factBuckets = mFacts.Table().Summarize().Differences(aTheirFacts);
+  const auto facts = mFacts.Table().EntriesIn(factBuckets, kComparisonFactBytes);
+  if (!facts.empty()) {
+    Send(aVm, kDigestKind, { { "a", true }, { "l", FactsToJson(facts) } });
+  }
+}
+
+void
+MembershipService::HearStandingRequest(const net::PeerMessageOrigin& aOrigin)
+{
+  const MemberEntry* entry = mTable.Find(aOrigin.vm);
+  const bool isSame = entry != nullptr && entry->member.incarnation == aOrigin.incarnation;
+  const bool isReturning = isSame && entry->returns > 0 && mTimers.Now() < entry->settledAt;
+  const bool isGone = isSame && entry->member.state == MemberState::Gone;
+  Send(aOrigin.vm, kStandingKind, { { "g", isGone || isReturning } });
+}
+
+void
+MembershipService::HearStanding(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+{
+  if (!aBody.is_object() || !aBody.contains("g") || !aBody["g"].is_boolean()) {
+    return;
+  }
+  CountStanding(aOrigin.vm, aBody["g"].get<bool>());
+}
+
+void
+MembershipService::BeginRelearning(core::Duration aPause)
+{
+  mPauses->Increment();
+  const auto ms = std::chrono::duration_cast<milliseconds>(aPause).count();
+  core::LogChange(core::LogLevel::Warning,
+                  "membership",
+                  "own_pause_noticed",
+                  { { "pause_ms", std::to_string(ms) } });
+  mTable.ExcuseSilences();
+  mRelearningUntil = mTimers.Now() + kLongestRelearning;
+  mStandings.clear();
+  mGoneStandings.clear();
+  mStandingsSince = mTimers.Now();
+  RefreshRing();
+  for (const auto& vm : mRing.Monitors()) {
+    Send(vm, kStandingRequestKind, nlohmann::json::object());
+  }
+}
+
+void
+MembershipService::CountStanding(const std::string& aVm, bool aWasGone)
+{
+  if (mTimers.Now() - mStandingsSince > kLongestRelearning) {
+    mStandings.clear();
+    mGoneStandings.clear();
+    mStandingsSince = mTimers.Now();
+  }
+  mStandings.insert(aVm);
+  if (aWasGone) {
+    mGoneStandings.insert(aVm);
+  }
+  const std::size_t all = mRing.Monitors().size() + 1;
+  // When most held this daemon for gone, its replicas have new owners: it waits like any that
+  // returns. When only few did, they were the ones that were cut off.
+  if (2 * mGoneStandings.size() > all) {
+    mGoneStandings.clear();
+    mTable.ReturnSelf();
+    core::LogChange(core::LogLevel::Warning, "membership", "was_held_for_gone", {});
+    CheckOwners();
+  }
+  if (2 * mStandings.size() > all && IsRelearning()) {
+    mRelearningUntil = mTimers.Now();
+  }
+}
+
+void
+MembershipService::HearChange(const Member& aMember)
+{
+  mIsRingStale = true;
+  if (aMember.state == MemberState::Gone) {
+    mBus.Disconnect(aMember.vm);
+    mHeartbeatsSent.erase(aMember.vm);
+  } else {
+    mBus.Connect(aMember.vm, aMember.peerAddress);
+  }
+  if (aMember.state == MemberState::Suspect) {
+    mSuspicions->Increment();
+  }
+  core::LogChange(core::LogLevel::Info,
+                  "membership",
+                  "member_changed",
+                  { { "vm", aMember.vm },
+                    { "incarnation", aMember.incarnation },
+                    { "state", std::string(NameOf(aMember.state)) } });
+  if (mIsPassingOn && aMember.state != MemberState::Joining) {
+    AddNews(aMember.vm);
+  }
+  for (const auto& listener : mListeners) {
+    listener(aMember);
+  }
+  CheckOwners();
+}
+
+void
+MembershipService::RefreshRing()
+{
+  if (!mIsRingStale) {
+    return;
+  }
+  mIsRingStale = false;
+  std::vector<std::string> vms;
+  for (const auto& [vm, entry] : mTable.Entries()) {
+    if (IsThere(entry.member)) {
+      vms.push_back(vm);
+    }
+  }
+  const std::vector<std::string> before = mRing.Monitors();
+  mRing.Assign(vms, mTable.Self().vm);
+  StopWatchers(before);
+}
+
+void
+MembershipService::StopWatchers(const std::vector<std::string>& aBefore)
+{
+  const auto& monitors = mRing.Monitors();
+  for (const auto& vm : aBefore) {
+    const bool isMonitor = std::find(monitors.begin(), monitors.end(), vm) != monitors.end();
+    const MemberEntry* entry = mTable.Find(vm);
+    if (!isMonitor && entry != nullptr && IsThere(entry->member)) {
+      SendHeartbeat(vm, false);
+    }
+  }
+}
+
+void
+MembershipService::CheckOwners()
+{
+  std::uint64_t hash = 0;
+  for (const auto& member : mTable.Owners()) {
+    hash = CombineHashes(hash, CombineHashes(HashOf(member.vm), HashOf(member.incarnation)));
+  }
+  if (hash == mOwnersHash) {
+    return;
+  }
+  mOwnersHash = hash;
+  for (const auto& listener : mOwnersListeners) {
+    listener();
+  }
+}
+
+Digest
+MembershipService::SummarizeMembers() const
+{
+  Digest digest;
+  for (const auto& member : mTable.Members()) {
+    if (member.state == MemberState::Joining) {
+      continue;
+    }
+    // A suspicion passes by itself; only what lasts is compared.
+    const bool isSuspect = member.state == MemberState::Suspect;
+    const MemberState state = isSuspect ? MemberState::Alive : member.state;
+    const auto lasting = CombineHashes(HashOf(member.incarnation), member.startOrder);
+    digest.Add(member.vm, CombineHashes(lasting, static_cast<std::uint64_t>(state)));
+  }
+  return digest;
+}
+
+void
+MembershipService::StartVmListFetch()
+{
+  if (!mHooks.fetchVmList || mIsFetchingVmList) {
+    return;
+  }
+  mIsFetchingVmList = true;
+  core::Start(mExecutor, FetchVmList(mWeakSelf, mHooks.fetchVmList()));
+}
+
+core::Task<void>
+MembershipService::FetchVmList(std::weak_ptr<MembershipService*> aService,
+                               core::Task<std::optional<std::vector<VmRecord>>> aFetch)
+{
+  const auto records = co_await std::move(aFetch);
+  const auto service = aService.lock();
+  if (!service) {
+    co_return;
+  }
+  (*service)->mIsFetchingVmList = false;
+  if (records) {
+    (*service)->LearnVms(*records);
+  } else {
+    (*service)->mVmListFailures->Increment();
+  }
+}
+
+} // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/membership_service.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/random_source.h"
+#include "core/task.h"
+#include "core/timer_service.h"
+#include "membership/fact_spread.h"
+#include "membership/member_table.h"
+#include "membership/messages.h"
+#include "membership/peer_ring.h"
+#include "membership/periodic_timer.h"
+#include "membership/spread_queue.h"
+#include "membership/vm_list.h"
+#include "net/peer_bus.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkwing::membership {
+
+/** What the membership needs from its daemon; hooks that are unset are not called. */
+struct MembershipHooks
+{
+  /** Fetches the platform's VM list; nothing when it could not be had. */
+  std::function<core::Task<std::optional<std::vector<VmRecord>>>()> fetchVmList;
+  /** See FactSpreadHooks. */
+  std::function<std::vector<nlohmann::json>()> ownFacts;
+  std::function<bool(const nlohmann::json& aBefore, const nlohmann::json& aAfter)> isUrgentFact;
+  std::function<void(const std::string& aVm, const nlohmann::json& aFact)> onFact;
+  /** Called when a newer process of the same VM takes part: this one is to stop. */
+  std::function<void()> onSuperseded;
+};
+
+/**
+ * One daemon's part in the membership: heartbeats, news, comparisons, and the spread of facts.
+ *
+ * Every member sends its heartbeats to a bounded number of monitors. News about members spreads to
+ * a few random peers at a time; a comparison with one random peer now and then repairs what was
+ * lost. Eight members are a full mesh. The bus must be destroyed before or with this service.
+ *
+ * Not thread-safe: one instance belongs to one event loop.
+ */
+class MembershipService
+{
+public:
+  using MemberListener = std::function<void(const Member&)>;
+  using OwnersListener = std::function<void()>;
+
+  MembershipService(boost::asio::any_io_executor aExecutor,
+                    core::TimerService& aTimers,
+                    core::RandomSource& aRandom,
+                    core::Metrics& aMetrics,
+                    net::PeerBus& aBus,
+                    Member aSelf,
+                    MembershipHooks aHooks);
+  MembershipService(const MembershipService&) = delete;
+  MembershipService& operator=(const MembershipService&) = delete;
+  ~MembershipService();
+
+  /** Begins to take part. */
+  void Start();
+
+  /** Ends all timers, for the end of the process. */
+  void Stop();
+
+  /** Learns of VMs from elsewhere than the VM list hook, such as the settings. */
+  void LearnVms(const std::vector<VmRecord>& aVms);
+
+  /** @return all members with self. */
+  std::vector<Member> Members() const { return mTable.Members(); }
+
+  /** @return the members that may own replicas now, for OwnersOf(). */
+  std::vector<Member> Owners() const { return mTable.Owners(); }
+
+  const Member& Self() const { return mTable.Self(); }
+  const MemberTable& Table() const { return mTable; }
+  const FactTable& Facts() const { return mFacts.Table(); }
+
+  /** Tells everyone that this daemon is stopping; it cannot be taken back. */
+  void AnnounceLeaving();
+
+  /** Sets this daemon's load, 0 to 1. */
+  void SetLoad(double aLoad);
+
+  /** Sets the generation in force here and tells the peers at once. */
+  void SetGeneration(std::uint64_t aGeneration);
+
+  /** Sets the epoch of request identities. */
+  void SetIdentityEpoch(std::uint64_t aEpoch) { mTable.Self().identityEpoch = aEpoch; }
+
+  /** Adds a listener for changes of a member's state, incarnation or generation. */
+  void OnChange(MemberListener aListener) { mListeners.push_back(std::move(aListener)); }
+
+  /** Adds a listener for changes of Owners(). */
+  void OnOwnersChange(OwnersListener aListener)
+  {
+    mOwnersListeners.push_back(std::move(aListener));
+  }
+
+  /**
+   * @return whether this process was paused and has not yet heard from its peers how they hold it;
+   *         until then it must not act as an owner.
+   */
+  bool IsRelearning() const { return mRelearningUntil > mTimers.Now(); }
+
+  /** @return whether a newer process of the same VM takes part. */
+  bool IsSuperseded() const { return mIsSuperseded; }
+
+  /** @return the peers that are there: every member but self that is not joining or gone. */
+  const std::vector<std::string>& Peers() const { return mRing.Peers(); }
+
+  /** @return the peers that receive this daemon's heartbeats. */
+  const std::vector<std::string>& Monitors() const { return mRing.Monitors(); }
+
+  /** @return up to so many different random peers. */
+  std::vector<std::string> RandomPeers(std::size_t aMost);
+
+  /** Sends a message to a member and counts it. @return false when it was certainly not sent. */
+  bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody);
+
+private:
+  void SetUpMetrics();
+  void SetUpHandlers();
+  void RunHeartbeat();
+  void RunJudgement(core::Duration aLateness);
+  void RunComparison();
+  void RunProbes();
+  void SendHeartbeat(const std::string& aVm, bool aWatched);
+  void StopWatchers(const std::vector<std::string>& aBefore);
+  std::vector<Vitals> SampleOthers();
+  void SendNews();
+  void ScheduleNews();
+  void AddNews(const std::string& aVm);
+  void SendComparison(const std::string& aVm, bool aIsAnswer);
+  void HearHeartbeat(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
+  void HearMembers(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
+  void HearComparison(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
+  void SendDifferences(const std::string& aVm,
+                       const Digest& aTheirMembers,
+                       const Digest& aTheirFacts);
+  void HearStandingRequest(const net::PeerMessageOrigin& aOrigin);
+  void HearStanding(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
+  void HearAboutSelf(const Member& aReport, const std::string& aFrom);
+  void HearVitals(const Vitals& aVitals);
+  void BeginRelearning(core::Duration aPause);
+  void CountStanding(const std::string& aVm, bool aWasGone);
+  void HearChange(const Member& aMember);
+  void RefreshRing();
+  void CheckOwners();
+  Digest SummarizeMembers() const;
+  void StartVmListFetch();
+  static core::Task<void> FetchVmList(std::weak_ptr<MembershipService*> aService,
+                                      core::Task<std::optional<std::vector<VmRecord>>> aFetch);
+
+  boost::asio::any_io_executor mExecutor;
+  core::TimerService& mTimers;
+  core::RandomSource& mRandom;
+  core::Metrics& mMetrics;
+  net::PeerBus& mBus;
+  MembershipHooks mHooks;
+  MemberTable mTable;
+  PeerRing mRing;
+  FactSpread mFacts;
+  SpreadQueue mNews;
+  core::TimerId mNewsTimer = 0;
+  PeriodicTimer mHeartbeatTimer;
+  PeriodicTimer mJudgementTimer;
+  PeriodicTimer mFactTimer;
+  PeriodicTimer mComparisonTimer;
+  PeriodicTimer mProbeTimer;
+  PeriodicTimer mVmListTimer;
+  core::Duration mComparisonPeriod{};
+  std::size_t mNewByComparison = 0;
+  std::map<std::string, std::uint32_t> mHeartbeatsSent;
+  std::vector<MemberListener> mListeners;
+  std::vector<OwnersListener> mOwnersListeners;
+  std::uint64_t mOwnersHash = 0;
+  core::TimePoint mStartedAt;
+  core::TimePoint mRelearningUntil;
+  core::TimePoint mStandingsSince;
+  std::set<std::string> mStandings;
+  std::set<std::string> mGoneStandings;
+  bool mIsStarted = false;
+  bool mIsRingStale = true;
+  bool mIsFetchingVmList = false;
+  bool mIsSuperseded = false;
+  bool mIsPassingOn = true;
+  std::shared_ptr<MembershipService*> mWeakSelf;
+  std::map<std::string, prometheus::Counter*, std::less<>> mSent;
+  std::map<std::string, prometheus::Gauge*, std::less<>> mStates;
+  prometheus::Counter* mPauses = nullptr;
+  prometheus::Counter* mSuspicions = nullptr;
+  prometheus::Counter* mVmListFailures = nullptr;
+};
+
+} // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/messages.cpp
@@ -0,0 +1,245 @@
+#include "membership/messages.h"
+
+#include "core/name_table.h"
+
+#include <cmath>
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+constexpr std::size_t kMemberFields = 12;
+constexpr std::size_t kVitalsFields = 6;
+constexpr std::uint64_t kPercent = 100;
+
+std::uint64_t
+PercentOf(double aShare)
+{
+  return static_cast<std::uint64_t>(std::lround(aShare * kPercent));
+}
+
+/** Reads the fields of a message's array one after another. */
+class FieldReader
+{
+public:
+  FieldReader(const nlohmann::json& aArray, std::size_t aFields)
+    : mArray(aArray)
+    , mIsWhole(aArray.is_array() && aArray.size() == aFields)
+  {
+  }
+
+  void Read(std::string& aText)
+  {
+    const nlohmann::json* field = Next();
+    mIsWhole = mIsWhole && field->is_string();
+    if (mIsWhole) {
+      aText = field->get<std::string>();
+    }
+  }
+
+  void Read(std::uint64_t& aNumber)
+  {
+    const nlohmann::json* field = Next();
+    mIsWhole = mIsWhole && field->is_number_unsigned();
+    if (mIsWhole) {
+      aNumber = field->get<std::uint64_t>();
+    }
+  }
+
+  void ReadPercent(double& aShare)
+  {
+    std::uint64_t percent = 0;
+    Read(percent);
+    aShare = static_cast<double>(percent) / kPercent;
+  }
+
+  void Read(MemberState& aState)
+  {
+    std::uint64_t number = 0;
+    Read(number);
+    mIsWhole = mIsWhole && number <= static_cast<std::uint64_t>(MemberState::Gone);
+    aState = mIsWhole ? static_cast<MemberState>(number) : MemberState::Joining;
+  }
+
+  bool IsWhole() const { return mIsWhole; }
+
+private:
+  const nlohmann::json* Next() { return mIsWhole ? &mArray[mNext++] : nullptr; }
+
+  const nlohmann::json& mArray;
+  bool mIsWhole;
+  std::size_t mNext = 0;
+};
+
+nlohmann::json
+VitalsToJson(const Vitals& aVitals)
+{
+  return nlohmann::json::array({ aVitals.vm,
+                                 aVitals.startOrder,
+                                 aVitals.beat,
+                                 aVitals.generation,
+                                 PercentOf(aVitals.load),
+                                 aVitals.identityEpoch });
+}
+
+std::optional<Vitals>
+VitalsFromJson(const nlohmann::json& aJson)
+{
+  Vitals vitals;
+  FieldReader reader(aJson, kVitalsFields);
+  reader.Read(vitals.vm);
+  reader.Read(vitals.startOrder);
+  reader.Read(vitals.beat);
+  reader.Read(vitals.generation);
+  reader.ReadPercent(vitals.load);
+  reader.Read(vitals.identityEpoch);
+  return reader.IsWhole() ? std::optional(std::move(vitals)) : std::nullopt;
+}
+
+std::optional<std::uint64_t>
+ReadNumber(const nlohmann::json& aObject, const char* aKey)
+{
+  const auto it = aObject.find(aKey);
+  if (it == aObject.end() || !it->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return it->get<std::uint64_t>();
+}
+
+} // namespace
+
+nlohmann::json
+MemberToJson(const Member& aMember)
+{
+  return nlohmann::json::array({ aMember.vm,
+                                 aMember.incarnation,
+                                 aMember.startOrder,
+                                 aMember.beat,
+                                 aMember.failureDomain,
+                                 aMember.region,
+                                 aMember.callerAddress,
+                                 aMember.peerAddress,
+                                 static_cast<std::uint64_t>(aMember.state),
+                                 aMember.generation,
+                                 PercentOf(aMember.load),
+                                 aMember.identityEpoch });
+}
+
+std::optional<Member>
+MemberFromJson(const nlohmann::json& aJson)
+{
+  Member member;
+  FieldReader reader(aJson, kMemberFields);
+  reader.Read(member.vm);
+  reader.Read(member.incarnation);
+  reader.Read(member.startOrder);
+  reader.Read(member.beat);
+  reader.Read(member.failureDomain);
+  reader.Read(member.region);
+  reader.Read(member.callerAddress);
+  reader.Read(member.peerAddress);
+  reader.Read(member.state);
+  reader.Read(member.generation);
+  reader.ReadPercent(member.load);
+  reader.Read(member.identityEpoch);
+  const bool isNamed = !member.vm.empty() && !member.incarnation.empty();
+  return reader.IsWhole() && isNamed ? std::optional(std::move(member)) : std::nullopt;
+}
+
+nlohmann::json
+HeartbeatToJson(const Heartbeat& aHeartbeat)
+{
+  nlohmann::json json{ { "v", VitalsToJson(aHeartbeat.vitals) },
+                       { "s", static_cast<std::uint64_t>(aHeartbeat.state) },
+                       { "w", aHeartbeat.isWatched } };
+  if (aHeartbeat.introduction) {
+    json["i"] = MemberToJson(*aHeartbeat.introduction);
+  }
+  for (const auto& vitals : aHeartbeat.others) {
+    json["o"].push_back(VitalsToJson(vitals));
+  }
+  return json;
+}
+
+std::optional<Heartbeat>
+HeartbeatFromJson(const nlohmann::json& aJson)
+{
+  if (!aJson.is_object() || !aJson.contains("v") || !aJson.contains("w")) {
+    return std::nullopt;
+  }
+  const auto vitals = VitalsFromJson(aJson["v"]);
+  const auto state = ReadNumber(aJson, "s");
+  const bool isSender = state == static_cast<std::uint64_t>(MemberState::Alive) ||
+                        state == static_cast<std::uint64_t>(MemberState::Leaving);
+  if (!vitals || !isSender || !aJson["w"].is_boolean()) {
+    return std::nullopt;
+  }
+  Heartbeat heartbeat;
+  heartbeat.vitals = *vitals;
+  heartbeat.state = static_cast<MemberState>(*state);
+  heartbeat.isWatched = aJson["w"].get<bool>();
+  if (aJson.contains("i")) {
+    heartbeat.introduction = MemberFromJson(aJson["i"]);
+  }
+  if (aJson.contains("o") && aJson["o"].is_array()) {
+    for (const auto& other : aJson["o"]) {
+      auto read = VitalsFromJson(other);
+      if (read) {
+        heartbeat.others.push_back(std::move(*read));
+      }
+    }
+  }
+  return heartbeat;
+}
+
+nlohmann::json
+MembersReportToJson(const MembersReport& aReport)
+{
+  auto members = nlohmann::json::array();
+  for (const auto& member : aReport.members) {
+    members.push_back(MemberToJson(member));
+  }
+  return { { "r", static_cast<std::uint64_t>(aReport.reason) }, { "m", std::move(members) } };
+}
+
+std::optional<MembersReport>
+MembersReportFromJson(const nlohmann::json& aJson)
+{
+  if (!aJson.is_object() || !aJson.contains("m") || !aJson["m"].is_array()) {
+    return std::nullopt;
+  }
+  const auto reason = ReadNumber(aJson, "r");
+  if (!reason || *reason > static_cast<std::uint64_t>(ReportReason::Correction)) {
+    return std::nullopt;
+  }
+  MembersReport report;
+  report.reason = static_cast<ReportReason>(*reason);
+  for (const auto& json : aJson["m"]) {
+    auto member = MemberFromJson(json);
+    if (!member) {
+      return std::nullopt;
+    }
+    report.members.push_back(std::move(*member));
+  }
+  return report;
+}
+
+Vitals
+VitalsOf(const Member& aMember)
+{
+  return { aMember.vm,         aMember.startOrder, aMember.beat,
+           aMember.generation, aMember.load,       aMember.identityEpoch };
+}
+
+void
+ApplyVitals(const Vitals& aVitals, Member& aMember)
+{
+  aMember.startOrder = aVitals.startOrder;
+  aMember.beat = aVitals.beat;
+  aMember.generation = aVitals.generation;
+  aMember.load = aVitals.load;
+  aMember.identityEpoch = aVitals.identityEpoch;
+}
+
+} // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/tests/fake_cluster.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "membership/membership_service.h"
+#include "membership/tests/fake_network.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::membership::tests {
+
+/** One daemon of a fake cluster; it dies with this object. */
+struct FakeDaemon
+{
+  FakeDaemon(FakeNetwork& aNetwork, boost::asio::io_context& aLoop, Member aSelf);
+  ~FakeDaemon();
+
+  FakeProcess process;
+  core::RandomSource random;
+  core::Metrics metrics;
+  FakeBus bus;
+  std::vector<nlohmann::json> ownFacts;
+  std::map<std::string, nlohmann::json> facts;
+  MembershipService service;
+};
+
+/** Daemons "vm-0" and up, in three failure domains of one region each, under virtual time. */
+class FakeCluster
+{
+public:
+  explicit FakeCluster(std::uint64_t aSeed);
+
+  /** Starts a daemon, or starts it anew when it runs, at its own address or a given one. */
+  FakeDaemon& StartDaemon(std::size_t aNumber, const std::string& aAddress = {});
+
+  /** Starts daemons 0 to below a count, makes them known to each other, and lets them settle. */
+  void StartAll(std::size_t aCount);
+
+  /** Ends a daemon without notice. */
+  void Kill(std::size_t aNumber) { daemons.erase(aNumber); }
+
+  /** Moves time, and runs what the event loop has. */
+  void Advance(core::Duration aSpan);
+
+  /** Gives every daemon the VM list of all daemons that run. */
+  void ShowVmList();
+
+  FakeDaemon& At(std::size_t aNumber) { return *daemons.at(aNumber); }
+
+  /** @return how many daemons hold a VM for being in a state. */
+  std::size_t CountHolding(const std::string& aVm, MemberState aState);
+
+  core::VirtualTimerService timers;
+  FakeNetwork network;
+  boost::asio::io_context loop;
+  std::map<std::size_t, std::unique_ptr<FakeDaemon>> daemons;
+
+private:
+  core::RandomSource mRandom;
+};
+
+/** @return the name of a daemon's VM. */
+std::string
+VmOf(std::size_t aNumber);
+
+} // namespace skylarkwing::membership::tests
--- /dev/null
+++ b/membership/tests/fake_network.cpp
@@ -0,0 +1,145 @@
+#include "membership/tests/fake_network.h"
+
+#include <utility>
+
+namespace skylarkwing::membership::tests {
+
+namespace {
+
+/** What the bus adds to each body: lengths, version, cluster, sender, kind and send time. */
+constexpr std::size_t kEnvelopeBytes = 80;
+
+} // namespace
+
+FakeNetwork::FakeNetwork(core::VirtualTimerService& aTimers, std::uint64_t aSeed)
+  : mTimers(aTimers)
+  , mRandom(aSeed)
+{
+}
+
+bool
+FakeNetwork::Carry(FakeBus& aFrom,
+                   const std::string& aVm,
+                   const std::string& aAddress,
+                   std::string_view aKind,
+                   const nlohmann::json& aBody)
+{
+  const auto encoded = nlohmann::json::to_msgpack(aBody);
+  const std::size_t size = encoded.size() + kEnvelopeBytes;
+  const std::string kind(aKind);
+  ++messages;
+  bytes += size;
+  ++aFrom.sentMessages[kind];
+  aFrom.sentBytes[kind] += size;
+  if ((isCut && isCut(aFrom.mVm, aVm)) || mRandom.Fraction() < loss) {
+    return true;
+  }
+  const net::PeerMessageOrigin origin{ aFrom.mVm, aFrom.mIncarnation };
+  mTimers.Schedule(delay, [this, origin, aAddress, kind, encoded, size] {
+    const auto it = mBuses.find(aAddress);
+    if (it == mBuses.end()) {
+      return;
+    }
+    FakeBus* bus = it->second;
+    bus->receivedBytes += size;
+    bus->mProcess.Run([this, aAddress, bus, origin, kind, encoded] {
+      const auto present = mBuses.find(aAddress);
+      if (present == mBuses.end() || present->second != bus) {
+        return;
+      }
+      const auto handler = bus->mHandlers.find(kind);
+      if (handler != bus->mHandlers.end()) {
+        handler->second(origin, nlohmann::json::from_msgpack(encoded));
+      }
+    });
+  });
+  return true;
+}
+
+core::TimerId
+FakeProcess::Schedule(core::Duration aDelay, Callback aCallback)
+{
+  return mTimers.Schedule(aDelay, [this, isDead = mIsDead, call = std::move(aCallback)] {
+    if (!*isDead) {
+      Run(call);
+    }
+  });
+}
+
+void
+FakeProcess::Cancel(core::TimerId aTimer)
+{
+  mTimers.Cancel(aTimer);
+}
+
+void
+FakeProcess::Run(Callback aCallback)
+{
+  if (*mIsDead) {
+    return;
+  }
+  if (*mIsPaused) {
+    mHeld.push_back(std::move(aCallback));
+    return;
+  }
+  aCallback();
+}
+
+void
+FakeProcess::Resume()
+{
+  *mIsPaused = false;
+  const auto held = std::exchange(mHeld, {});
+  for (const auto& call : held) {
+    call();
+  }
+}
+
+FakeBus::FakeBus(FakeNetwork& aNetwork,
+                 FakeProcess& aProcess,
+                 std::string aVm,
+                 std::string aIncarnation,
+                 std::string aAddress)
+  : mNetwork(aNetwork)
+  , mProcess(aProcess)
+  , mVm(std::move(aVm))
+  , mIncarnation(std::move(aIncarnation))
+  , mAddress(std::move(aAddress))
+{
+  mNetwork.mBuses[mAddress] = this;
+}
+
+FakeBus::~FakeBus()
+{
+  const auto it = mNetwork.mBuses.find(mAddress);
+  if (it != mNetwork.mBuses.end() && it->second == this) {
+    mNetwork.mBuses.erase(it);
+  }
+}
+
+void
+FakeBus::Connect(const std::string& aVm, const std::string& aAddress)
+{
+  mPeers[aVm] = aAddress;
+}
+
+void
+FakeBus::Disconnect(const std::string& aVm)
+{
+  mPeers.erase(aVm);
+}
+
+bool
+FakeBus::Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody)
+{
+  const auto it = mPeers.find(aVm);
+  return it != mPeers.end() && mNetwork.Carry(*this, aVm, it->second, aKind, aBody);
+}
+
+void
+FakeBus::OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler)
+{
+  mHandlers[aKind] = std::move(aHandler);
+}
+
+} // namespace skylarkwing::membership::tests
