Spread configurations, judge isolation, and hand replicas over

A daemon could not tell whether it may go on with new work, and nothing brought a configuration to daemons that do not watch the store. This adds the fetch of newer configurations from peers, as changes or whole; the judgement of isolation; promises of all members in place of a store lease; and handover of replicas, where a new owner begins only when the one before has released or is gone.

--- /dev/null
+++ b/membership/handover.cpp
@@ -0,0 +1,274 @@
+#include "membership/handover.h"
+
+#include "core/log.h"
+#include "core/name_table.h"
+
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr core::NameTable<Holding, 3> kHoldingNames{ { "waiting", "held", "releasing" } };
+
+constexpr const char* kRequestKind = "ownership-request";
+constexpr const char* kAnswerKind = "ownership";
+
+constexpr milliseconds kAskPeriod{ 100 };
+
+/** Longer than any request runs; an owner that still holds on then has lost the replica. */
+constexpr seconds kLongestWait{ 10 };
+
+std::vector<std::string>
+TextsIn(const nlohmann::json& aBody, const char* aKey)
+{
+  std::vector<std::string> texts;
+  if (!aBody.is_object() || !aBody.contains(aKey) || !aBody[aKey].is_array()) {
+    return texts;
+  }
+  for (const auto& text : aBody[aKey]) {
+    if (text.is_string()) {
+      texts.push_back(text.get<std::string>());
+    }
+  }
+  return texts;
+}
+
+} // namespace
+
+std::string_view
+NameOf(Holding aHolding)
+{
+  return kHoldingNames.NameOf(aHolding);
+}
+
+Handover::Handover(core::TimerService& aTimers,
+                   core::RandomSource& aRandom,
+                   core::Metrics& aMetrics,
+                   MembershipService& aMembership,
+                   HandoverHooks aHooks)
+  : mTimers(aTimers)
+  , mMembership(aMembership)
+  , mHooks(std::move(aHooks))
+  , mTimer(aTimers, aRandom)
+  , mAcquired(aMetrics.Counter("skylarkwing_membership_replicas_acquired_total",
+                               "Replicas that this daemon began to own."))
+  , mReleased(aMetrics.Counter("skylarkwing_membership_replicas_released_total",
+                               "Replicas that this daemon handed over."))
+  , mOverdue(aMetrics.Counter("skylarkwing_membership_handovers_overdue_total",
+                              "Replicas taken over although an owner before still held on."))
+  , mHeld(aMetrics.Gauge("skylarkwing_membership_replicas_held",
+                         "Replicas that this daemon holds connections to."))
+{
+  using Origin = net::PeerMessageOrigin;
+  mMembership.OnMessage(kRequestKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    HearRequest(aOrigin, aBody);
+  });
+  mMembership.OnMessage(kAnswerKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
+    HearAnswer(aOrigin, aBody);
+  });
+  mTimer.Start(kAskPeriod, [this](core::Duration) { Run(); });
+}
+
+void
+Handover::Assign(OwnerMap aOwners)
+{
+  const OwnerMap before = std::exchange(mOwners, std::move(aOwners));
+  const std::string& self = mMembership.Self().vm;
+  std::vector<std::string> yielded;
+  for (const auto& [replica, state] : mReplicas) {
+    const auto owner = mOwners.find(replica);
+    if (owner == mOwners.end() || owner->second != self) {
+      yielded.push_back(replica);
+    }
+  }
+  for (const auto& replica : yielded) {
+    Yield(replica);
+  }
+  for (const auto& [replica, owner] : mOwners) {
+    if (owner == self) {
+      const auto last = before.find(replica);
+      Want(replica, last != before.end() ? last->second : std::string());
+    }
+  }
+  Run();
+}
+
+void
+Handover::Released(const std::string& aReplica)
+{
+  const auto it = mReplicas.find(aReplica);
+  if (it == mReplicas.end() || it->second.holding != Holding::Releasing) {
+    return;
+  }
+  mReplicas.erase(it);
+  mReleased.Increment();
+  mHeld.Set(static_cast<double>(HeldCount()));
+  const auto owner = mOwners.find(aReplica);
+  if (owner != mOwners.end()) {
+    const nlohmann::json body{ { "free", { aReplica } } };
+    mMembership.Send(owner->second, kAnswerKind, body);
+  }
+}
+
+bool
+Handover::MayUse(const std::string& aReplica) const
+{
+  const auto it = mReplicas.find(aReplica);
+  const bool isHeld = it != mReplicas.end() && it->second.holding == Holding::Held;
+  return isHeld && !mMembership.IsRelearning() && !mMembership.IsSuperseded();
+}
+
+std::size_t
+Handover::HeldCount() const
+{
+  std::size_t n = 0;
+  for (const auto& [replica, state] : mReplicas) {
+    n += state.holding != Holding::Waiting ? 1 : 0;
+  }
+  return n;
+}
+
+void
+Handover::Want(const std::string& aReplica, const std::string& aOwnerBefore)
+{
+  const auto it = mReplicas.find(aReplica);
+  if (it != mReplicas.end()) {
+    if (it->second.holding == Holding::Releasing) {
+      Acquire(aReplica, it->second);
+    }
+    return;
+  }
+  Replica state;
+  state.since = mTimers.Now();
+  const std::string& self = mMembership.Self().vm;
+  if (mMembership.IsFullMesh()) {
+    const auto& peers = mMembership.Peers();
+    state.askedFrom.insert(peers.begin(), peers.end());
+  }
+  const FactEntry* fact = mMembership.Facts().Find(aReplica);
+  if (fact != nullptr && fact->owner != self) {
+    state.askedFrom.insert(fact->owner);
+  }
+  if (!aOwnerBefore.empty() && aOwnerBefore != self) {
+    state.askedFrom.insert(aOwnerBefore);
+  }
+  mReplicas.emplace(aReplica, std::move(state));
+}
+
+void
+Handover::Yield(const std::string& aReplica)
+{
+  const auto it = mReplicas.find(aReplica);
+  if (it->second.holding == Holding::Waiting) {
+    mReplicas.erase(it);
+    return;
+  }
+  if (it->second.holding == Holding::Held) {
+    it->second.holding = Holding::Releasing;
+    mHooks.onRelease(aReplica);
+  }
+}
+
+void
+Handover::Acquire(const std::string& aReplica, Replica& aState)
+{
+  aState.holding = Holding::Held;
+  aState.askedFrom.clear();
+  mAcquired.Increment();
+  mHeld.Set(static_cast<double>(HeldCount()));
+  mHooks.onAcquire(aReplica);
+}
+
+void
+Handover::Run()
+{
+  if (mMembership.IsRelearning()) {
+    return;
+  }
+  std::map<std::string, std::vector<std::string>> questions;
+  std::vector<std::string> free;
+  for (auto& [replica, state] : mReplicas) {
+    if (state.holding != Holding::Waiting) {
+      continue;
+    }
+    std::erase_if(state.askedFrom, [this](const std::string& aVm) { return !IsThere(aVm); });
+    const bool isOverdue = mTimers.Now() - state.since >= core::Duration(kLongestWait);
+    if (isOverdue && !state.askedFrom.empty()) {
+      mOverdue.Increment();
+      core::LogChange(core::LogLevel::Warning,
+                      "membership",
+                      "handover_overdue",
+                      { { "replica", replica }, { "held_by", *state.askedFrom.begin() } });
+      state.askedFrom.clear();
+    }
+    if (state.askedFrom.empty()) {
+      free.push_back(replica);
+    }
+    for (const auto& vm : state.askedFrom) {
+      questions[vm].push_back(replica);
+    }
+  }
+  for (const auto& replica : free) {
+    // A hook of the one before may have changed what this daemon is to own.
+    const auto it = mReplicas.find(replica);
+    if (it != mReplicas.end() && it->second.holding == Holding::Waiting) {
+      Acquire(replica, it->second);
+    }
+  }
+  for (const auto& [vm, replicas] : questions) {
+    mMembership.Send(vm, kRequestKind, { { "replicas", replicas } });
+  }
+}
+
+void
+Handover::HearRequest(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+{
+  auto free = nlohmann::json::array();
+  for (const auto& replica : TextsIn(aBody, "replicas")) {
+    const auto it = mReplicas.find(replica);
+    if (it == mReplicas.end() || it->second.holding == Holding::Waiting) {
+      free.push_back(replica);
+    }
+  }
+  if (!free.empty()) {
+    mMembership.Send(aOrigin.vm, kAnswerKind, { { "free", std::move(free) } });
+  }
+}
+
+void
+Handover::HearAnswer(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+{
+  for (const auto& replica : TextsIn(aBody, "free")) {
+    HearFree(aOrigin.vm, replica);
+  }
+}
+
+void
+Handover::HearFree(const std::string& aVm, const std::string& aReplica)
+{
+  const auto it = mReplicas.find(aReplica);
+  if (it == mReplicas.end() || it->second.holding != Holding::Waiting) {
+    return;
+  }
+  it->second.askedFrom.erase(aVm);
+  if (it->second.askedFrom.empty() && !mMembership.IsRelearning()) {
+    Acquire(aReplica, it->second);
+  }
+}
+
+bool
+Handover::IsThere(const std::string& aVm) const
+{
+  const MemberEntry* entry = mMembership.Table().Find(aVm);
+  if (entry == nullptr) {
+    return false;
+  }
+  const MemberState state = entry->member.state;
+  return state != MemberState::Gone && state != MemberState::Joining;
+}
+
+} // namespace skylarkwing::membership
--- a/membership/member_table.cpp
+++ b/membership/member_table.cpp
@@ -217,8 +217,7 @@
 {
   std::size_t n = 1;
   for (const auto& [vm, entry] : mEntries) {
-    const bool wasHeardOf = entry.member.state != MemberState::Joining;
-    n += wasHeardOf && !entry.isForgotten && !entry.isDeparted ? 1 : 0;
+    n += !entry.isForgotten && !entry.isDeparted ? 1 : 0;
   }
   return n;
 }
--- a/membership/membership_service.cpp
+++ b/membership/membership_service.cpp
@@ -110,6 +110,7 @@
 {
   mIsStarted = true;
   mStartedAt = mTimers.Now();
+  mJudgedAt = mStartedAt;
   mHeartbeatTimer.Start(kHeartbeatPeriod, [this](core::Duration) { RunHeartbeat(); });
   mJudgementTimer.Start(kJudgementPeriod,
                         [this](core::Duration aLateness) { RunJudgement(aLateness); });
@@ -134,6 +135,8 @@
   mVmListTimer.Stop();
   mTimers.Cancel(mNewsTimer);
   mNewsTimer = 0;
+  mTimers.Cancel(mOwnersTimer);
+  mOwnersTimer = 0;
 }
 
 void
@@ -177,11 +180,25 @@
     return;
   }
   mTable.Self().generation = aGeneration;
-  if (mIsStarted) {
-    RunHeartbeat();
+  if (!mIsStarted) {
+    return;
+  }
+  RunHeartbeat();
+  if (!mRing.IsFullMesh()) {
+    for (const auto& vm : RandomPeers(kNewsReceivers)) {
+      SendHeartbeat(vm, false);
+    }
   }
 }
 
+bool
+MembershipService::IsRelearning() const
+{
+  const core::TimePoint now = mTimers.Now();
+  // The first thing to run after a pause need not be the timer that notices it.
+  return now < mRelearningUntil || now - mJudgedAt > core::Duration(kPause);
+}
+
 std::vector<std::string>
 MembershipService::RandomPeers(std::size_t aMost)
 {
@@ -195,6 +212,12 @@
   return peers;
 }
 
+void
+MembershipService::OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler)
+{
+  mBus.OnMessage(aKind, std::move(aHandler));
+}
+
 bool
 MembershipService::Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody)
 {
@@ -265,6 +288,7 @@
   if (aLateness > kPause) {
     BeginRelearning(aLateness);
   }
+  mJudgedAt = mTimers.Now();
   mTable.Judge();
   CheckOwners();
   std::map<MemberState, std::size_t> counts;
@@ -275,6 +299,9 @@
   for (const MemberState state : kAllStates) {
     mStates.find(NameOf(state))->second->Set(static_cast<double>(counts[state]));
   }
+  for (const auto& listener : mJudgedListeners) {
+    listener();
+  }
 }
 
 void
@@ -419,6 +446,7 @@
   for (const auto& vitals : heartbeat->others) {
     HearVitals(vitals);
   }
+  TellGeneration(aOrigin.vm, member.generation);
 }
 
 void
@@ -433,6 +461,7 @@
   ApplyVitals(aVitals, member);
   member.state = MemberState::Alive;
   mTable.HearReport(member);
+  TellGeneration(member.vm, member.generation);
 }
 
 void
@@ -640,7 +669,7 @@
   for (const auto& listener : mListeners) {
     listener(aMember);
   }
-  CheckOwners();
+  ScheduleOwnersCheck();
 }
 
 void
@@ -674,6 +703,30 @@
   }
 }
 
+void
+MembershipService::ScheduleOwnersCheck()
+{
+  // Many members that go at once change the owners once.
+  if (mOwnersTimer != 0 || !mIsStarted) {
+    return;
+  }
+  mOwnersTimer = mTimers.Schedule(core::Duration::zero(), [this] {
+    mOwnersTimer = 0;
+    CheckOwners();
+  });
+}
+
+void
+MembershipService::TellGeneration(const std::string& aVm, std::uint64_t aGeneration)
+{
+  if (aGeneration <= mTable.Self().generation) {
+    return;
+  }
+  for (const auto& listener : mGenerationListeners) {
+    listener(aVm, aGeneration);
+  }
+}
+
 void
 MembershipService::CheckOwners()
 {
--- a/membership/membership_service.h
+++ b/membership/membership_service.h
@@ -53,6 +53,8 @@
 public:
   using MemberListener = std::function<void(const Member&)>;
   using OwnersListener = std::function<void()>;
+  using JudgedListener = std::function<void()>;
+  using GenerationListener = std::function<void(const std::string& aVm, std::uint64_t aGeneration)>;
 
   MembershipService(boost::asio::any_io_executor aExecutor,
                     core::TimerService& aTimers,
@@ -99,6 +101,15 @@
   /** Adds a listener for changes of a member's state, incarnation or generation. */
   void OnChange(MemberListener aListener) { mListeners.push_back(std::move(aListener)); }
 
+  /** Adds a listener for a member's generation that is above this daemon's own. */
+  void OnHigherGeneration(GenerationListener aListener)
+  {
+    mGenerationListeners.push_back(std::move(aListener));
+  }
+
+  /** Adds a listener that is called several times a second, after all silences were judged. */
+  void OnJudged(JudgedListener aListener) { mJudgedListeners.push_back(std::move(aListener)); }
+
   /** Adds a listener for changes of Owners(). */
   void OnOwnersChange(OwnersListener aListener)
   {
@@ -109,7 +120,7 @@
    * @return whether this process was paused and has not yet heard from its peers how they hold it;
    *         until then it must not act as an owner.
    */
-  bool IsRelearning() const { return mRelearningUntil > mTimers.Now(); }
+  bool IsRelearning() const;
 
   /** @return whether a newer process of the same VM takes part. */
   bool IsSuperseded() const { return mIsSuperseded; }
@@ -117,12 +128,18 @@
   /** @return the peers that are there: every member but self that is not joining or gone. */
   const std::vector<std::string>& Peers() const { return mRing.Peers(); }
 
+  /** @return whether every member hears every other directly. */
+  bool IsFullMesh() const { return mRing.IsFullMesh(); }
+
   /** @return the peers that receive this daemon's heartbeats. */
   const std::vector<std::string>& Monitors() const { return mRing.Monitors(); }
 
   /** @return up to so many different random peers. */
   std::vector<std::string> RandomPeers(std::size_t aMost);
 
+  /** Sets the handler of a kind of message that other parts of this slice send with Send(). */
+  void OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler);
+
   /** Sends a message to a member and counts it. @return false when it was certainly not sent. */
   bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody);
 
@@ -155,6 +172,8 @@
   void HearChange(const Member& aMember);
   void RefreshRing();
   void CheckOwners();
+  void ScheduleOwnersCheck();
+  void TellGeneration(const std::string& aVm, std::uint64_t aGeneration);
   Digest SummarizeMembers() const;
   void StartVmListFetch();
   static core::Task<void> FetchVmList(std::weak_ptr<MembershipService*> aService,
@@ -171,6 +190,7 @@
   FactSpread mFacts;
   SpreadQueue mNews;
   core::TimerId mNewsTimer = 0;
+  core::TimerId mOwnersTimer = 0;
   PeriodicTimer mHeartbeatTimer;
   PeriodicTimer mJudgementTimer;
   PeriodicTimer mFactTimer;
@@ -182,9 +202,12 @@
   std::map<std::string, std::uint32_t> mHeartbeatsSent;
   std::vector<MemberListener> mListeners;
   std::vector<OwnersListener> mOwnersListeners;
+  std::vector<JudgedListener> mJudgedListeners;
+  std::vector<GenerationListener> mGenerationListeners;
   std::uint64_t mOwnersHash = 0;
   core::TimePoint mStartedAt;
   core::TimePoint mRelearningUntil;
+  core::TimePoint mJudgedAt;
   core::TimePoint mStandingsSince;
   std::set<std::string> mStandings;
   std::set<std::string> mGoneStandings;
--- a/membership/tests/fake_cluster.cpp
+++ b/membership/tests/fake_cluster.cpp
@@ -21,6 +21,46 @@
   return hooks;
 }
 
+nlohmann::json
+DocumentOf(const declaration::Configuration& aConfiguration)
+{
+  nlohmann::json document{ { "generation", aConfiguration.generation } };
+  for (const auto& service : aConfiguration.declaration.indexes.at(0).services) {
+    document["services"].push_back(service.name);
+  }
+  return document;
+}
+
+ConfigurationSpreadHooks
+SpreadHooksOf(declaration::ConfigurationKeeper& aKeeper)
+{
+  ConfigurationSpreadHooks hooks;
+  hooks.toDocument = DocumentOf;
+  hooks.offer = [&aKeeper](const nlohmann::json& aDocument, const std::string&) {
+    if (!aDocument.contains("services")) {
+      return false;
+    }
+    const auto generation = aDocument["generation"].get<std::uint64_t>();
+    aKeeper.Offer(ConfigurationOf(generation, aDocument["services"].size()), "peer");
+    return true;
+  };
+  return hooks;
+}
+
+HandoverHooks
+HandoverHooksOf(FakeDaemon& aDaemon)
+{
+  HandoverHooks hooks;
+  hooks.onAcquire = [&aDaemon](const std::string& aReplica) { aDaemon.acquired.insert(aReplica); };
+  hooks.onRelease = [&aDaemon](const std::string& aReplica) {
+    if (aDaemon.isReleasingAtOnce) {
+      aDaemon.acquired.erase(aReplica);
+      aDaemon.handover.Released(aReplica);
+    }
+  };
+  return hooks;
+}
+
 } // namespace
 
 FakeDaemon::FakeDaemon(FakeNetwork& aNetwork, boost::asio::io_context& aLoop, Member aSelf)
@@ -28,6 +68,12 @@
   , random(HashOf(aSelf.incarnation))
   , bus(aNetwork, process, aSelf.vm, aSelf.incarnation, aSelf.peerAddress)
   , service(aLoop.get_executor(), process, random, metrics, bus, aSelf, HooksOf(*this))
+  , spread(process, random, metrics, service, keeper, SpreadHooksOf(keeper))
+  , isolation(process, metrics, service, { [this] { return storeConfirmedAt; } })
+  , promises(process, random, metrics, service, { [this](const std::string& aReplica) {
+               return permits.count(aReplica) > 0;
+             } })
+  , handover(process, random, metrics, service, HandoverHooksOf(*this))
 {
 }
 
@@ -54,8 +100,41 @@
   self.callerAddress = "10.0.0." + std::to_string(aNumber) + ":7100";
   self.peerAddress = aAddress.empty() ? "10.0.0." + std::to_string(aNumber) + ":7200" : aAddress;
   daemons[aNumber] = std::make_unique<FakeDaemon>(network, loop, std::move(self));
-  daemons[aNumber]->service.Start();
-  return *daemons[aNumber];
+  FakeDaemon& daemon = *daemons[aNumber];
+  daemon.service.Start();
+  if (mDeclaration) {
+    WatchOwners(daemon);
+  }
+  return daemon;
+}
+
+void
+FakeCluster::AssignOwners(const declaration::Declaration& aDeclaration)
+{
+  mDeclaration = aDeclaration;
+  for (const auto& [n, daemon] : daemons) {
+    WatchOwners(*daemon);
+  }
+}
+
+void
+FakeCluster::WatchOwners(FakeDaemon& aDaemon)
+{
+  auto assign = [this, &aDaemon] {
+    aDaemon.handover.Assign(OwnersOf(*mDeclaration, aDaemon.service.Owners()));
+  };
+  aDaemon.service.OnOwnersChange(assign);
+  assign();
+}
+
+std::size_t
+FakeCluster::CountHolders(const std::string& aReplica)
+{
+  std::size_t n = 0;
+  for (const auto& [number, daemon] : daemons) {
+    n += daemon->acquired.count(aReplica);
+  }
+  return n;
 }
 
 void
@@ -71,9 +150,13 @@
 void
 FakeCluster::Advance(core::Duration aSpan)
 {
-  timers.Advance(aSpan);
-  loop.restart();
-  loop.poll();
+  const core::TimePoint end = timers.Now() + aSpan;
+  while (timers.NextDue() && *timers.NextDue() <= end) {
+    timers.RunNext();
+    loop.restart();
+    loop.poll();
+  }
+  timers.Advance(end - timers.Now());
 }
 
 void
@@ -101,6 +184,25 @@
   return n;
 }
 
+declaration::Configuration
+ConfigurationOf(std::uint64_t aGeneration, std::size_t aServices)
+{
+  declaration::Configuration configuration;
+  configuration.generation = aGeneration;
+  configuration.writeId = "write-" + std::to_string(aGeneration);
+  auto& services = configuration.declaration.indexes.emplace_back().services;
+  for (std::size_t n = 0; n < aServices; ++n) {
+    auto& service = services.emplace_back();
+    service.name = "service-" + std::to_string(n);
+    for (std::size_t domain = 0; domain < kDomains; ++domain) {
+      auto& replica = service.replicas.emplace_back();
+      replica.name = service.name + "-" + std::to_string(domain);
+      replica.failureDomain = "domain-" + std::to_string(domain);
+    }
+  }
+  return configuration;
+}
+
 std::string
 VmOf(std::size_t aNumber)
 {
--- a/membership/tests/fake_cluster.h
+++ b/membership/tests/fake_cluster.h
@@ -1,13 +1,20 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "declaration/configuration_keeper.h"
+#include "membership/configuration_spread.h"
+#include "membership/handover.h"
+#include "membership/isolation.h"
 #include "membership/membership_service.h"
+#include "membership/promises.h"
 #include "membership/tests/fake_network.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,9 +32,23 @@
   FakeBus bus;
   std::vector<nlohmann::json> ownFacts;
   std::map<std::string, nlohmann::json> facts;
+  std::optional<core::TimePoint> storeConfirmedAt;
+  /** Whether released replicas are reported at once, or kept until a test does. */
+  bool isReleasingAtOnce = true;
+  std::set<std::string> acquired;
+  std::set<std::string> permits;
   MembershipService service;
+  declaration::ConfigurationKeeper keeper;
+  ConfigurationSpread spread;
+  Isolation isolation;
+  Promises promises;
+  Handover handover;
 };
 
+/** @return a configuration of a generation, with an index of services of three replicas. */
+declaration::Configuration
+ConfigurationOf(std::uint64_t aGeneration, std::size_t aServices = 3);
+
 /** Daemons "vm-0" and up, in three failure domains of one region each, under virtual time. */
 class FakeCluster
 {
@@ -46,6 +67,12 @@
   /** Moves time, and runs what the event loop has. */
   void Advance(core::Duration aSpan);
 
+  /** Assigns every daemon the owners that it computes for a declaration, now and on changes. */
+  void AssignOwners(const declaration::Declaration& aDeclaration);
+
+  /** @return how many daemons hold a replica. */
+  std::size_t CountHolders(const std::string& aReplica);
+
   /** Gives every daemon the VM list of all daemons that run. */
   void ShowVmList();
 
@@ -60,7 +87,10 @@
   std::map<std::size_t, std::unique_ptr<FakeDaemon>> daemons;
 
 private:
+  void WatchOwners(FakeDaemon& aDaemon);
+
   core::RandomSource mRandom;
+  std::optional<declaration::Declaration> mDeclaration;
 };
 
 /** @return the name of a daemon's VM. */
