--- a/upstream/crash_ledger.cpp
+++ b/upstream/crash_ledger.cpp
@@ -73,9 +73,10 @@
   if (it == mRecords.end()) {
     return false;
   }
-  return std::any_of(it->second.crashes.begin(),
-                     it->second.crashes.end(),
-                     [&aReplica](const std::string& aCrash) { return IsOfReplica(aCrash, aReplica); });
+  return std::any_of(
+    it->second.crashes.begin(), it->second.crashes.end(), [&aReplica](const std::string& aCrash) {
+      return IsOfReplica(aCrash, aReplica);
+    });
 }
 
 std::vector<std::string>
--- /dev/null
+++ b/upstream/part_dispatcher.cpp
@@ -0,0 +1,508 @@
+#include "upstream/part_dispatcher.h"
+
+#include "core/log.h"
+#include "upstream/canary_gate.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+bool
+IsSamePlace(const OwnedReplica& aLeft, const OwnedReplica& aRight)
+{
+  return aLeft.declaration.address == aRight.declaration.address && aLeft.index == aRight.index &&
+         aLeft.service == aRight.service &&
+         aLeft.declaration.failureDomain == aRight.declaration.failureDomain &&
+         aLeft.limits.slots == aRight.limits.slots &&
+         aLeft.limits.coldSlots == aRight.limits.coldSlots &&
+         aLeft.limits.connections == aRight.limits.connections;
+}
+
+} // namespace
+
+struct PartDispatcher::State : public std::enable_shared_from_this<PartDispatcher::State>
+{
+  using WorkerPtr = std::shared_ptr<ReplicaWorker>;
+
+  boost::asio::any_io_executor executor;
+  core::TimerService& timers;
+  core::RandomSource& random;
+  core::Metrics& metrics;
+  DispatcherHooks hooks;
+  CrashLedger ledger;
+  std::shared_ptr<CanaryGate> gate;
+  std::map<std::string, WorkerPtr> workers;
+  std::vector<WorkerPtr> retiring;
+  std::unordered_map<std::string, PendingPartPtr> parts;
+  FactListener factListener;
+  std::function<void()> stopWaiter;
+  bool isStopping = false;
+  std::vector<prometheus::Counter*> endedParts;
+  prometheus::Counter& crashes;
+
+  State(boost::asio::any_io_executor aExecutor,
+        core::TimerService& aTimers,
+        core::RandomSource& aRandom,
+        core::Metrics& aMetrics,
+        DispatcherHooks aHooks)
+    : executor(std::move(aExecutor))
+    , timers(aTimers)
+    , random(aRandom)
+    , metrics(aMetrics)
+    , hooks(std::move(aHooks))
+    , ledger(aTimers)
+    , crashes(aMetrics.Counter("skylarkwing_upstream_crashes_total",
+                               "Parts whose replica went away while it ran them."))
+  {
+    const PartStatus statuses[] = { PartStatus::Answered,
+                                    PartStatus::NotRun,
+                                    PartStatus::Unknown,
+                                    PartStatus::Crashed,
+                                    PartStatus::Quarantined };
+    for (const PartStatus status : statuses) {
+      endedParts.push_back(&aMetrics.Counter("skylarkwing_upstream_parts_total",
+                                             "Parts that ended at their replica's owner.",
+                                             { { "status", std::string(NameOf(status)) } }));
+    }
+    if (!hooks.connect) {
+      hooks.connect = MakeHttpConnectionFactory(executor);
+    }
+  }
+
+  void MakeGate();
+  WorkerPtr MakeWorker(const OwnedReplica& aReplica);
+  void Own(const OwnedReplica& aReplica);
+  void Retire(WorkerPtr aWorker);
+  void Route(const PendingPartPtr& aPart);
+  void Submit(const PendingPartPtr& aPart);
+  void Refuse(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal);
+  std::optional<PartAnswer> RefuseBeforeSend(const PartRequest& aRequest);
+  void Finish(const PendingPartPtr& aPart, PartAnswer aAnswer, const PartCallback& aCallback);
+  void RecordCrash(const PartRequest& aRequest, const std::string& aIncarnation);
+  void RecordAlive(const std::string& aReplica, const std::string& aIncarnation);
+  void CancelQuarantined(std::uint64_t aFingerprint);
+  void Cancel(const PendingPartPtr& aPart);
+  void OnWorkerChange(const std::string& aReplica);
+  bool IsIdle() const;
+};
+
+void
+PartDispatcher::State::MakeGate()
+{
+  const std::weak_ptr<State> weak = weak_from_this();
+  CanaryGateHooks gateHooks;
+  gateHooks.acquireClaim = hooks.acquirePermit;
+  gateHooks.isClaimHeld = hooks.isPermitHeld;
+  gateHooks.releaseClaim = hooks.releasePermit;
+  gateHooks.run = [weak](const PendingPartPtr& aPart) {
+    if (const auto self = weak.lock()) {
+      self->Submit(aPart);
+    }
+  };
+  gateHooks.route = [weak](const PendingPartPtr& aPart) {
+    if (const auto self = weak.lock()) {
+      self->Route(aPart);
+    }
+  };
+  gateHooks.refuse = [weak](const PendingPartPtr& aPart, PartRefusal aRefusal) {
+    if (const auto self = weak.lock()) {
+      self->Refuse(aPart, PartStatus::NotRun, aRefusal);
+    }
+  };
+  gate = std::make_shared<CanaryGate>(executor, timers, std::move(gateHooks));
+}
+
+PartDispatcher::State::WorkerPtr
+PartDispatcher::State::MakeWorker(const OwnedReplica& aReplica)
+{
+  const std::weak_ptr<State> weak = weak_from_this();
+  const std::string name = aReplica.declaration.name;
+  ReplicaWorkerHooks workerHooks;
+  workerHooks.connect = hooks.connect;
+  workerHooks.acquirePermit = hooks.acquirePermit;
+  workerHooks.isPermitHeld = hooks.isPermitHeld;
+  workerHooks.releasePermit = hooks.releasePermit;
+  workerHooks.refuseBeforeSend = [weak](const PartRequest& aRequest) {
+    const auto self = weak.lock();
+    return self ? self->RefuseBeforeSend(aRequest) : std::nullopt;
+  };
+  workerHooks.onCrash = [weak](const PartRequest& aRequest, const std::string& aIncarnation) {
+    if (const auto self = weak.lock()) {
+      self->RecordCrash(aRequest, aIncarnation);
+    }
+  };
+  workerHooks.onAlive = [weak](const std::string& aName, const std::string& aIncarnation) {
+    if (const auto self = weak.lock()) {
+      self->RecordAlive(aName, aIncarnation);
+    }
+  };
+  workerHooks.onChange = [weak, name] {
+    if (const auto self = weak.lock()) {
+      self->OnWorkerChange(name);
+    }
+  };
+  return std::make_shared<ReplicaWorker>(
+    executor, timers, random, metrics, aReplica, std::move(workerHooks));
+}
+
+void
+PartDispatcher::State::Own(const OwnedReplica& aReplica)
+{
+  const auto it = workers.find(aReplica.declaration.name);
+  if (it != workers.end() && IsSamePlace(it->second->Replica(), aReplica)) {
+    if (it->second->Replica().isDomainOut != aReplica.isDomainOut) {
+      it->second->SetDomainOut(aReplica.isDomainOut);
+    }
+    return;
+  }
+  if (it != workers.end()) {
+    WorkerPtr former = it->second;
+    workers.erase(it);
+    Retire(std::move(former));
+  }
+  const WorkerPtr worker = MakeWorker(aReplica);
+  workers.emplace(aReplica.declaration.name, worker);
+  worker->Start();
+}
+
+void
+PartDispatcher::State::Retire(WorkerPtr aWorker)
+{
+  retiring.push_back(aWorker);
+  aWorker->Retire();
+}
+
+void
+PartDispatcher::State::Route(const PendingPartPtr& aPart)
+{
+  const PartRequest& request = aPart->request;
+  const CrashVerdict verdict = ledger.Judge(request.fingerprint, request.crashedReplicas);
+  if (verdict == CrashVerdict::Quarantined) {
+    Refuse(aPart, PartStatus::Quarantined, PartRefusal::Unavailable);
+    return;
+  }
+  if (!workers.contains(request.replica)) {
+    Refuse(aPart, PartStatus::NotRun, PartRefusal::NotOwner);
+    return;
+  }
+  if (verdict == CrashVerdict::Suspect) {
+    // A second run at the same replica would show nothing new and could cost it again.
+    if (ledger.HasFallen(request.fingerprint, request.replica)) {
+      Refuse(aPart, PartStatus::NotRun, PartRefusal::Unavailable);
+      return;
+    }
+    gate->Enter(aPart, true);
+    return;
+  }
+  if (verdict == CrashVerdict::Untried && request.isCanary) {
+    gate->Enter(aPart, false);
+    return;
+  }
+  Submit(aPart);
+}
+
+void
+PartDispatcher::State::Submit(const PendingPartPtr& aPart)
+{
+  const auto it = workers.find(aPart->request.replica);
+  if (it == workers.end()) {
+    Refuse(aPart, PartStatus::NotRun, PartRefusal::NotOwner);
+    return;
+  }
+  // The worker is kept here, because an answer may change the list of workers.
+  const WorkerPtr worker = it->second;
+  worker->Submit(aPart);
+}
+
+void
+PartDispatcher::State::Refuse(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal)
+{
+  PartAnswer answer;
+  answer.partId = aPart->request.partId;
+  answer.status = aStatus;
+  answer.refusal = aRefusal;
+  answer.snapshot = aPart->request.snapshot;
+  answer.shard = aPart->request.shard;
+  aPart->callback(std::move(answer));
+}
+
+std::optional<PartAnswer>
+PartDispatcher::State::RefuseBeforeSend(const PartRequest& aRequest)
+{
+  const CrashVerdict verdict = ledger.Judge(aRequest.fingerprint, aRequest.crashedReplicas);
+  if (verdict == CrashVerdict::Safe || verdict == CrashVerdict::Untried) {
+    return std::nullopt;
+  }
+  const bool isAllowed = verdict == CrashVerdict::Suspect && gate->MayRunSuspect(aRequest) &&
+                         !ledger.HasFallen(aRequest.fingerprint, aRequest.replica);
+  if (isAllowed) {
+    return std::nullopt;
+  }
+  PartAnswer answer;
+  answer.partId = aRequest.partId;
+  answer.status =
+    verdict == CrashVerdict::Quarantined ? PartStatus::Quarantined : PartStatus::NotRun;
+  answer.refusal = PartRefusal::Unavailable;
+  answer.snapshot = aRequest.snapshot;
+  answer.shard = aRequest.shard;
+  return answer;
+}
+
+void
+PartDispatcher::State::Finish(const PendingPartPtr& aPart,
+                              PartAnswer aAnswer,
+                              const PartCallback& aCallback)
+{
+  const std::uint64_t fingerprint = aPart->request.fingerprint;
+  if (parts.erase(aPart->request.partId) == 0) {
+    return;
+  }
+  const bool isQuarantined = aAnswer.status == PartStatus::NotRun &&
+                             ledger.Judge(fingerprint, {}) == CrashVerdict::Quarantined;
+  if (isQuarantined) {
+    aAnswer.status = PartStatus::Quarantined;
+    aAnswer.refusal = PartRefusal::Unavailable;
+  }
+  if (aAnswer.status == PartStatus::Answered && ledger.RecordAnswer(fingerprint)) {
+    hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {} });
+  }
+  endedParts[static_cast<std::size_t>(aAnswer.status)]->Increment();
+  aAnswer.crashedReplicas = ledger.CrashedReplicas(fingerprint);
+  const PartStatus status = aAnswer.status;
+  aCallback(std::move(aAnswer));
+  gate->OnEnded(aPart, status);
+}
+
+void
+PartDispatcher::State::RecordCrash(const PartRequest& aRequest, const std::string& aIncarnation)
+{
+  const CrashEvidence evidence{
+    aRequest.fingerprint, EvidenceKind::Crash, aRequest.replica, aIncarnation
+  };
+  ledger.Merge(evidence);
+  crashes.Increment();
+  core::LogChange(core::LogLevel::Warning,
+                  "upstream",
+                  "replica_crashed",
+                  { { "replica", aRequest.replica },
+                    { "incarnation", aIncarnation },
+                    { "fingerprint", std::to_string(aRequest.fingerprint) } });
+  hooks.broadcastCrash(evidence);
+  CancelQuarantined(aRequest.fingerprint);
+}
+
+void
+PartDispatcher::State::RecordAlive(const std::string& aReplica, const std::string& aIncarnation)
+{
+  for (const std::uint64_t fingerprint : ledger.SuspectedOf(aReplica, aIncarnation)) {
+    const CrashEvidence evidence{ fingerprint, EvidenceKind::Alive, aReplica, aIncarnation };
+    ledger.Merge(evidence);
+    hooks.broadcastCrash(evidence);
+  }
+}
+
+void
+PartDispatcher::State::CancelQuarantined(std::uint64_t aFingerprint)
+{
+  if (ledger.Judge(aFingerprint, {}) != CrashVerdict::Quarantined) {
+    return;
+  }
+  std::vector<PendingPartPtr> cancelled;
+  for (const auto& [id, part] : parts) {
+    if (part->request.fingerprint == aFingerprint) {
+      cancelled.push_back(part);
+    }
+  }
+  for (const PendingPartPtr& part : cancelled) {
+    Cancel(part);
+  }
+}
+
+void
+PartDispatcher::State::Cancel(const PendingPartPtr& aPart)
+{
+  if (gate->Remove(aPart)) {
+    Refuse(aPart, PartStatus::NotRun, PartRefusal::Cancelled);
+    return;
+  }
+  const auto it = workers.find(aPart->request.replica);
+  if (it != workers.end()) {
+    const WorkerPtr worker = it->second;
+    worker->Cancel(aPart);
+    return;
+  }
+  for (const WorkerPtr& worker : retiring) {
+    if (worker->Replica().declaration.name == aPart->request.replica) {
+      worker->Cancel(aPart);
+      return;
+    }
+  }
+}
+
+void
+PartDispatcher::State::OnWorkerChange(const std::string& aReplica)
+{
+  std::erase_if(retiring, [](const WorkerPtr& aWorker) { return aWorker->IsDone(); });
+  const auto it = workers.find(aReplica);
+  if (it != workers.end() && factListener) {
+    factListener(it->second->Fact());
+  }
+  if (stopWaiter && IsIdle()) {
+    const std::function<void()> waiter = std::exchange(stopWaiter, nullptr);
+    waiter();
+  }
+}
+
+bool
+PartDispatcher::State::IsIdle() const
+{
+  return workers.empty() && retiring.empty();
+}
+
+PartDispatcher::PartDispatcher(boost::asio::any_io_executor aExecutor,
+                               core::TimerService& aTimers,
+                               core::RandomSource& aRandom,
+                               core::Metrics& aMetrics,
+                               DispatcherHooks aHooks)
+  : mState(
+      std::make_shared<State>(std::move(aExecutor), aTimers, aRandom, aMetrics, std::move(aHooks)))
+{
+  mState->MakeGate();
+}
+
+PartDispatcher::~PartDispatcher()
+{
+  mState->factListener = nullptr;
+  const auto workers = mState->workers;
+  for (const auto& [name, worker] : workers) {
+    worker->Abort();
+  }
+  const auto retiring = mState->retiring;
+  for (const auto& worker : retiring) {
+    worker->Abort();
+  }
+}
+
+void
+PartDispatcher::SetOwned(const std::vector<OwnedReplica>& aReplicas)
+{
+  if (mState->isStopping) {
+    return;
+  }
+  std::vector<std::string> lost;
+  for (const auto& [name, worker] : mState->workers) {
+    const auto isNamed = [&name = name](const OwnedReplica& aReplica) {
+      return aReplica.declaration.name == name;
+    };
+    if (std::none_of(aReplicas.begin(), aReplicas.end(), isNamed)) {
+      lost.push_back(name);
+    }
+  }
+  for (const std::string& name : lost) {
+    auto node = mState->workers.extract(name);
+    mState->Retire(std::move(node.mapped()));
+  }
+  for (const OwnedReplica& replica : aReplicas) {
+    mState->Own(replica);
+  }
+}
+
+void
+PartDispatcher::Dispatch(PartRequest aRequest, PartCallback aCallback)
+{
+  if (mState->parts.contains(aRequest.partId)) {
+    // The first part of that id goes on, so nothing may be claimed about whether it runs.
+    PartAnswer answer;
+    answer.partId = aRequest.partId;
+    answer.refusal = PartRefusal::Cancelled;
+    aCallback(std::move(answer));
+    return;
+  }
+  const PendingPartPtr part = std::make_shared<PendingPart>();
+  part->request = std::move(aRequest);
+  // The list of parts keeps the part alive, so its own callback holds it weakly.
+  part->callback = [weak = std::weak_ptr<State>(mState),
+                    weakPart = std::weak_ptr<PendingPart>(part),
+                    callback = std::move(aCallback)](PartAnswer aAnswer) {
+    const auto self = weak.lock();
+    const PendingPartPtr ended = weakPart.lock();
+    if (self && ended) {
+      self->Finish(ended, std::move(aAnswer), callback);
+    }
+  };
+  mState->parts.emplace(part->request.partId, part);
+  mState->Route(part);
+}
+
+void
+PartDispatcher::Cancel(const std::string& aPartId)
+{
+  const auto it = mState->parts.find(aPartId);
+  if (it == mState->parts.end()) {
+    return;
+  }
+  const PendingPartPtr part = it->second;
+  mState->Cancel(part);
+}
+
+void
+PartDispatcher::Merge(const CrashEvidence& aEvidence)
+{
+  mState->ledger.Merge(aEvidence);
+  mState->CancelQuarantined(aEvidence.fingerprint);
+}
+
+void
+PartDispatcher::Lift(std::uint64_t aFingerprint)
+{
+  const CrashEvidence evidence{ aFingerprint, EvidenceKind::Lifted, {}, {} };
+  mState->ledger.Merge(evidence);
+  mState->hooks.broadcastCrash(evidence);
+}
+
+std::vector<QuarantinedFingerprint>
+PartDispatcher::Quarantined() const
+{
+  return mState->ledger.Quarantined();
+}
+
+std::vector<ReplicaFact>
+PartDispatcher::Facts() const
+{
+  std::vector<ReplicaFact> facts;
+  for (const auto& [name, worker] : mState->workers) {
+    facts.push_back(worker->Fact());
+  }
+  return facts;
+}
+
+void
+PartDispatcher::OnFactChange(FactListener aListener)
+{
+  mState->factListener = std::move(aListener);
+}
+
+core::Task<void>
+PartDispatcher::Stop()
+{
+  mState->isStopping = true;
+  while (!mState->workers.empty()) {
+    auto node = mState->workers.extract(mState->workers.begin());
+    mState->Retire(std::move(node.mapped()));
+  }
+  if (mState->IsIdle()) {
+    co_return;
+  }
+  const std::shared_ptr<State> state = mState;
+  std::function<void(std::function<void()>)> start = [state](std::function<void()> aWake) {
+    state->stopWaiter = std::move(aWake);
+  };
+  co_await core::AwaitCallback(std::move(start));
+}
+
+} // namespace skylarkwing::upstream
--- a/upstream/part_queue.cpp
+++ b/upstream/part_queue.cpp
@@ -10,9 +10,7 @@
 std::size_t
 PartQueue::Ahead(const PartRequest& aRequest) const
 {
-  const Key key{ aRequest.priority,
-                 aRequest.deadline,
-                 std::numeric_limits<std::uint64_t>::max() };
+  const Key key{ aRequest.priority, aRequest.deadline, std::numeric_limits<std::uint64_t>::max() };
   return static_cast<std::size_t>(std::distance(mParts.begin(), mParts.upper_bound(key)));
 }
 
--- a/upstream/replica_lifecycle.cpp
+++ b/upstream/replica_lifecycle.cpp
@@ -81,8 +81,7 @@
                            Row<WarmState, RequestFailed, UnknownState, none, none>,
                            Row<WarmState, LatencyRose, WarmingState, none, none>,
                            Row<ColdState, RequestFailed, UnknownState, none, none>>
-  {
-  };
+  {};
 
   template<typename Event, typename Machine>
   void no_transition(const Event&, Machine&, int)
@@ -120,8 +119,7 @@
                            Row<GoneState, DomainOut, OutState, none, none>,
                            Row<GoneState, Answered, DrainingState, none, SaysDraining>,
                            Row<GoneState, LoadReported, DrainingState, none, SaysDraining>>
-  {
-  };
+  {};
 
   template<typename Event, typename Machine>
   void no_transition(const Event&, Machine&, int)
--- a/upstream/replica_lifecycle.h
+++ b/upstream/replica_lifecycle.h
@@ -10,8 +10,7 @@
 
 /** A connection was made to a replica that was gone. */
 struct Connected
-{
-};
+{};
 
 /** The replica answered on a connection of its present process and said its state. */
 struct Answered
@@ -21,48 +20,39 @@
 
 /** The replica refused a request as more than it bears; its state is told by Answered. */
 struct Shed
-{
-};
+{};
 
 /** A request failed without an answer, on a connection that the owner then closed. */
 struct RequestFailed
-{
-};
+{};
 
 /** The replica's end of a connection went away. */
 struct ConnectionReset
-{
-};
+{};
 
 /** Another process answers at the replica's address. */
 struct IncarnationChanged
-{
-};
+{};
 
 /** Answers take much longer than they did. */
 struct LatencyRose
-{
-};
+{};
 
 /** The ramp has reached all slots. */
 struct RampCompleted
-{
-};
+{};
 
 /** No connection can be made. */
 struct Unreachable
-{
-};
+{};
 
 /** Operators took the replica's failure domain out. */
 struct DomainOut
-{
-};
+{};
 
 /** Operators brought the replica's failure domain back. */
 struct DomainIn
-{
-};
+{};
 
 /** The load endpoint reported a state, and no answer is recent enough to outrank it. */
 struct LoadReported
@@ -72,13 +62,11 @@
 
 /** This daemon does not own the replica any more. */
 struct OwnershipLost
-{
-};
+{};
 
 /** The permit to send to a replica that is not warm was lost. */
 struct PermitLost
-{
-};
+{};
 
 /**
  * Where one replica is in its life, as its owner sees it: a state machine with a typed event for
--- /dev/null
+++ b/upstream/replica_worker.cpp
@@ -0,0 +1,1009 @@
+#include "upstream/replica_worker.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kConnectTimeout{ 500 };
+constexpr milliseconds kLoadTimeout{ 500 };
+constexpr milliseconds kCancelTimeout{ 200 };
+// An upstream tells that a search ran past its deadline; this is how much later it may come.
+constexpr milliseconds kAnswerGrace{ 250 };
+constexpr milliseconds kReconnectPause{ 200 };
+constexpr milliseconds kPermitRetryPause{ 300 };
+constexpr milliseconds kPollInterval{ 1000 };
+constexpr milliseconds kQuietPollInterval{ 300 };
+constexpr seconds kLaneIdleCheck{ 5 };
+constexpr seconds kPermitIdleTime{ 5 };
+constexpr seconds kRecentAnswer{ 1 };
+constexpr seconds kSnapshotDenialTime{ 5 };
+// The load endpoint may say for this long that a draining upstream is not.
+constexpr seconds kDrainNoticeTime{ 30 };
+constexpr milliseconds kDefaultRunTime{ 1 };
+constexpr double kJitterShare = 0.25;
+constexpr std::size_t kQueuedPerSlot = 4;
+constexpr std::uint32_t kMaximumRequeues = 2;
+constexpr std::size_t kSpareLanes = 1;
+// Former, present and coming owners may overlap, and each also has a control connection.
+constexpr std::size_t kShareOfConnections = 4;
+
+const core::Metrics::Buckets kExchangeBuckets{ 0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032,
+                                               0.064,  0.128, 0.256, 0.512, 1.024, 2.048 };
+
+core::Duration
+Jittered(core::RandomSource& aRandom, milliseconds aCentre)
+{
+  const double spread = aRandom.Around(static_cast<double>(aCentre.count()), kJitterShare);
+  return std::chrono::duration_cast<core::Duration>(
+    std::chrono::duration<double, std::milli>(spread));
+}
+
+bool
+IsSame(const SnapshotHolding& aLeft, const SnapshotHolding& aRight)
+{
+  return aLeft.snapshot == aRight.snapshot && aLeft.shardCount == aRight.shardCount &&
+         aLeft.shards == aRight.shards;
+}
+
+bool
+IsSame(const std::vector<SnapshotHolding>& aLeft, const std::vector<SnapshotHolding>& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const SnapshotHolding& aOne, const SnapshotHolding& aOther) {
+                      return IsSame(aOne, aOther);
+                    });
+}
+
+} // namespace
+
+/** One connection for searches and its task. */
+struct ReplicaWorker::Lane
+{
+  explicit Lane(core::TimerService& aTimers)
+    : parts(aTimers)
+  {
+  }
+
+  std::shared_ptr<UpstreamConnection> connection;
+  /** The process at the other end. */
+  std::string incarnation;
+  core::TimePoint connectedFrom;
+  bool isReady = false;
+  /** The next part; none only wakes the task. */
+  core::Mailbox<PendingPartPtr> parts;
+};
+
+/** What the control connection's task is to do before its next poll. */
+struct ReplicaWorker::ControlOrder
+{
+  /** The part to cancel; empty for a poll at once. */
+  std::string cancelledPartId;
+};
+
+ReplicaWorker::ReplicaWorker(boost::asio::any_io_executor aExecutor,
+                             core::TimerService& aTimers,
+                             core::RandomSource& aRandom,
+                             core::Metrics& aMetrics,
+                             OwnedReplica aReplica,
+                             ReplicaWorkerHooks aHooks)
+  : mExecutor(std::move(aExecutor))
+  , mTimers(aTimers)
+  , mRandom(aRandom)
+  , mMetrics(aMetrics)
+  , mConnectionsOpened(aMetrics.Counter("skylarkwing_upstream_connections_opened_total",
+                                        "Connections opened to upstreams."))
+  , mExchangeSeconds(aMetrics.Histogram("skylarkwing_upstream_exchange_seconds",
+                                        "Time of one search on an upstream.",
+                                        kExchangeBuckets))
+  , mReplica(std::move(aReplica))
+  , mHooks(std::move(aHooks))
+  , mLife([this](ReplicaState aFrom, ReplicaState aTo) { OnStateChange(aFrom, aTo); })
+  , mRamp(mReplica.limits.coldSlots, mReplica.limits.slots)
+  , mControlOrders(aTimers)
+{
+}
+
+ReplicaWorker::~ReplicaWorker()
+{
+  mTimers.Cancel(mQueueTimer);
+  mTimers.Cancel(mPermitTimer);
+}
+
+void
+ReplicaWorker::Start()
+{
+  if (mReplica.isDomainOut) {
+    mLife.Process(DomainOut{});
+  }
+  ++mTasks;
+  core::Start(mExecutor, RunControl(shared_from_this()));
+  Pump();
+}
+
+void
+ReplicaWorker::Submit(PendingPartPtr aPart)
+{
+  const PartRefusal refusal = RefusalOf(aPart->request);
+  if (refusal != PartRefusal::None) {
+    Answer(aPart, PartStatus::NotRun, refusal);
+    return;
+  }
+  if (mQueue.Size() >= QueueLimit()) {
+    const PendingPartPtr evicted = mQueue.EvictBelow(aPart->request.priority);
+    Answer(evicted ? evicted : aPart, PartStatus::NotRun, PartRefusal::Overloaded);
+    if (!evicted) {
+      return;
+    }
+  }
+  mQueue.Push(std::move(aPart));
+  Pump();
+}
+
+void
+ReplicaWorker::Cancel(const PendingPartPtr& aPart)
+{
+  if (mQueue.Remove(aPart->request.partId)) {
+    Answer(aPart, PartStatus::NotRun, PartRefusal::Cancelled);
+    return;
+  }
+  if (!aPart->isCancelled) {
+    aPart->isCancelled = true;
+    mControlOrders.Push({ aPart->request.partId });
+  }
+}
+
+void
+ReplicaWorker::SetDomainOut(bool aIsOut)
+{
+  mReplica.isDomainOut = aIsOut;
+  if (aIsOut) {
+    mLife.Process(DomainOut{});
+  } else {
+    mLife.Process(DomainIn{});
+  }
+  Pump();
+}
+
+void
+ReplicaWorker::Retire()
+{
+  mIsRetired = true;
+  mLife.Process(OwnershipLost{});
+  WakeIdleLanes();
+  mControlOrders.Push({});
+  Pump();
+}
+
+void
+ReplicaWorker::Abort()
+{
+  mIsAborted = true;
+  for (const LanePtr& lane : mLanes) {
+    if (lane->connection) {
+      lane->connection->Close();
+    }
+  }
+  if (mControl) {
+    mControl->Close();
+  }
+  Retire();
+}
+
+ReplicaFact
+ReplicaWorker::Fact() const
+{
+  ReplicaFact fact;
+  fact.replica = mReplica.declaration.name;
+  fact.index = mReplica.index;
+  fact.service = mReplica.service;
+  fact.failureDomain = mReplica.declaration.failureDomain;
+  fact.incarnation = mIncarnation;
+  fact.state = mLife.State();
+  fact.holdings = mHoldings;
+  fact.allowance = Allowance();
+  fact.inFlight = mInFlight;
+  fact.queued = static_cast<std::uint32_t>(mQueue.Size());
+  fact.medianMicroseconds = mLatency.Median();
+  fact.p95Microseconds = mLatency.P95();
+  return fact;
+}
+
+core::Task<void>
+ReplicaWorker::RunControl(Self aSelf)
+{
+  while (aSelf->WantsControl()) {
+    const bool isOpen = co_await aSelf->OpenControl();
+    if (isOpen) {
+      co_await aSelf->PollLoad();
+    }
+    const core::TimePoint next = aSelf->mTimers.Now() + aSelf->PollInterval();
+    std::optional<ControlOrder> order = co_await aSelf->mControlOrders.Receive(next);
+    while (order && !order->cancelledPartId.empty()) {
+      const bool isReachable = co_await aSelf->OpenControl();
+      if (isReachable) {
+        std::string partId = std::move(order->cancelledPartId);
+        co_await aSelf->mControl->Cancel(std::move(partId), kCancelTimeout);
+      }
+      order = co_await aSelf->mControlOrders.Receive(next);
+    }
+  }
+  if (aSelf->mControl) {
+    aSelf->mControl->Close();
+  }
+  aSelf->EndTask();
+}
+
+core::Task<bool>
+ReplicaWorker::OpenControl()
+{
+  if (mControl && mControl->IsOpen()) {
+    co_return true;
+  }
+  mControl = mHooks.connect(mReplica.declaration.address);
+  const std::shared_ptr<UpstreamConnection> connection = mControl;
+  const bool isOpen = co_await connection->Connect(kConnectTimeout);
+  if (isOpen) {
+    mConnectionsOpened.Increment();
+    co_return true;
+  }
+  OnConnectFailed();
+  co_return false;
+}
+
+core::Task<void>
+ReplicaWorker::PollLoad()
+{
+  const std::shared_ptr<UpstreamConnection> connection = mControl;
+  const LoadReply reply = co_await connection->Load(kLoadTimeout);
+  if (reply.error == ExchangeError::None) {
+    OnLoad(reply);
+    Pump();
+  }
+}
+
+core::Task<void>
+ReplicaWorker::RunLane(Self aSelf, LanePtr aLane)
+{
+  while (aSelf->WantsLanes()) {
+    if (!aSelf->IsUsable(*aLane)) {
+      const bool isOpen = co_await aSelf->OpenLane(aLane);
+      if (!isOpen) {
+        const core::Duration pause = Jittered(aSelf->mRandom, kReconnectPause);
+        co_await aLane->parts.Receive(aSelf->mTimers.Now() + pause);
+        continue;
+      }
+    }
+    aLane->isReady = true;
+    aSelf->Pump();
+    const core::TimePoint until = aSelf->mTimers.Now() + kLaneIdleCheck;
+    std::optional<PendingPartPtr> part = co_await aLane->parts.Receive(until);
+    aLane->isReady = false;
+    if (part && *part) {
+      co_await aSelf->RunPart(aLane, *part);
+    }
+    if (aSelf->mIsRetired) {
+      aSelf->mControlOrders.Push({});
+    }
+  }
+  if (aLane->connection) {
+    aLane->connection->Close();
+  }
+  std::erase(aSelf->mLanes, aLane);
+  aSelf->EndTask();
+}
+
+core::Task<void>
+ReplicaWorker::RunPermit(Self aSelf)
+{
+  std::string name = aSelf->mReplica.declaration.name;
+  const bool isGranted = co_await aSelf->mHooks.acquirePermit(std::move(name));
+  aSelf->mIsAcquiring = false;
+  aSelf->mHoldsPermit = isGranted;
+  if (!isGranted) {
+    const core::Duration pause = Jittered(aSelf->mRandom, kPermitRetryPause);
+    aSelf->mNextPermitTry = aSelf->mTimers.Now() + pause;
+    // Whoever waits here can be answered elsewhere now; the permit may be away for long.
+    if (aSelf->NeedsPermit()) {
+      aSelf->RefuseAll(PartRefusal::Cold);
+    }
+  }
+  if (isGranted && !aSelf->NeedsPermit()) {
+    aSelf->ReleasePermit();
+  }
+  aSelf->SchedulePermitRelease();
+  aSelf->EndTask();
+}
+
+core::Task<bool>
+ReplicaWorker::OpenLane(LanePtr aLane)
+{
+  if (aLane->connection) {
+    aLane->connection->Close();
+  }
+  aLane->incarnation.clear();
+  aLane->connectedFrom = mTimers.Now();
+  aLane->connection = mHooks.connect(mReplica.declaration.address);
+  const std::shared_ptr<UpstreamConnection> connection = aLane->connection;
+  const bool isConnected = co_await connection->Connect(kConnectTimeout);
+  if (!isConnected) {
+    OnConnectFailed();
+    co_return false;
+  }
+  mConnectionsOpened.Increment();
+  // The reply shows which process is at the other end, before any search is risked on it.
+  const LoadReply reply = co_await connection->Load(kLoadTimeout);
+  if (reply.error != ExchangeError::None || reply.incarnation.empty()) {
+    connection->Close();
+    co_return false;
+  }
+  aLane->incarnation = reply.incarnation;
+  OnProcess(reply.incarnation);
+  OnHoldings(reply.holdings);
+  if (aLane->connectedFrom > mLastCrash) {
+    mHooks.onAlive(mReplica.declaration.name, reply.incarnation);
+  }
+  co_return true;
+}
+
+core::Task<void>
+ReplicaWorker::RunPart(LanePtr aLane, PendingPartPtr aPart)
+{
+  if (RefuseAtSend(aPart)) {
+    co_return;
+  }
+  const PartRequest& request = aPart->request;
+  const core::TimePoint started = mTimers.Now();
+  const core::Duration remaining = request.deadline - started;
+  SearchCall call{ request.partId, request.index,        request.shard, request.snapshot,
+                   remaining,      request.isIdempotent, request.search };
+  const std::shared_ptr<UpstreamConnection> connection = aLane->connection;
+  SearchReply reply = co_await connection->Search(std::move(call), remaining + kAnswerGrace);
+  const core::Duration took = mTimers.Now() - started;
+  --mInFlight;
+  if (reply.error != ExchangeError::None) {
+    OnError(*aLane, aPart, reply.error);
+  } else {
+    OnReply(*aLane, aPart, reply, took);
+  }
+}
+
+void
+ReplicaWorker::EndTask()
+{
+  --mTasks;
+  Pump();
+  if (mTasks == 0) {
+    ReleasePermit();
+    mHooks.onChange();
+  }
+}
+
+void
+ReplicaWorker::Pump()
+{
+  // Answers call back into whoever sent the part, who may send the next one at once.
+  if (mIsPumping) {
+    mMustPumpAgain = true;
+    return;
+  }
+  mIsPumping = true;
+  do {
+    mMustPumpAgain = false;
+    PumpOnce();
+  } while (mMustPumpAgain);
+  mIsPumping = false;
+}
+
+void
+ReplicaWorker::PumpOnce()
+{
+  if (mIsRetired) {
+    RefuseAll(PartRefusal::NotOwner);
+    return;
+  }
+  if (!IsServing()) {
+    RefuseAll(PartRefusal::Unavailable);
+    WakeIdleLanes();
+    return;
+  }
+  AddLanes();
+  RefuseLate();
+  Assign();
+  ScheduleQueueCheck();
+}
+
+void
+ReplicaWorker::AddLanes()
+{
+  while (mLanes.size() < WantedLanes()) {
+    const LanePtr lane = std::make_shared<Lane>(mTimers);
+    mLanes.push_back(lane);
+    ++mTasks;
+    core::Start(mExecutor, RunLane(shared_from_this(), lane));
+  }
+}
+
+void
+ReplicaWorker::Assign()
+{
+  while (!mQueue.IsEmpty() && mInFlight < Allowance()) {
+    if (!MaySend()) {
+      RequestPermit();
+      return;
+    }
+    const LanePtr lane = ReadyLane();
+    if (!lane) {
+      return;
+    }
+    ++mInFlight;
+    lane->isReady = false;
+    lane->parts.Push(mQueue.Pop());
+  }
+}
+
+std::size_t
+ReplicaWorker::WantedLanes() const
+{
+  if (mLife.State() == ReplicaState::Warm) {
+    return MaximumLanes();
+  }
+  return std::min<std::size_t>(MaximumLanes(), Allowance());
+}
+
+std::size_t
+ReplicaWorker::MaximumLanes() const
+{
+  const std::size_t share = mReplica.limits.connections / kShareOfConnections;
+  const std::size_t bound = share > 1 ? share - 1 : 1;
+  return std::min<std::size_t>(mReplica.limits.slots + kSpareLanes, bound);
+}
+
+ReplicaWorker::LanePtr
+ReplicaWorker::ReadyLane() const
+{
+  for (const LanePtr& lane : mLanes) {
+    if (lane->isReady && lane->incarnation == mIncarnation) {
+      return lane;
+    }
+  }
+  return nullptr;
+}
+
+void
+ReplicaWorker::WakeIdleLanes()
+{
+  for (const LanePtr& lane : mLanes) {
+    if (lane->isReady) {
+      lane->isReady = false;
+      lane->parts.Push(nullptr);
+    }
+  }
+}
+
+bool
+ReplicaWorker::WantsLanes() const
+{
+  return IsServing() && !mIsAborted;
+}
+
+bool
+ReplicaWorker::WantsControl() const
+{
+  return !mIsAborted && !(mIsRetired && mInFlight == 0);
+}
+
+bool
+ReplicaWorker::IsUsable(const Lane& aLane) const
+{
+  return aLane.connection && aLane.connection->IsOpen() && aLane.incarnation == mIncarnation;
+}
+
+std::uint32_t
+ReplicaWorker::Allowance() const
+{
+  return IsServing() ? mRamp.Allowance() : 0;
+}
+
+bool
+ReplicaWorker::IsServing() const
+{
+  const ReplicaState state = mLife.State();
+  return !mIsRetired && (state == ReplicaState::Warm || NeedsPermit());
+}
+
+bool
+ReplicaWorker::NeedsPermit() const
+{
+  const ReplicaState state = mLife.State();
+  return state == ReplicaState::Unknown || state == ReplicaState::Cold ||
+         state == ReplicaState::Warming;
+}
+
+bool
+ReplicaWorker::MaySend() const
+{
+  return !NeedsPermit() || mHooks.isPermitHeld(mReplica.declaration.name);
+}
+
+bool
+ReplicaWorker::HasRecentAnswer() const
+{
+  return mTimers.Now() - mLastAnswer < kRecentAnswer;
+}
+
+bool
+ReplicaWorker::IsDrainNoticeFresh() const
+{
+  return mTimers.Now() - mDrainNotice < kDrainNoticeTime;
+}
+
+bool
+ReplicaWorker::IsPermitRefused() const
+{
+  return NeedsPermit() && !mIsAcquiring && mTimers.Now() < mNextPermitTry && !MaySend();
+}
+
+core::Duration
+ReplicaWorker::RunTime() const
+{
+  const std::uint32_t median = mLatency.Median();
+  if (median == 0) {
+    return kDefaultRunTime;
+  }
+  return std::chrono::microseconds(median);
+}
+
+core::Duration
+ReplicaWorker::PollInterval() const
+{
+  const bool isQuiet = !HasRecentAnswer() || mHoldings.empty();
+  return Jittered(mRandom, isQuiet ? kQuietPollInterval : kPollInterval);
+}
+
+std::size_t
+ReplicaWorker::QueueLimit() const
+{
+  return Allowance() * kQueuedPerSlot;
+}
+
+PartRefusal
+ReplicaWorker::RefusalOf(const PartRequest& aRequest) const
+{
+  if (mIsRetired) {
+    return PartRefusal::NotOwner;
+  }
+  if (!IsServing()) {
+    return PartRefusal::Unavailable;
+  }
+  const auto denied = mDeniedSnapshots.find(aRequest.snapshot);
+  if (denied != mDeniedSnapshots.end() && mTimers.Now() < denied->second) {
+    return PartRefusal::WrongSnapshot;
+  }
+  if (IsPermitRefused()) {
+    return PartRefusal::Cold;
+  }
+  const std::size_t before = mInFlight + mQueue.Ahead(aRequest);
+  const auto rounds = static_cast<int>(before / std::max(1U, Allowance())) + 1;
+  if (mTimers.Now() + RunTime() * rounds > aRequest.deadline) {
+    return PartRefusal::DeadlineTooClose;
+  }
+  return PartRefusal::None;
+}
+
+void
+ReplicaWorker::Answer(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal)
+{
+  PartAnswer answer;
+  answer.partId = aPart->request.partId;
+  answer.status = aStatus;
+  answer.refusal = aRefusal;
+  answer.snapshot = aPart->request.snapshot;
+  answer.shard = aPart->request.shard;
+  aPart->callback(std::move(answer));
+}
+
+void
+ReplicaWorker::RefuseAll(PartRefusal aRefusal)
+{
+  for (const PendingPartPtr& part : mQueue.TakeAll()) {
+    Answer(part, PartStatus::NotRun, aRefusal);
+  }
+}
+
+void
+ReplicaWorker::RefuseLate()
+{
+  const std::uint32_t parallel = std::max(1U, Allowance());
+  for (const PendingPartPtr& part : mQueue.TakeLate(mTimers.Now(), RunTime(), parallel)) {
+    Answer(part, PartStatus::NotRun, PartRefusal::DeadlineTooClose);
+  }
+}
+
+void
+ReplicaWorker::ScheduleQueueCheck()
+{
+  mTimers.Cancel(mQueueTimer);
+  mQueueTimer = 0;
+  const std::optional<core::TimePoint> earliest = mQueue.EarliestDeadline();
+  if (!earliest) {
+    return;
+  }
+  // One tick past the last moment at which the part could still be sent.
+  const core::Duration delay = *earliest - RunTime() - mTimers.Now() + core::Duration(1);
+  mQueueTimer = mTimers.Schedule(delay, [weak = weak_from_this()] {
+    const Self self = weak.lock();
+    if (self) {
+      self->mQueueTimer = 0;
+      self->Pump();
+    }
+  });
+}
+
+bool
+ReplicaWorker::RefuseAtSend(const PendingPartPtr& aPart)
+{
+  std::optional<PartAnswer> refused = mHooks.refuseBeforeSend(aPart->request);
+  PartRefusal refusal = PartRefusal::None;
+  if (aPart->isCancelled) {
+    refusal = PartRefusal::Cancelled;
+  } else if (!IsServing()) {
+    refusal = mIsRetired ? PartRefusal::NotOwner : PartRefusal::Unavailable;
+  } else if (mTimers.Now() + RunTime() > aPart->request.deadline) {
+    refusal = PartRefusal::DeadlineTooClose;
+  }
+  if (!refused && refusal == PartRefusal::None && MaySend() && mInFlight <= Allowance()) {
+    return false;
+  }
+  --mInFlight;
+  if (refused) {
+    aPart->callback(std::move(*refused));
+  } else if (refusal != PartRefusal::None) {
+    Answer(aPart, PartStatus::NotRun, refusal);
+  } else {
+    // The replica bears less than when the part was assigned, so the part waits again.
+    if (!MaySend()) {
+      mLife.Process(PermitLost{});
+    }
+    mQueue.Push(aPart);
+  }
+  return true;
+}
+
+void
+ReplicaWorker::RequestPermit()
+{
+  if (mIsAcquiring || mTimers.Now() < mNextPermitTry) {
+    if (IsPermitRefused()) {
+      RefuseAll(PartRefusal::Cold);
+    }
+    return;
+  }
+  mIsAcquiring = true;
+  ++mTasks;
+  core::Start(mExecutor, RunPermit(shared_from_this()));
+}
+
+void
+ReplicaWorker::ReleasePermit()
+{
+  if (!mHoldsPermit) {
+    return;
+  }
+  mHoldsPermit = false;
+  mHooks.releasePermit(mReplica.declaration.name);
+}
+
+void
+ReplicaWorker::SchedulePermitRelease()
+{
+  mTimers.Cancel(mPermitTimer);
+  mPermitTimer = 0;
+  if (!mHoldsPermit) {
+    return;
+  }
+  mPermitTimer = mTimers.Schedule(kPermitIdleTime, [weak = weak_from_this()] {
+    const Self self = weak.lock();
+    if (!self) {
+      return;
+    }
+    self->mPermitTimer = 0;
+    if (self->mInFlight == 0 && self->mQueue.IsEmpty() && !self->HasRecentAnswer()) {
+      self->ReleasePermit();
+    }
+    self->SchedulePermitRelease();
+  });
+}
+
+void
+ReplicaWorker::OnStateChange(ReplicaState aFrom, ReplicaState aTo)
+{
+  mMetrics
+    .Counter("skylarkwing_upstream_state_changes_total",
+             "Changes of replicas' states.",
+             { { "to", std::string(NameOf(aTo)) } })
+    .Increment();
+  core::LogChange(core::LogLevel::Info,
+                  "upstream",
+                  "replica_state_changed",
+                  { { "replica", mReplica.declaration.name },
+                    { "from", std::string(NameOf(aFrom)) },
+                    { "to", std::string(NameOf(aTo)) },
+                    { "incarnation", mIncarnation } });
+  if (aTo == ReplicaState::Warm) {
+    ReleasePermit();
+  } else {
+    mRamp.Drop();
+  }
+  NotifyChange();
+}
+
+void
+ReplicaWorker::OnLoad(const LoadReply& aReply)
+{
+  // Answers come from the process itself, so a report that names another one is out of date.
+  if (aReply.incarnation != mIncarnation && HasRecentAnswer()) {
+    return;
+  }
+  OnProcess(aReply.incarnation);
+  OnHoldings(aReply.holdings);
+  if (!IsDrainNoticeFresh() && !mIsRetired) {
+    mLife.Process(Connected{});
+  }
+  OnLoadState(aReply.state);
+}
+
+void
+ReplicaWorker::OnHoldings(const std::vector<SnapshotHolding>& aHoldings)
+{
+  const core::TimePoint now = mTimers.Now();
+  std::erase_if(mDeniedSnapshots, [now](const auto& aItem) { return aItem.second <= now; });
+  std::vector<SnapshotHolding> holdings = aHoldings;
+  std::erase_if(holdings, [this](const SnapshotHolding& aHolding) {
+    return mDeniedSnapshots.contains(aHolding.snapshot);
+  });
+  if (IsSame(holdings, mHoldings)) {
+    return;
+  }
+  mHoldings = std::move(holdings);
+  NotifyChange();
+}
+
+void
+ReplicaWorker::OnLoadState(UpstreamState aState)
+{
+  if (HasRecentAnswer()) {
+    return;
+  }
+  // The upstream's own notice outranks the endpoint, which lags.
+  if (!IsDrainNoticeFresh() && !mIsRetired) {
+    mLife.Process(LoadReported{ aState });
+  }
+}
+
+void
+ReplicaWorker::OnConnectFailed()
+{
+  if (mInFlight == 0 && !HasRecentAnswer()) {
+    mLife.Process(Unreachable{});
+    Pump();
+  }
+}
+
+void
+ReplicaWorker::OnProcess(const std::string& aIncarnation)
+{
+  if (aIncarnation.empty() || aIncarnation == mIncarnation) {
+    return;
+  }
+  const bool isFirst = mIncarnation.empty();
+  mIncarnation = aIncarnation;
+  mLatency.Reset();
+  mDeniedSnapshots.clear();
+  mDrainNotice = {};
+  mLastAnswer = {};
+  if (!isFirst && !mIsRetired) {
+    mLife.Process(IncarnationChanged{});
+  }
+  mRamp.Drop();
+  WakeIdleLanes();
+  NotifyChange();
+}
+
+void
+ReplicaWorker::OnError(Lane& aLane, const PendingPartPtr& aPart, ExchangeError aError)
+{
+  aLane.connection->Close();
+  if (aError == ExchangeError::NothingSent) {
+    if (++aPart->requeues > kMaximumRequeues) {
+      Answer(aPart, PartStatus::NotRun, PartRefusal::Unavailable);
+      return;
+    }
+    mQueue.Push(aPart);
+    return;
+  }
+  if (aError == ExchangeError::Broken) {
+    OnBroken(aLane, aPart);
+    return;
+  }
+  mLife.Process(RequestFailed{});
+  const PartRefusal refusal =
+    aPart->isCancelled ? PartRefusal::Cancelled : PartRefusal::ConnectionLost;
+  Answer(aPart, PartStatus::Unknown, refusal);
+}
+
+void
+ReplicaWorker::OnBroken(const Lane& aLane, const PendingPartPtr& aPart)
+{
+  const bool isPlanned = mIsAborted || mLife.State() == ReplicaState::Draining;
+  mLife.Process(ConnectionReset{});
+  mLastAnswer = {};
+  if (isPlanned) {
+    Answer(aPart, PartStatus::Unknown, PartRefusal::ConnectionLost);
+    return;
+  }
+  mLastCrash = mTimers.Now();
+  // The evidence leaves first: whoever hears of the crash must not be able to send it on before.
+  mHooks.onCrash(aPart->request, aLane.incarnation);
+  Answer(aPart, PartStatus::Crashed, PartRefusal::ConnectionLost);
+}
+
+void
+ReplicaWorker::OnReply(Lane& aLane,
+                       const PendingPartPtr& aPart,
+                       SearchReply& aReply,
+                       core::Duration aTook)
+{
+  mExchangeSeconds.Observe(std::chrono::duration<double>(aTook).count());
+  if (!IsMatching(aLane, aPart->request, aReply)) {
+    OnMismatch(aLane, aPart);
+    return;
+  }
+  OnAnsweredState(aReply, aTook);
+  switch (aReply.outcome) {
+    case SearchOutcome::Answered:
+      OnHits(aPart, aReply);
+      return;
+    case SearchOutcome::Shed:
+      OnShed(aPart, aReply.shedReason);
+      return;
+    case SearchOutcome::Ended: {
+      const bool wasCancelled = aPart->isCancelled || aReply.wasCancelled;
+      Answer(aPart,
+             PartStatus::Unknown,
+             wasCancelled ? PartRefusal::Cancelled : PartRefusal::DeadlineTooClose);
+      return;
+    }
+  }
+}
+
+void
+ReplicaWorker::OnMismatch(Lane& aLane, const PendingPartPtr& aPart)
+{
+  aLane.connection->Close();
+  mLife.Process(ConnectionReset{});
+  Answer(aPart, PartStatus::Unknown, PartRefusal::ConnectionLost);
+}
+
+bool
+ReplicaWorker::IsMatching(const Lane& aLane,
+                          const PartRequest& aRequest,
+                          const SearchReply& aReply) const
+{
+  if (aReply.partId != aRequest.partId || aReply.incarnation != aLane.incarnation) {
+    return false;
+  }
+  if (aReply.outcome != SearchOutcome::Answered) {
+    return true;
+  }
+  return aReply.snapshot == aRequest.snapshot && aReply.shard == aRequest.shard;
+}
+
+void
+ReplicaWorker::OnAnsweredState(const SearchReply& aReply, core::Duration aTook)
+{
+  // An answer of a former process is whole, but says nothing about the present one.
+  if (aReply.incarnation != mIncarnation || mIsRetired) {
+    return;
+  }
+  mLastAnswer = mTimers.Now();
+  if (aReply.state == UpstreamState::Draining) {
+    mDrainNotice = mTimers.Now();
+  }
+  mLife.Process(Answered{ aReply.state });
+  const bool isShedForLoad =
+    aReply.outcome == SearchOutcome::Shed && aReply.shedReason == ShedReason::Overloaded;
+  if (isShedForLoad && mLife.State() == ReplicaState::Warm) {
+    mRamp.BackOff();
+  } else if (isShedForLoad) {
+    mLife.Process(Shed{});
+  }
+  if (aReply.outcome == SearchOutcome::Answered && aReply.state == UpstreamState::Warm) {
+    OnCalmOrSlow(aTook);
+  }
+}
+
+void
+ReplicaWorker::OnCalmOrSlow(core::Duration aTook)
+{
+  const auto took = std::chrono::duration_cast<std::chrono::microseconds>(aTook);
+  const bool hasRisen = mLatency.Record(static_cast<std::uint32_t>(took.count()));
+  if (hasRisen) {
+    mLife.Process(LatencyRose{});
+    mRamp.Drop();
+    return;
+  }
+  mRamp.RecordCalm();
+  if (mLife.State() == ReplicaState::Warming && mRamp.IsComplete()) {
+    mLife.Process(RampCompleted{});
+  }
+}
+
+void
+ReplicaWorker::OnHits(const PendingPartPtr& aPart, SearchReply& aReply)
+{
+  if (aPart->isCancelled) {
+    Answer(aPart, PartStatus::Unknown, PartRefusal::Cancelled);
+    return;
+  }
+  PartAnswer answer;
+  answer.partId = aPart->request.partId;
+  answer.status = PartStatus::Answered;
+  answer.snapshot = aReply.snapshot;
+  answer.shard = aReply.shard;
+  answer.isComplete = aReply.isComplete;
+  answer.hits = std::move(aReply.hits);
+  aPart->callback(std::move(answer));
+}
+
+void
+ReplicaWorker::OnShed(const PendingPartPtr& aPart, ShedReason aReason)
+{
+  PartRefusal refusal = PartRefusal::Overloaded;
+  switch (aReason) {
+    case ShedReason::Overloaded:
+      break;
+    case ShedReason::Cold:
+      refusal = PartRefusal::Cold;
+      break;
+    case ShedReason::Draining:
+      refusal = PartRefusal::Unavailable;
+      break;
+    case ShedReason::WrongSnapshot:
+      refusal = PartRefusal::WrongSnapshot;
+      DenySnapshot(aPart->request.snapshot);
+      break;
+    case ShedReason::Deadline:
+      refusal = PartRefusal::DeadlineTooClose;
+      break;
+  }
+  Answer(aPart, PartStatus::NotRun, aPart->isCancelled ? PartRefusal::Cancelled : refusal);
+}
+
+void
+ReplicaWorker::DenySnapshot(std::uint64_t aSnapshot)
+{
+  mDeniedSnapshots[aSnapshot] = mTimers.Now() + kSnapshotDenialTime;
+  const std::vector<SnapshotHolding> holdings = mHoldings;
+  OnHoldings(holdings);
+  mControlOrders.Push({});
+}
+
+void
+ReplicaWorker::NotifyChange()
+{
+  mHooks.onChange();
+}
+
+} // namespace skylarkwing::upstream
--- a/upstream/replica_worker.h
+++ b/upstream/replica_worker.h
@@ -112,6 +112,8 @@
   core::TimerService& mTimers;
   core::RandomSource& mRandom;
   core::Metrics& mMetrics;
+  prometheus::Counter& mConnectionsOpened;
+  prometheus::Histogram& mExchangeSeconds;
   OwnedReplica mReplica;
   ReplicaWorkerHooks mHooks;
   ReplicaLifecycle mLife;
@@ -120,7 +122,7 @@
   PartQueue mQueue;
   std::vector<LanePtr> mLanes;
   std::shared_ptr<UpstreamConnection> mControl;
-  std::shared_ptr<core::Mailbox<ControlOrder>> mControlOrders;
+  core::Mailbox<ControlOrder> mControlOrders;
   std::string mIncarnation;
   std::vector<SnapshotHolding> mHoldings;
   /** Snapshots that answers deny although the load endpoint names them, and until when. */
@@ -129,6 +131,8 @@
   std::size_t mTasks = 0;
   bool mIsRetired = false;
   bool mIsAborted = false;
+  bool mIsPumping = false;
+  bool mMustPumpAgain = false;
   bool mIsAcquiring = false;
   bool mHoldsPermit = false;
   core::TimePoint mNextPermitTry;
@@ -141,43 +145,62 @@
   static core::Task<void> RunControl(Self aSelf);
   static core::Task<void> RunLane(Self aSelf, LanePtr aLane);
   static core::Task<void> RunPermit(Self aSelf);
+  core::Task<bool> OpenControl();
+  core::Task<void> PollLoad();
   core::Task<bool> OpenLane(LanePtr aLane);
   core::Task<void> RunPart(LanePtr aLane, PendingPartPtr aPart);
+  void EndTask();
 
   void Pump();
+  void PumpOnce();
   void AddLanes();
   void Assign();
   std::size_t WantedLanes() const;
+  std::size_t MaximumLanes() const;
   LanePtr ReadyLane() const;
+  void WakeIdleLanes();
+  bool WantsLanes() const;
+  bool WantsControl() const;
+  bool IsUsable(const Lane& aLane) const;
+
   std::uint32_t Allowance() const;
   bool IsServing() const;
   bool NeedsPermit() const;
   bool MaySend() const;
   bool HasRecentAnswer() const;
+  bool IsDrainNoticeFresh() const;
+  bool IsPermitRefused() const;
   core::Duration RunTime() const;
   core::Duration PollInterval() const;
   std::size_t QueueLimit() const;
+
   PartRefusal RefusalOf(const PartRequest& aRequest) const;
   void Answer(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal);
   void RefuseAll(PartRefusal aRefusal);
   void RefuseLate();
   void ScheduleQueueCheck();
+  bool RefuseAtSend(const PendingPartPtr& aPart);
+
   void RequestPermit();
   void ReleasePermit();
   void SchedulePermitRelease();
+
   void OnStateChange(ReplicaState aFrom, ReplicaState aTo);
   void OnLoad(const LoadReply& aReply);
-  void OnControlLost();
-  void OnProcessSeen(const Lane& aLane);
-  void OnError(const LanePtr& aLane, const PendingPartPtr& aPart, ExchangeError aError);
-  void OnReply(const LanePtr& aLane,
-               const PendingPartPtr& aPart,
-               SearchReply& aReply,
-               core::Duration aTook);
+  void OnHoldings(const std::vector<SnapshotHolding>& aHoldings);
+  void OnLoadState(UpstreamState aState);
+  void OnConnectFailed();
+  void OnProcess(const std::string& aIncarnation);
+  void OnError(Lane& aLane, const PendingPartPtr& aPart, ExchangeError aError);
+  void OnBroken(const Lane& aLane, const PendingPartPtr& aPart);
+  void OnReply(Lane& aLane, const PendingPartPtr& aPart, SearchReply& aReply, core::Duration aTook);
   bool IsMatching(const Lane& aLane, const PartRequest& aRequest, const SearchReply& aReply) const;
-  void RecordAnswerState(const SearchReply& aReply, core::Duration aTook);
+  void OnMismatch(Lane& aLane, const PendingPartPtr& aPart);
+  void OnAnsweredState(const SearchReply& aReply, core::Duration aTook);
+  void OnCalmOrSlow(core::Duration aTook);
+  void OnHits(const PendingPartPtr& aPart, SearchReply& aReply);
   void OnShed(const PendingPartPtr& aPart, ShedReason aReason);
-  void Forget(const std::string& aIncarnation);
+  void DenySnapshot(std::uint64_t aSnapshot);
   void NotifyChange();
 };
 
--- a/upstream/upstream_connection.cpp
+++ b/upstream/upstream_connection.cpp
@@ -96,9 +96,9 @@
 BodyOf(const SearchCall& aCall)
 {
   const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(aCall.deadline);
-  json body{ { "requestId", aCall.partId },         { "index", aCall.index },
-             { "shard", aCall.shard },              { "snapshot", aCall.snapshot },
-             { "deadlineMs", deadline.count() },    { "idempotent", aCall.isIdempotent } };
+  json body{ { "requestId", aCall.partId },      { "index", aCall.index },
+             { "shard", aCall.shard },           { "snapshot", aCall.snapshot },
+             { "deadlineMs", deadline.count() }, { "idempotent", aCall.isIdempotent } };
   body["search"] = json::parse(aCall.search, nullptr, false);
   if (body["search"].is_discarded()) {
     body["search"] = json::object();
