--- /dev/null
+++ b/upstream/upstream_messages.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "upstream/part.h"
+#include "upstream/replica_fact.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <vector>
+
+namespace skylarkwing::upstream {
+
+void
+to_json(nlohmann::json& aJson, const SnapshotHolding& aHolding);
+void
+from_json(const nlohmann::json& aJson, SnapshotHolding& aHolding);
+void
+to_json(nlohmann::json& aJson, const ReplicaFact& aFact);
+void
+from_json(const nlohmann::json& aJson, ReplicaFact& aFact);
+void
+to_json(nlohmann::json& aJson, const Hit& aHit);
+void
+from_json(const nlohmann::json& aJson, Hit& aHit);
+void
+to_json(nlohmann::json& aJson, const PartAnswer& aAnswer);
+void
+from_json(const nlohmann::json& aJson, PartAnswer& aAnswer);
+
+/**
+ * Packs parts for one owner. Deadlines travel as time left, because daemons share no clock, and
+ * parts of one query share the text of its search.
+ */
+nlohmann::json
+PackParts(const std::vector<PartRequest>& aParts, core::TimePoint aNow);
+
+/**
+ * Unpacks what PackParts() packed; throws nlohmann::json::exception on a damaged message.
+ *
+ * @param aAge how long the message waited on its way, taken off each part's time.
+ */
+std::vector<PartRequest>
+UnpackParts(const nlohmann::json& aMessage, core::TimePoint aNow, core::Duration aAge);
+
+} // namespace skylarkwing::upstream
