--- /dev/null
+++ b/daemon/caller_wiring.cpp
@@ -0,0 +1,116 @@
+#include "daemon/daemon_parts.h"
+
+#include "membership/entry_points.h"
+
+#include <chrono>
+#include <utility>
+
+namespace skylarkwing::daemon {
+
+namespace {
+
+/** Request identities of one epoch are handed out for this long. */
+constexpr core::Duration kIdentityEpoch = std::chrono::seconds{ 30 };
+
+query::QueryHooks
+MakeQueryHooks(upstream::PartRouter& aRouter, const IndexViewCache& aViews)
+{
+  query::QueryHooks hooks;
+  hooks.sendPart = [&aRouter](upstream::PartRequest aPart, upstream::PartCallback aCallback) {
+    aRouter.Send(std::move(aPart), std::move(aCallback));
+  };
+  hooks.cancelPart = [&aRouter](const std::string& aReplica, const std::string& aPartId) {
+    aRouter.Cancel(aReplica, aPartId);
+  };
+  hooks.indexView = [&aViews](const std::string& aIndex) { return aViews.View(aIndex); };
+  return hooks;
+}
+
+} // namespace
+
+void
+Daemon::Parts::WireCaller()
+{
+  query::QuerySettings querySettings;
+  querySettings.failureDomain = settings.failureDomain;
+  engine = std::make_unique<query::QueryEngine>(
+    timers, random, metrics, MakeQueryHooks(*router, views), querySettings);
+
+  caller::CallerHooks hooks;
+  hooks.configuration = [this] { return keeper.InForce(); };
+  hooks.runQuery = [this](query::QueryRequest aRequest) {
+    return engine->Run(std::move(aRequest));
+  };
+  hooks.entryPoints = [this](const std::optional<std::string>& aFailureDomain) {
+    return ChooseEntryPoints(aFailureDomain);
+  };
+  hooks.mayTakeNewWork = [this] { return isolation->MayTakeNewWork(); };
+  hooks.isLeaving = [this] { return isRefusing; };
+  hooks.liveMembers = [this] { return LiveMembers(); };
+  hooks.incarnationOf = [this](const std::string& aVm) { return IncarnationOf(aVm); };
+  hooks.identityEpoch = [this] { return IdentityEpoch(); };
+  hooks.sendToPeer = [this](const std::string& aVm,
+                            std::string_view aKind,
+                            const nlohmann::json& aBody) { return bus->Send(aVm, aKind, aBody); };
+  hooks.start = [this](core::Task<void> aTask) {
+    core::Start(loop.get_executor(), std::move(aTask));
+  };
+  caller::CallerSettings callerSettings;
+  callerSettings.vm = settings.vm;
+  callerSettings.incarnation = incarnation;
+  front = std::make_unique<caller::CallerFront>(
+    timers, random, metrics, std::move(hooks), std::move(callerSettings));
+  front->ListenOn(*bus);
+}
+
+std::uint64_t
+Daemon::Parts::IdentityEpoch() const
+{
+  return static_cast<std::uint64_t>((timers.Now() - startedAt) / kIdentityEpoch) + 1;
+}
+
+std::size_t
+Daemon::Parts::LiveMembers() const
+{
+  std::size_t n = 0;
+  for (const membership::Member& member : membership->Members()) {
+    const bool isLive = member.state == membership::MemberState::Alive ||
+                        member.state == membership::MemberState::Suspect;
+    n += isLive ? 1 : 0;
+  }
+  return n;
+}
+
+std::optional<std::string>
+Daemon::Parts::IncarnationOf(const std::string& aVm) const
+{
+  if (aVm == settings.vm) {
+    return incarnation;
+  }
+  const membership::MemberEntry* entry = membership->Table().Find(aVm);
+  if (!entry || entry->member.state == membership::MemberState::Gone) {
+    return std::nullopt;
+  }
+  return entry->member.incarnation;
+}
+
+caller::EntryPointList
+Daemon::Parts::ChooseEntryPoints(const std::optional<std::string>& aFailureDomain)
+{
+  membership->SetIdentityEpoch(IdentityEpoch());
+  caller::EntryPointList list;
+  const auto configuration = keeper.InForce();
+  if (!configuration) {
+    return list;
+  }
+  const auto chosen = membership::ChooseEntryPoints(
+    membership->Members(), configuration->declaration, aFailureDomain.value_or(""), random);
+  list.keep = chosen.keep;
+  for (const membership::EntryPoint& entry : chosen.entryPoints) {
+    list.entryPoints.push_back(
+      { entry.vm, entry.address, entry.failureDomain, entry.identityPrefix });
+  }
+  return list;
+}
+
+} // namespace skylarkwing::daemon
--- /dev/null
+++ b/daemon/daemon.cpp
@@ -0,0 +1,189 @@
+#include "daemon/daemon.h"
+
+#include "core/log.h"
+#include "daemon/daemon_parts.h"
+#include "membership/entry_points.h"
+
+#include <random>
+#include <utility>
+
+namespace skylarkwing::daemon {
+
+namespace {
+
+/** How often a stopping daemon looks whether its work has ended. */
+constexpr core::Duration kStopPoll = std::chrono::milliseconds{ 20 };
+
+std::uint64_t
+DrawSeed(const settings::Settings& aSettings)
+{
+  return aSettings.randomSeed ? *aSettings.randomSeed : std::random_device{}();
+}
+
+} // namespace
+
+Daemon::Parts::Parts(boost::asio::io_context& aLoop,
+                     settings::Settings aSettings,
+                     DaemonOptions aOptions)
+  : loop(aLoop)
+  , settings(std::move(aSettings))
+  , options(std::move(aOptions))
+  , timers(aLoop)
+  , random(DrawSeed(settings))
+  , incarnation(random.Token())
+  , startedAt(timers.Now())
+{
+}
+
+bool
+Daemon::Parts::Listen()
+{
+  if (!bus->Listen(settings.peerAddress)) {
+    lastError = bus->LastError();
+    return false;
+  }
+  if (!callerServer->Listen(settings.callerAddress)) {
+    lastError = callerServer->LastError();
+    return false;
+  }
+  if (!operatorServer->Listen(settings.operatorAddress)) {
+    lastError = operatorServer->LastError();
+    return false;
+  }
+  return true;
+}
+
+core::Task<net::HttpResponse>
+Daemon::Parts::ServeOperator(net::HttpRequest aRequest)
+{
+  net::HttpResponse response;
+  if (aRequest.Path() == "/metrics") {
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = metrics.Render();
+    co_return response;
+  }
+  constexpr unsigned kNotFound = 404;
+  response.status = kNotFound;
+  response.body = R"({"error":"not_found"})";
+  co_return response;
+}
+
+Daemon::Daemon(boost::asio::io_context& aLoop, settings::Settings aSettings, DaemonOptions aOptions)
+  : mParts(std::make_unique<Parts>(aLoop, std::move(aSettings), std::move(aOptions)))
+{
+}
+
+Daemon::~Daemon()
+{
+  Cleanup();
+}
+
+bool
+Daemon::Setup()
+{
+  Parts& parts = *mParts;
+  const net::PeerIdentity identity{ parts.settings.clusterName,
+                                    parts.settings.vm,
+                                    parts.incarnation };
+  parts.bus = std::make_unique<net::NngPeerBus>(parts.loop, parts.timers, parts.metrics, identity);
+  if (parts.options.sendFilter) {
+    parts.bus->SetSendFilter(parts.options.sendFilter);
+  }
+  parts.WireMembership();
+  parts.WireUpstream();
+  parts.WireCaller();
+  parts.callerServer = std::make_unique<net::HttpServer>(
+    parts.loop, net::HttpServerLimits{}, [&parts](net::HttpRequest aRequest) {
+      return parts.front->Handle(std::move(aRequest));
+    });
+  parts.operatorServer = std::make_unique<net::HttpServer>(
+    parts.loop, net::HttpServerLimits{}, [&parts](net::HttpRequest aRequest) {
+      return parts.ServeOperator(std::move(aRequest));
+    });
+  return parts.Listen();
+}
+
+void
+Daemon::Start()
+{
+  core::LogChange(core::LogLevel::Info,
+                  "daemon",
+                  "started",
+                  { { "vm", mParts->settings.vm },
+                    { "incarnation", mParts->incarnation },
+                    { "callers", CallerAddress() },
+                    { "operators", OperatorAddress() } });
+  mParts->membership->Start();
+}
+
+core::Task<void>
+Daemon::Stop()
+{
+  Parts& parts = *mParts;
+  if (parts.isLeaving) {
+    co_return;
+  }
+  parts.isLeaving = true;
+  core::LogChange(core::LogLevel::Info, "daemon", "leaving", { { "vm", parts.settings.vm } });
+  parts.membership->AnnounceLeaving();
+  parts.RefreshOwnership();
+  // Callers that keep this address are served until the last of them has forgotten it.
+  co_await core::Sleep(parts.timers, membership::kEntryPointsKeep);
+  parts.callerServer->CloseAfterResponses();
+  parts.callerServer->StopAccepting();
+  const core::TimePoint end =
+    parts.timers.Now() + std::chrono::seconds{ parts.settings.stopGraceSeconds };
+  while (parts.front->Running() > 0 && parts.timers.Now() < end) {
+    co_await core::Sleep(parts.timers, kStopPoll);
+  }
+  parts.isRefusing = true;
+  co_await parts.dispatcher->Stop();
+  core::LogChange(core::LogLevel::Info, "daemon", "stopped", { { "vm", parts.settings.vm } });
+}
+
+void
+Daemon::Cleanup()
+{
+  Parts& parts = *mParts;
+  if (parts.membership) {
+    parts.membership->Stop();
+  }
+  if (parts.callerServer) {
+    parts.callerServer->Close();
+  }
+  if (parts.operatorServer) {
+    parts.operatorServer->Close();
+  }
+  if (parts.bus) {
+    parts.bus->Close();
+  }
+}
+
+const std::string&
+Daemon::LastError() const
+{
+  return mParts->lastError;
+}
+
+std::string
+Daemon::CallerAddress() const
+{
+  return mParts->callerServer->Address();
+}
+
+std::string
+Daemon::OperatorAddress() const
+{
+  return mParts->operatorServer->Address();
+}
+
+DaemonCounts
+Daemon::Counts() const
+{
+  DaemonCounts counts;
+  counts.generation = mParts->keeper.Generation();
+  counts.runningQueries = mParts->front->Running();
+  return counts;
+}
+
+} // namespace skylarkwing::daemon
--- /dev/null
+++ b/daemon/daemon_parts.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "caller/caller_front.h"
+#include "console/burn_tracker.h"
+#include "core/asio_timer_service.h"
+#include "core/metrics.h"
+#include "core/random_source.h"
+#include "daemon/daemon.h"
+#include "daemon/index_view_cache.h"
+#include "declaration/configuration_keeper.h"
+#include "membership/configuration_spread.h"
+#include "membership/isolation.h"
+#include "membership/membership_service.h"
+#include "membership/ownership.h"
+#include "net/http_server.h"
+#include "net/nng_peer_bus.h"
+#include "query/query_engine.h"
+#include "upstream/part_dispatcher.h"
+#include "upstream/part_router.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::daemon {
+
+/**
+ * Everything that a daemon consists of, in the order in which it is built. The hooks between slices
+ * are set in the daemon's wiring files, one for each duty.
+ */
+struct Daemon::Parts
+{
+  Parts(boost::asio::io_context& aLoop, settings::Settings aSettings, DaemonOptions aOptions);
+
+  // daemon.cpp
+  bool Listen();
+  core::Task<net::HttpResponse> ServeOperator(net::HttpRequest aRequest);
+
+  // membership_wiring.cpp
+  void WireMembership();
+  void OnMemberChange(const membership::Member& aMember);
+
+  // store_wiring.cpp
+  void WirePermits(upstream::DispatcherHooks& aHooks);
+  std::optional<core::TimePoint> StoreConfirmedAt() const;
+
+  // upstream_wiring.cpp
+  void WireUpstream();
+  void RefreshOwnership();
+  std::vector<nlohmann::json> OwnFacts();
+
+  // caller_wiring.cpp
+  void WireCaller();
+  std::uint64_t IdentityEpoch() const;
+  std::size_t LiveMembers() const;
+  std::optional<std::string> IncarnationOf(const std::string& aVm) const;
+  caller::EntryPointList ChooseEntryPoints(const std::optional<std::string>& aFailureDomain);
+
+  boost::asio::io_context& loop;
+  settings::Settings settings;
+  DaemonOptions options;
+  std::string lastError;
+  core::AsioTimerService timers;
+  core::RandomSource random;
+  core::Metrics metrics;
+  std::string incarnation;
+  core::TimePoint startedAt;
+  declaration::ConfigurationKeeper keeper;
+  IndexViewCache views;
+  std::unique_ptr<net::NngPeerBus> bus;
+  std::unique_ptr<membership::MembershipService> membership;
+  std::unique_ptr<membership::ConfigurationSpread> spread;
+  std::unique_ptr<membership::Isolation> isolation;
+  std::unique_ptr<upstream::PartDispatcher> dispatcher;
+  std::unique_ptr<upstream::PartRouter> router;
+  std::unique_ptr<query::QueryEngine> engine;
+  std::unique_ptr<caller::CallerFront> front;
+  std::unique_ptr<net::HttpServer> callerServer;
+  std::unique_ptr<net::HttpServer> operatorServer;
+  membership::OwnerMap owners;
+  /** The last known incarnation of each other VM. */
+  std::map<std::string, std::string> memberIncarnations;
+  /** The daemon stops and callers have been given time to go elsewhere. */
+  bool isLeaving = false;
+  /** Nothing new is taken any more. */
+  bool isRefusing = false;
+};
+
+} // namespace skylarkwing::daemon
--- /dev/null
+++ b/daemon/owned_replicas.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "declaration/declaration.h"
+#include "membership/ownership.h"
+#include "upstream/part_dispatcher.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::daemon {
+
+/**
+ * Lists the replicas that one daemon takes care of.
+ *
+ * @param aDeclaration the configuration in force.
+ * @param isOwned whether the daemon takes care of a replica.
+ */
+std::vector<upstream::OwnedReplica>
+ListOwnedReplicas(const declaration::Declaration& aDeclaration,
+                  const std::function<bool(const std::string& aReplica)>& isOwned);
+
+/** @return whether operators have taken a failure domain out. */
+bool
+IsDomainOut(const declaration::Declaration& aDeclaration, const std::string& aFailureDomain);
+
+} // namespace skylarkwing::daemon
--- /dev/null
+++ b/daemon/vm_list_fetch.cpp
@@ -0,0 +1,34 @@
+#include "daemon/vm_list_fetch.h"
+
+#include "net/http_client.h"
+
+#include <chrono>
+#include <utility>
+
+namespace skylarkwing::daemon {
+
+namespace {
+
+constexpr core::Duration kTimeout = std::chrono::seconds{ 2 };
+constexpr unsigned kStatusOk = 200;
+
+} // namespace
+
+core::Task<std::optional<std::vector<membership::VmRecord>>>
+FetchVmList(boost::asio::any_io_executor aExecutor, std::string aAddress)
+{
+  net::HttpConnection connection(std::move(aExecutor));
+  const bool isConnected = co_await connection.Connect(std::move(aAddress), kTimeout);
+  if (!isConnected) {
+    co_return std::nullopt;
+  }
+  net::HttpRequest request;
+  request.target = "/vms";
+  const net::HttpReply reply = co_await connection.Exchange(std::move(request), kTimeout);
+  if (reply.error != net::HttpClientError::None || reply.response.status != kStatusOk) {
+    co_return std::nullopt;
+  }
+  co_return membership::ParseVmList(reply.response.body);
+}
+
+} // namespace skylarkwing::daemon
--- /dev/null
+++ b/daemon/vm_list_fetch.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/task.h"
+#include "membership/vm_list.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::daemon {
+
+/** @return the platform's VM list, or nothing when it could not be had whole. */
+core::Task<std::optional<std::vector<membership::VmRecord>>>
+FetchVmList(boost::asio::any_io_executor aExecutor, std::string aAddress);
+
+} // namespace skylarkwing::daemon
