--- /dev/null
+++ b/main/command_table.cpp
@@ -0,0 +1,27 @@
+#include "main/command_table.h"
+
+#include "main/serve_command.h"
+
+namespace skylarkwing {
+
+const std::vector<Command>&
+Commands()
+{
+  static const std::vector<Command> commands{
+    { "serve", "run the daemon of one entry VM", RunServe },
+  };
+  return commands;
+}
+
+const Command*
+FindCommand(std::string_view aName)
+{
+  for (const Command& command : Commands()) {
+    if (command.name == aName) {
+      return &command;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace skylarkwing
--- /dev/null
+++ b/main/serve_command.cpp
@@ -0,0 +1,147 @@
+#include "main/serve_command.h"
+
+#include "core/log.h"
+#include "core/task.h"
+#include "daemon/daemon.h"
+#include "main/exit_code.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <getopt.h>
+
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <utility>
+
+namespace skylarkwing {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr const char* kHelp =
+  "Usage: skylarkwing serve --settings FILE\n"
+  "\n"
+  "Runs the daemon of one entry VM until SIGTERM or SIGINT, then stops gracefully:\n"
+  "it leaves the list of entry points, serves callers until they have forgotten its\n"
+  "address, finishes what runs, and exits. A second signal changes nothing.\n"
+  "\n"
+  "  --settings FILE   the process's own settings, in JSON\n"
+  "  --check           read the settings, say whether they are right, and exit\n"
+  "  --help            show this text\n"
+  "  --version         show the version\n"
+  "\n"
+  "Exit codes: 0 stopped, 1 failed, 2 wrong usage or settings.\n";
+
+/** What the command line says. */
+struct ServeOptions
+{
+  std::string settingsFile;
+  bool onlyCheck = false;
+  /** Set when the command ends here, with this exit code. */
+  int exitCode = -1;
+};
+
+enum ServeOption : int
+{
+  kSettings = 's',
+  kCheck = 'c',
+  kHelpOption = 'h',
+  kVersion = 'v',
+};
+
+ServeOptions
+ParseOptions(int aCount, char** aArguments)
+{
+  const std::array<option, 5> known{ { { "settings", required_argument, nullptr, kSettings },
+                                       { "check", no_argument, nullptr, kCheck },
+                                       { "help", no_argument, nullptr, kHelpOption },
+                                       { "version", no_argument, nullptr, kVersion },
+                                       {} } };
+  ServeOptions options;
+  optind = 1;
+  int name = 0;
+  while ((name = getopt_long(aCount, aArguments, "", known.data(), nullptr)) != -1) {
+    switch (name) {
+      case kSettings:
+        options.settingsFile = optarg;
+        break;
+      case kCheck:
+        options.onlyCheck = true;
+        break;
+      case kHelpOption:
+        std::cout << kHelp;
+        options.exitCode = kExitDone;
+        return options;
+      case kVersion:
+        std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
+        options.exitCode = kExitDone;
+        return options;
+      default:
+        options.exitCode = kExitUsage;
+        return options;
+    }
+  }
+  if (options.settingsFile.empty() || optind != aCount) {
+    std::cerr << "skylarkwing serve: one --settings FILE is needed; see --help\n";
+    options.exitCode = kExitUsage;
+  }
+  return options;
+}
+
+/** Stops the daemon at the first signal; later ones are ignored, because work still runs. */
+core::Task<void>
+StopAtSignal(asio::io_context& aLoop, daemon::Daemon& aDaemon)
+{
+  asio::signal_set signals(aLoop, SIGTERM, SIGINT);
+  co_await signals.async_wait(asio::use_awaitable);
+  co_await aDaemon.Stop();
+  aDaemon.Cleanup();
+  aLoop.stop();
+}
+
+int
+Serve(settings::Settings aSettings)
+{
+  core::InitializeLog(aSettings.logLevel, aSettings.logFormat);
+  asio::io_context loop(1);
+  daemon::Daemon daemon(loop, std::move(aSettings));
+  if (!daemon.Setup()) {
+    std::cerr << "skylarkwing serve: " << daemon.LastError() << '\n';
+    return kExitFailed;
+  }
+  core::Start(loop.get_executor(), StopAtSignal(loop, daemon));
+  daemon.Start();
+  loop.run();
+  daemon.Cleanup();
+  return kExitDone;
+}
+
+} // namespace
+
+int
+RunServe(int aCount, char** aArguments)
+{
+  const ServeOptions options = ParseOptions(aCount, aArguments);
+  if (options.exitCode >= 0) {
+    return options.exitCode;
+  }
+  settings::LoadResult loaded = settings::LoadSettings(options.settingsFile);
+  if (!loaded.settings) {
+    for (const std::string& fault : loaded.faults) {
+      std::cerr << fault << '\n';
+    }
+    return kExitUsage;
+  }
+  if (options.onlyCheck) {
+    std::cout << options.settingsFile << ": right\n";
+    return kExitDone;
+  }
+  return Serve(std::move(*loaded.settings));
+}
+
+} // namespace skylarkwing
