Add the client of the key-value store

Cause: configuration, warm-up permits and the isolation decision all rest on the platform's store, which has outages, loses answers and counts each call.

Change: store/ holds the bodies of etcd's JSON gateway, a client over several servers with time limits, pauses that double up to 10 s and are drawn from their upper half, and a budget of calls that shrinks with the size of the fleet (400 calls/s over all processes, each between 0.25 and 20). Reads and lease calls are repeated within their time; a transaction only when it was certainly not sent. Each attempt is counted by kind and result. The servers are reached through hooks, so that the tests run under virtual time against a small store with the same faults.

Guards switched off, each seen to fail its case: no repeat of a sent transaction (a_transaction_is_not_sent_again_after_a_lost_answer), repeat of an unsent one, the time limit, the budget's refusal and its debit (calls_beyond_the_budget), the growth of pauses (attempts_during_an_outage_become_rare), the pause itself, and one failing server of several not counting as an outage (another_server_takes_over_at_once).

--- /dev/null
+++ b/store/store_client.cpp
@@ -0,0 +1,368 @@
+#include "store/store_client.h"
+
+#include "core/log.h"
+#include "store/store_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+namespace skylarkwing::store {
+
+namespace {
+
+constexpr std::array kKinds{ CallKind::Range,          CallKind::Transaction, CallKind::LeaseGrant,
+                             CallKind::LeaseKeepAlive, CallKind::LeaseRevoke, CallKind::Watch };
+constexpr std::array kErrors{ StoreError::None,           StoreError::Unavailable,
+                              StoreError::OutcomeUnknown, StoreError::Refused,
+                              StoreError::Malformed,      StoreError::BudgetSpent };
+constexpr std::array kTargets{ "/v3/kv/range",        "/v3/kv/txn",       "/v3/lease/grant",
+                               "/v3/lease/keepalive", "/v3/lease/revoke", "/v3/watch" };
+constexpr unsigned kFirstClientError = 400;
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kOk = 200;
+
+net::HttpRequest
+MakeRequest(CallKind aKind, std::string aBody)
+{
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = kTargets.at(static_cast<std::size_t>(aKind));
+  request.headers.push_back({ "Content-Type", "application/json" });
+  request.body = std::move(aBody);
+  return request;
+}
+
+StoreError
+ErrorOf(const net::HttpReply& aReply)
+{
+  switch (aReply.error) {
+    case net::HttpClientError::ConnectFailed:
+    case net::HttpClientError::NothingSent:
+      return StoreError::Unavailable;
+    case net::HttpClientError::Broken:
+    case net::HttpClientError::TimedOut:
+      return StoreError::OutcomeUnknown;
+    case net::HttpClientError::Malformed:
+      return StoreError::Malformed;
+    case net::HttpClientError::None:
+      break;
+  }
+  const unsigned status = aReply.response.status;
+  if (status == kOk) {
+    return StoreError::None;
+  }
+  // A server error may stand for a proposal that the store's members still agree on.
+  if (status >= kFirstServerError || status == kTooManyRequests) {
+    return StoreError::OutcomeUnknown;
+  }
+  return status >= kFirstClientError ? StoreError::Refused : StoreError::Malformed;
+}
+
+/** Whether the store answered as a store that works does. */
+bool
+IsAnswer(StoreError aError)
+{
+  return aError == StoreError::None || aError == StoreError::Refused;
+}
+
+bool
+IsSafeToRepeat(CallKind aKind, StoreError aError)
+{
+  if (aError == StoreError::Unavailable) {
+    return true;
+  }
+  return aKind != CallKind::Transaction && !IsAnswer(aError);
+}
+
+} // namespace
+
+/** One server and how it has lately done. */
+struct StoreClient::Server
+{
+  Server(StoreEndpoint aEndpoint, Backoff aBackoff)
+    : endpoint(std::move(aEndpoint))
+    , backoff(aBackoff)
+  {
+  }
+
+  StoreEndpoint endpoint;
+  Backoff backoff;
+  core::TimePoint notBefore{};
+};
+
+/** The end of a call: an error, or the body of the answer. */
+struct StoreClient::Answer
+{
+  StoreError error = StoreError::None;
+  std::string body;
+};
+
+/** The series of one kind of call. */
+struct StoreClient::KindMetrics
+{
+  std::vector<prometheus::Counter*> counters;
+  prometheus::Histogram* seconds = nullptr;
+};
+
+StoreClient::StoreClient(core::TimerService& aTimers,
+                         core::RandomSource& aRandom,
+                         core::Metrics& aMetrics,
+                         std::vector<StoreEndpoint> aEndpoints,
+                         StoreClientLimits aLimits)
+  : mTimers(aTimers)
+  , mLimits(aLimits)
+  , mBudget(aTimers, aLimits.mostCallsPerSecond, aLimits.burst)
+{
+  for (StoreEndpoint& endpoint : aEndpoints) {
+    const Backoff backoff(aRandom, aLimits.leastBackoff, aLimits.mostBackoff);
+    mServers.push_back(std::make_unique<Server>(std::move(endpoint), backoff));
+  }
+  // Processes begin with different servers.
+  mPreferred = aRandom.Below(mServers.size());
+  const core::Metrics::Buckets buckets{ 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0 };
+  for (const CallKind kind : kKinds) {
+    const std::string name(NameOf(kind));
+    KindMetrics& metrics = mKindMetrics.emplace_back();
+    for (const StoreError error : kErrors) {
+      metrics.counters.push_back(&aMetrics.Counter(
+        "skylarkwing_store_calls_total",
+        "Calls to the platform's store, by kind and result; budget_spent was not sent.",
+        { { "kind", name }, { "result", std::string(NameOf(error)) } }));
+    }
+    metrics.seconds = &aMetrics.Histogram("skylarkwing_store_call_seconds",
+                                          "Time of one call to the platform's store.",
+                                          buckets,
+                                          { { "kind", name } });
+  }
+}
+
+StoreClient::~StoreClient() = default;
+
+core::Task<RangeResult>
+StoreClient::Range(RangeRequest aRequest, core::Duration aTimeLimit)
+{
+  std::string body = EncodeRange(aRequest);
+  const Answer answer = co_await Call(CallKind::Range, std::move(body), aTimeLimit);
+  RangeResult result;
+  result.error = answer.error;
+  if (answer.error != StoreError::None) {
+    co_return result;
+  }
+  std::optional<RangeResult> decoded = DecodeRange(answer.body);
+  result.error = StoreError::Malformed;
+  if (decoded) {
+    result = std::move(*decoded);
+  }
+  co_return result;
+}
+
+core::Task<TransactionResult>
+StoreClient::Run(Transaction aTransaction, core::Duration aTimeLimit)
+{
+  std::string body = EncodeTransaction(aTransaction);
+  const Answer answer = co_await Call(CallKind::Transaction, std::move(body), aTimeLimit);
+  TransactionResult result;
+  result.error = answer.error;
+  if (answer.error != StoreError::None) {
+    co_return result;
+  }
+  std::optional<TransactionResult> decoded = DecodeTransaction(answer.body);
+  result.error = StoreError::Malformed;
+  if (decoded) {
+    result = std::move(*decoded);
+  }
+  co_return result;
+}
+
+core::Task<LeaseResult>
+StoreClient::GrantLease(std::chrono::seconds aTimeToLive, core::Duration aTimeLimit)
+{
+  std::string body = EncodeLeaseGrant(aTimeToLive);
+  const Answer answer = co_await Call(CallKind::LeaseGrant, std::move(body), aTimeLimit);
+  LeaseResult result;
+  result.error = answer.error;
+  if (answer.error == StoreError::None) {
+    const std::optional<LeaseResult> decoded = DecodeLeaseGrant(answer.body);
+    result.error = StoreError::Malformed;
+    result = decoded.value_or(result);
+  }
+  co_return result;
+}
+
+core::Task<LeaseResult>
+StoreClient::KeepLeaseAlive(LeaseId aLease, core::Duration aTimeLimit)
+{
+  std::string body = EncodeLease(aLease);
+  const Answer answer = co_await Call(CallKind::LeaseKeepAlive, std::move(body), aTimeLimit);
+  LeaseResult result;
+  result.error = answer.error;
+  if (answer.error == StoreError::None) {
+    const std::optional<LeaseResult> decoded = DecodeLeaseKeepAlive(answer.body);
+    result.error = StoreError::Malformed;
+    result = decoded.value_or(result);
+  }
+  co_return result;
+}
+
+core::Task<StoreError>
+StoreClient::RevokeLease(LeaseId aLease, core::Duration aTimeLimit)
+{
+  std::string body = EncodeLease(aLease);
+  const Answer answer = co_await Call(CallKind::LeaseRevoke, std::move(body), aTimeLimit);
+  co_return answer.error;
+}
+
+core::Task<WatchResult>
+StoreClient::Watch(std::string aKey, Revision aStart, core::Duration aTimeLimit)
+{
+  const core::TimePoint deadline = mTimers.Now() + aTimeLimit;
+  WatchResult result;
+  result.error = co_await WaitForTurn(deadline);
+  if (result.error != StoreError::None) {
+    Count(CallKind::Watch, result.error);
+    co_return result;
+  }
+  Server& server = PickServer();
+  const core::TimePoint start = mTimers.Now();
+  net::HttpRequest request = MakeRequest(CallKind::Watch, EncodeWatch(aKey, aStart));
+  const core::Duration timeout = AttemptTimeout(aTimeLimit, deadline);
+  StreamReply opened = co_await server.endpoint.openStream(std::move(request), timeout);
+  result.error = ErrorOf(opened.reply);
+  Note(CallKind::Watch, server, result.error, start);
+  if (result.error == StoreError::None) {
+    result.stream = std::make_shared<WatchStream>(std::move(opened.readPiece));
+  }
+  co_return result;
+}
+
+void
+StoreClient::SetFleetSize(std::size_t aMembers)
+{
+  const double share =
+    mLimits.fleetCallsPerSecond / static_cast<double>(std::max<std::size_t>(1, aMembers));
+  mBudget.SetRate(std::clamp(share, mLimits.leastCallsPerSecond, mLimits.mostCallsPerSecond));
+}
+
+core::Task<StoreClient::Answer>
+StoreClient::Call(CallKind aKind, std::string aBody, core::Duration aTimeLimit)
+{
+  const core::TimePoint deadline = mTimers.Now() + aTimeLimit;
+  Answer answer;
+  bool isSent = false;
+  for (;;) {
+    const StoreError turn = co_await WaitForTurn(deadline);
+    if (turn != StoreError::None) {
+      Count(aKind, turn);
+      answer.error = isSent ? answer.error : turn;
+      co_return answer;
+    }
+    const core::Duration timeout = AttemptTimeout(aTimeLimit, deadline);
+    answer = co_await Attempt(aKind, aBody, timeout);
+    if (!IsSafeToRepeat(aKind, answer.error)) {
+      co_return answer;
+    }
+    isSent = isSent || answer.error != StoreError::Unavailable;
+  }
+}
+
+core::Task<StoreError>
+StoreClient::WaitForTurn(core::TimePoint aDeadline)
+{
+  const core::TimePoint now = mTimers.Now();
+  const core::TimePoint ready = std::max(now, PickServer().notBefore);
+  if (ready >= aDeadline) {
+    co_return StoreError::Unavailable;
+  }
+  const std::optional<core::Duration> turn = mBudget.Take(aDeadline - now);
+  if (!turn) {
+    co_return StoreError::BudgetSpent;
+  }
+  const core::Duration wait = std::max(ready - now, *turn);
+  if (wait > core::Duration::zero()) {
+    co_await core::Sleep(mTimers, wait);
+  }
+  co_return StoreError::None;
+}
+
+core::Task<StoreClient::Answer>
+StoreClient::Attempt(CallKind aKind, std::string aBody, core::Duration aTimeout)
+{
+  Server& server = PickServer();
+  const core::TimePoint start = mTimers.Now();
+  net::HttpRequest request = MakeRequest(aKind, std::move(aBody));
+  net::HttpReply reply = co_await server.endpoint.exchange(std::move(request), aTimeout);
+  Answer answer;
+  answer.error = ErrorOf(reply);
+  answer.body = std::move(reply.response.body);
+  Note(aKind, server, answer.error, start);
+  co_return answer;
+}
+
+core::Duration
+StoreClient::AttemptTimeout(core::Duration aTimeLimit, core::TimePoint aDeadline) const
+{
+  const core::Duration remaining = aDeadline - mTimers.Now();
+  return std::min(remaining, std::max(mLimits.attemptTimeout, aTimeLimit / 2));
+}
+
+StoreClient::Server&
+StoreClient::PickServer()
+{
+  const core::TimePoint now = mTimers.Now();
+  std::size_t earliest = mPreferred;
+  for (std::size_t n = 0; n < mServers.size(); ++n) {
+    const std::size_t at = (mPreferred + n) % mServers.size();
+    if (mServers[at]->notBefore <= now) {
+      return *mServers[at];
+    }
+    if (mServers[at]->notBefore < mServers[earliest]->notBefore) {
+      earliest = at;
+    }
+  }
+  return *mServers[earliest];
+}
+
+void
+StoreClient::Note(CallKind aKind, Server& aServer, StoreError aError, core::TimePoint aStart)
+{
+  Count(aKind, aError);
+  const std::chrono::duration<double> seconds = mTimers.Now() - aStart;
+  mKindMetrics.at(static_cast<std::size_t>(aKind)).seconds->Observe(seconds.count());
+  if (!IsAnswer(aError)) {
+    aServer.notBefore = mTimers.Now() + aServer.backoff.Next();
+    // One server of several may fail while the store works.
+    if (PickServer().notBefore > mTimers.Now()) {
+      SetReachable(false);
+    }
+    return;
+  }
+  aServer.notBefore = core::TimePoint{};
+  aServer.backoff.Reset();
+  mLastAnswered = std::max(mLastAnswered.value_or(aStart), aStart);
+  SetReachable(true);
+}
+
+void
+StoreClient::Count(CallKind aKind, StoreError aError)
+{
+  const KindMetrics& metrics = mKindMetrics.at(static_cast<std::size_t>(aKind));
+  metrics.counters.at(static_cast<std::size_t>(aError))->Increment();
+}
+
+void
+StoreClient::SetReachable(bool aIsReachable)
+{
+  if (aIsReachable == mIsReachable) {
+    return;
+  }
+  mIsReachable = aIsReachable;
+  core::LogChange(aIsReachable ? core::LogLevel::Info : core::LogLevel::Warning,
+                  "store",
+                  aIsReachable ? "store_reachable" : "store_unreachable",
+                  {});
+}
+
+} // namespace skylarkwing::store
--- /dev/null
+++ b/store/store_codec.cpp
@@ -0,0 +1,278 @@
+#include "store/store_codec.h"
+
+#include "store/base64.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace skylarkwing::store {
+
+namespace {
+
+using nlohmann::json;
+
+/** @return the key that follows all keys with a prefix, as etcd wants it for a range's end. */
+std::string
+EndOfPrefix(std::string aPrefix)
+{
+  while (!aPrefix.empty() && aPrefix.back() == '\xff') {
+    aPrefix.pop_back();
+  }
+  if (!aPrefix.empty()) {
+    aPrefix.back() = static_cast<char>(aPrefix.back() + 1);
+  }
+  return aPrefix;
+}
+
+json
+ToJson(const Compare& aCompare)
+{
+  const bool isCreate = aCompare.target == CompareTarget::CreateRevision;
+  return { { "key", EncodeBase64(aCompare.key) },
+           { "target", isCreate ? "CREATE" : "MOD" },
+           { "result", "EQUAL" },
+           { isCreate ? "create_revision" : "mod_revision", std::to_string(aCompare.revision) } };
+}
+
+json
+ToJson(const Put& aPut)
+{
+  json put{ { "key", EncodeBase64(aPut.key) }, { "value", EncodeBase64(aPut.value) } };
+  if (aPut.lease != 0) {
+    put["lease"] = std::to_string(aPut.lease);
+  }
+  return { { "request_put", std::move(put) } };
+}
+
+/** The gateway leaves out fields with their default, so an absent member reads as null. */
+const json&
+Member(const json& aObject, const char* aName)
+{
+  static const json kNull;
+  if (!aObject.is_object()) {
+    return kNull;
+  }
+  const auto it = aObject.find(aName);
+  return it == aObject.end() ? kNull : *it;
+}
+
+/** 64-bit integers are strings, since JSON numbers lose digits in some readers. */
+std::int64_t
+Integer(const json& aObject, const char* aName)
+{
+  const json& member = Member(aObject, aName);
+  if (member.is_number_integer()) {
+    return member.get<std::int64_t>();
+  }
+  if (!member.is_string()) {
+    return 0;
+  }
+  const auto& text = member.get_ref<const std::string&>();
+  std::int64_t number = 0;
+  const auto [stop, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return ec == std::errc{} ? number : 0;
+}
+
+bool
+IsTrue(const json& aObject, const char* aName)
+{
+  const json& member = Member(aObject, aName);
+  return member.is_boolean() && member.get<bool>();
+}
+
+std::optional<std::string>
+Bytes(const json& aObject, const char* aName)
+{
+  const json& member = Member(aObject, aName);
+  if (member.is_null()) {
+    return std::string();
+  }
+  if (!member.is_string()) {
+    return std::nullopt;
+  }
+  return DecodeBase64(member.get_ref<const std::string&>());
+}
+
+std::optional<KeyValue>
+ToKeyValue(const json& aObject)
+{
+  std::optional<std::string> key = Bytes(aObject, "key");
+  std::optional<std::string> value = Bytes(aObject, "value");
+  if (!key || key->empty() || !value) {
+    return std::nullopt;
+  }
+  KeyValue result;
+  result.key = std::move(*key);
+  result.value = std::move(*value);
+  result.createRevision = Integer(aObject, "create_revision");
+  result.modRevision = Integer(aObject, "mod_revision");
+  result.lease = Integer(aObject, "lease");
+  return result;
+}
+
+bool
+AppendValues(const json& aRange, std::vector<KeyValue>& aValues)
+{
+  for (const json& item : Member(aRange, "kvs")) {
+    std::optional<KeyValue> value = ToKeyValue(item);
+    if (!value) {
+      return false;
+    }
+    aValues.push_back(std::move(*value));
+  }
+  return true;
+}
+
+/** Every answer of a store that works carries a header with a revision. */
+std::optional<Revision>
+HeaderRevision(const json& aBody)
+{
+  const Revision revision = Integer(Member(aBody, "header"), "revision");
+  return revision > 0 ? std::optional<Revision>(revision) : std::nullopt;
+}
+
+json
+Parse(std::string_view aText)
+{
+  return json::parse(aText, nullptr, false);
+}
+
+std::optional<LeaseResult>
+ToLease(const json& aObject)
+{
+  LeaseResult result;
+  result.lease = Integer(aObject, "ID");
+  result.timeToLive = std::chrono::seconds{ Integer(aObject, "TTL") };
+  if (result.lease == 0) {
+    return std::nullopt;
+  }
+  return result;
+}
+
+} // namespace
+
+std::string
+EncodeRange(const RangeRequest& aRequest)
+{
+  json body{ { "key", EncodeBase64(aRequest.key) } };
+  if (aRequest.isPrefix) {
+    body["range_end"] = EncodeBase64(EndOfPrefix(aRequest.key));
+  }
+  if (aRequest.isKeysOnly) {
+    body["keys_only"] = true;
+  }
+  return body.dump();
+}
+
+std::string
+EncodeTransaction(const Transaction& aTransaction)
+{
+  json body{ { "compare", json::array() },
+             { "success", json::array() },
+             { "failure", json::array() } };
+  for (const Compare& condition : aTransaction.conditions) {
+    body["compare"].push_back(ToJson(condition));
+  }
+  for (const Put& put : aTransaction.puts) {
+    body["success"].push_back(ToJson(put));
+  }
+  for (const std::string& key : aTransaction.deletes) {
+    body["success"].push_back({ { "request_delete_range", { { "key", EncodeBase64(key) } } } });
+  }
+  for (const std::string& key : aTransaction.readsOtherwise) {
+    body["failure"].push_back({ { "request_range", { { "key", EncodeBase64(key) } } } });
+  }
+  return body.dump();
+}
+
+std::string
+EncodeLeaseGrant(std::chrono::seconds aTimeToLive)
+{
+  const json body{ { "TTL", std::to_string(aTimeToLive.count()) } };
+  return body.dump();
+}
+
+std::string
+EncodeLease(LeaseId aLease)
+{
+  const json body{ { "ID", std::to_string(aLease) } };
+  return body.dump();
+}
+
+std::string
+EncodeWatch(const std::string& aKey, Revision aStart)
+{
+  const json request{ { "key", EncodeBase64(aKey) }, { "start_revision", std::to_string(aStart) } };
+  const json body{ { "create_request", request } };
+  return body.dump();
+}
+
+std::optional<RangeResult>
+DecodeRange(std::string_view aBody)
+{
+  const json body = Parse(aBody);
+  const std::optional<Revision> revision = HeaderRevision(body);
+  RangeResult result;
+  if (!revision || !AppendValues(body, result.values)) {
+    return std::nullopt;
+  }
+  result.revision = *revision;
+  return result;
+}
+
+std::optional<TransactionResult>
+DecodeTransaction(std::string_view aBody)
+{
+  const json body = Parse(aBody);
+  const std::optional<Revision> revision = HeaderRevision(body);
+  if (!revision) {
+    return std::nullopt;
+  }
+  TransactionResult result;
+  result.revision = *revision;
+  result.hasSucceeded = IsTrue(body, "succeeded");
+  for (const json& response : Member(body, "responses")) {
+    if (!AppendValues(Member(response, "response_range"), result.values)) {
+      return std::nullopt;
+    }
+  }
+  return result;
+}
+
+std::optional<LeaseResult>
+DecodeLeaseGrant(std::string_view aBody)
+{
+  return ToLease(Parse(aBody));
+}
+
+std::optional<LeaseResult>
+DecodeLeaseKeepAlive(std::string_view aBody)
+{
+  return ToLease(Member(Parse(aBody), "result"));
+}
+
+std::optional<WatchMessage>
+DecodeWatch(std::string_view aLine)
+{
+  const json body = Parse(aLine);
+  const json& result = Member(body, "result");
+  if (!Member(result, "header").is_object()) {
+    return std::nullopt;
+  }
+  WatchMessage message;
+  message.revision = HeaderRevision(result).value_or(0);
+  message.isCanceled = IsTrue(result, "canceled");
+  message.compactRevision = Integer(result, "compact_revision");
+  for (const json& event : Member(result, "events")) {
+    std::optional<KeyValue> value = ToKeyValue(Member(event, "kv"));
+    if (!value) {
+      return std::nullopt;
+    }
+    message.values.push_back(std::move(*value));
+  }
+  return message;
+}
+
+} // namespace skylarkwing::store
--- /dev/null
+++ b/store/store_endpoint.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/task.h"
+#include "core/timer_service.h"
+#include "net/http_client.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace skylarkwing::store {
+
+/** Reads the next bytes of a streamed answer; nothing when it ended or the time ran out. */
+using PieceReader = std::function<core::Task<std::optional<std::string>>(core::Duration)>;
+
+/** The head of a streamed answer, and what reads the rest. */
+struct StreamReply
+{
+  net::HttpReply reply;
+  PieceReader readPiece;
+};
+
+/** One server of the store and the ways to reach it. */
+struct StoreEndpoint
+{
+  /** "IP:port", for logs. */
+  std::string name;
+  std::function<core::Task<net::HttpReply>(net::HttpRequest, core::Duration)> exchange;
+  std::function<core::Task<StreamReply>(net::HttpRequest, core::Duration)> openStream;
+};
+
+/** @return a server that is reached over HTTP connections, which are kept for later exchanges. */
+StoreEndpoint
+MakeHttpEndpoint(boost::asio::any_io_executor aExecutor, std::string aAddress);
+
+} // namespace skylarkwing::store
--- /dev/null
+++ b/store/tests/fake_store.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/task.h"
+#include "core/timer_service.h"
+#include "store/store_endpoint.h"
+#include "store/store_messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace skylarkwing::store {
+
+/** A small key-value service behind the client's hooks, with the faults of the real one. */
+class FakeStore
+{
+public:
+  explicit FakeStore(core::TimerService& aTimers)
+    : mTimers(aTimers)
+  {
+  }
+
+  /** Takes no connection while set. */
+  bool isDown = false;
+  /** Time before a request takes effect. */
+  core::Duration delay{};
+  /** So many of the next writes take effect and their answers are lost. */
+  int answersToLose = 0;
+  /** So many of the next writes are lost before they take effect, with their answers. */
+  int writesToLose = 0;
+  /** Requests by target, watches included. */
+  std::map<std::string, int> calls;
+  /** Called before a transaction runs, for races. */
+  std::function<void()> beforeTransaction;
+
+  /** @return the ways in which a client reaches this store. */
+  StoreEndpoint Endpoint();
+
+  /** Writes a key as somebody else would. */
+  void PutValue(const std::string& aKey, const std::string& aValue, LeaseId aLease = 0);
+
+  /** Removes a key. */
+  void Erase(const std::string& aKey);
+
+  /** @return the key, or nothing. */
+  const KeyValue* Find(const std::string& aKey);
+
+  /** Ends all watches; unless asked to keep them, forgets the events up to now. */
+  void CloseWatches(bool aIsCompacting);
+
+  /** @return how many calls were made in all. */
+  int Calls() const;
+
+  Revision revision = 1;
+
+private:
+  using json = nlohmann::json;
+  using Lines = core::Mailbox<std::string>;
+
+  struct Lease
+  {
+    std::chrono::seconds timeToLive{};
+    core::TimePoint expiresAt;
+  };
+
+  struct Watcher
+  {
+    std::string key;
+    std::shared_ptr<Lines> lines;
+  };
+
+  core::TimerService& mTimers;
+  std::map<std::string, KeyValue> mValues;
+  std::map<LeaseId, Lease> mLeases;
+  std::list<Watcher> mWatchers;
+  std::multimap<Revision, KeyValue> mEvents;
+  Revision mCompacted = 0;
+  LeaseId mLastLease = 100;
+
+  core::Task<net::HttpReply> Exchange(net::HttpRequest aRequest, core::Duration aTimeout);
+  core::Task<StreamReply> Open(net::HttpRequest aRequest, core::Duration aTimeout);
+  json Handle(const std::string& aTarget, const json& aBody, unsigned& aStatus);
+  json HandleTransaction(const json& aBody, unsigned& aStatus);
+  json HandleLease(const std::string& aTarget, const json& aBody);
+  json Range(const json& aRequest) const;
+  json Header() const;
+  void Expire();
+  void Tell(const KeyValue& aValue);
+  static json ToJson(const KeyValue& aValue, bool aIsKeysOnly);
+  static std::string EventLine(const json& aHeader, const KeyValue& aValue);
+  static core::Task<std::optional<std::string>> ReadLine(std::shared_ptr<Lines> aLines,
+                                                         core::TimePoint aUntil);
+};
+
+} // namespace skylarkwing::store
--- /dev/null
+++ b/store/watch_stream.cpp
@@ -0,0 +1,49 @@
+#include "store/watch_stream.h"
+
+#include "store/store_codec.h"
+
+#include <utility>
+
+namespace skylarkwing::store {
+
+namespace {
+
+/** A value of a megabyte in base64, with room for its envelope. */
+constexpr std::size_t kLongestLineBytes = 2 * 1024 * 1024;
+
+} // namespace
+
+WatchStream::WatchStream(PieceReader aReader)
+  : mReader(std::move(aReader))
+{
+}
+
+core::Task<std::optional<WatchMessage>>
+WatchStream::Next(core::Duration aTimeout)
+{
+  std::optional<std::string> line = TakeLine();
+  while (!line) {
+    const std::optional<std::string> piece = co_await mReader(aTimeout);
+    if (!piece || mBuffer.size() > kLongestLineBytes) {
+      co_return std::nullopt;
+    }
+    mBuffer += *piece;
+    line = TakeLine();
+  }
+  std::optional<WatchMessage> message = DecodeWatch(*line);
+  co_return message;
+}
+
+std::optional<std::string>
+WatchStream::TakeLine()
+{
+  const std::size_t end = mBuffer.find('\n');
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string line = mBuffer.substr(0, end);
+  mBuffer.erase(0, end + 1);
+  return line;
+}
+
+} // namespace skylarkwing::store
