--- a/upstream/latency_window.cpp
+++ b/upstream/latency_window.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-bool
+LatencyVerdict
 LatencyWindow::Record(std::uint32_t aMicroseconds)
 {
   const bool hasBaseline = mCount >= kLeastSamplesForRise;
@@ -27,7 +27,7 @@
   if (mCount < kSamplesBetweenQuantiles || mCount % kSamplesBetweenQuantiles == 0) {
     ComputeQuantiles();
   }
-  return hasBaseline && RecordSlow(aMicroseconds > bound);
+  return hasBaseline ? RecordSlow(aMicroseconds > bound) : LatencyVerdict::Usual;
 }
 
 void
@@ -36,15 +36,15 @@
   *this = LatencyWindow();
 }
 
-bool
+LatencyVerdict
 LatencyWindow::RecordSlow(bool aIsSlow)
 {
   mSlowBits = ((mSlowBits << 1U) | (aIsSlow ? 1U : 0U)) & kSlowMask;
   if (std::popcount(mSlowBits) < kSlowSamplesForRise) {
-    return false;
+    return aIsSlow ? LatencyVerdict::Slow : LatencyVerdict::Usual;
   }
   mSlowBits = 0;
-  return true;
+  return LatencyVerdict::Risen;
 }
 
 void
--- a/upstream/latency_window.h
+++ b/upstream/latency_window.h
@@ -6,6 +6,16 @@
 
 namespace skylarkwing::upstream {
 
+/** How one time compares with those before it. */
+enum class LatencyVerdict
+{
+  Usual,
+  /** Far above the usual: a straggler, or the first sign of a rise. */
+  Slow,
+  /** Most of the latest times are far above the usual. */
+  Risen,
+};
+
 /** The latest times of one replica's parts: their quantiles, and whether they have risen. */
 class LatencyWindow
 {
@@ -14,9 +24,9 @@
    * Takes in one time.
    *
    * @param aMicroseconds how long the exchange took.
-   * @return whether latency has risen: most of the latest times are far above the usual.
+   * @return how it compares; always Usual while too few times are known.
    */
-  bool Record(std::uint32_t aMicroseconds);
+  LatencyVerdict Record(std::uint32_t aMicroseconds);
 
   /** Forgets everything, for another process at the same address. */
   void Reset();
@@ -36,7 +46,7 @@
   std::uint32_t mMedian = 0;
   std::uint32_t mP95 = 0;
 
-  bool RecordSlow(bool aIsSlow);
+  LatencyVerdict RecordSlow(bool aIsSlow);
   void ComputeQuantiles();
 };
 
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -746,6 +746,10 @@
   } else {
     mRamp.Drop();
   }
+  const bool needsLook = aTo == ReplicaState::Unknown || aTo == ReplicaState::Gone;
+  if (needsLook && !mIsRetired) {
+    mControlOrders.Push({});
+  }
   NotifyChange();
 }
 
@@ -938,8 +942,11 @@
 ReplicaWorker::OnCalmOrSlow(core::Duration aTook)
 {
   const auto took = std::chrono::duration_cast<std::chrono::microseconds>(aTook);
-  const bool hasRisen = mLatency.Record(static_cast<std::uint32_t>(took.count()));
-  if (hasRisen) {
+  const LatencyVerdict verdict = mLatency.Record(static_cast<std::uint32_t>(took.count()));
+  if (verdict == LatencyVerdict::Slow) {
+    return;
+  }
+  if (verdict == LatencyVerdict::Risen) {
     mLife.Process(LatencyRose{});
     mRamp.Drop();
     return;
