Pass replicas from owner to owner without two daemons connected to one

Cause: owners changed at once, so both could hold connections. Change: the daemon holds a replica only after the handover says so, and reports it free when the dispatcher has nothing of it left; parts for replicas that are not held are refused as not run.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -13,18 +13,9 @@
 
 namespace skylarkwing::daemon {
 
-/** Whether queries are served with all decisions, or as the naive reference would. */
-enum class ServingPolicy
-{
-  Standard,
-  /** One attempt for each shard, no hedge, no retry, no first part alone. For comparison only. */
-  Naive,
-};
-
 /** What a daemon is given besides its settings. */
 struct DaemonOptions
 {
-  ServingPolicy policy = ServingPolicy::Standard;
   /** Decides which VMs messages may be sent to; lets an experiment cut daemons apart. */
   std::function<bool(const std::string& aVm)> sendFilter;
 };
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -9,9 +9,9 @@
 #include "daemon/index_view_cache.h"
 #include "declaration/configuration_keeper.h"
 #include "membership/configuration_spread.h"
+#include "membership/handover.h"
 #include "membership/isolation.h"
 #include "membership/membership_service.h"
-#include "membership/ownership.h"
 #include "net/http_server.h"
 #include "net/nng_peer_bus.h"
 #include "query/query_engine.h"
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   // upstream_wiring.cpp
   void WireUpstream();
   void RefreshOwnership();
+  void RefreshHeld();
+  void ReportReleased();
   std::vector<nlohmann::json> OwnFacts();
 
   // caller_wiring.cpp
@@ -73,13 +76,17 @@
   std::unique_ptr<membership::MembershipService> membership;
   std::unique_ptr<membership::ConfigurationSpread> spread;
   std::unique_ptr<membership::Isolation> isolation;
+  std::unique_ptr<membership::Handover> handover;
   std::unique_ptr<upstream::PartDispatcher> dispatcher;
   std::unique_ptr<upstream::PartRouter> router;
   std::unique_ptr<query::QueryEngine> engine;
   std::unique_ptr<caller::CallerFront> front;
   std::unique_ptr<net::HttpServer> callerServer;
   std::unique_ptr<net::HttpServer> operatorServer;
-  membership::OwnerMap owners;
+  /** Replicas that this daemon may connect to now. */
+  std::set<std::string> held;
+  /** Replicas given up, until nothing of them is left here. */
+  std::set<std::string> releasing;
   /** The last known incarnation of each other VM. */
   std::map<std::string, std::string> memberIncarnations;
   /** The daemon stops and callers have been given time to go elsewhere. */
--- a/daemon/upstream_wiring.cpp
+++ b/daemon/upstream_wiring.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon_parts.h"
 
 #include "daemon/owned_replicas.h"
+#include "membership/ownership.h"
 #include "upstream/upstream_messages.h"
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr const char* kCrashKind = "crash-evidence";
+/** How often replicas that were given up are looked at until nothing of them is left. */
+constexpr core::Duration kReleasePoll = std::chrono::milliseconds{ 5 };
 
 /** Crash evidence as it travels between daemons. */
 struct EvidenceMessage
@@ -25,6 +28,18 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvidenceMessage, fingerprint, kind, replica, incarnation)
 
+void
+RefuseAsNotOwner(const upstream::PartRequest& aPart, const upstream::PartCallback& aCallback)
+{
+  upstream::PartAnswer answer;
+  answer.partId = aPart.partId;
+  answer.status = upstream::PartStatus::NotRun;
+  answer.refusal = upstream::PartRefusal::NotOwner;
+  answer.snapshot = aPart.snapshot;
+  answer.shard = aPart.shard;
+  aCallback(std::move(answer));
+}
+
 } // namespace
 
 void
@@ -58,9 +73,31 @@
     dispatcher->Merge(evidence);
   });
 
+  membership::HandoverHooks handoverHooks;
+  handoverHooks.onAcquire = [this](const std::string& aReplica) {
+    held.insert(aReplica);
+    releasing.erase(aReplica);
+    RefreshHeld();
+  };
+  handoverHooks.onRelease = [this](const std::string& aReplica) {
+    held.erase(aReplica);
+    RefreshHeld();
+    const bool isFirst = releasing.empty();
+    releasing.insert(aReplica);
+    if (isFirst) {
+      timers.Schedule(kReleasePoll, [this] { ReportReleased(); });
+    }
+  };
+  handover = std::make_unique<membership::Handover>(
+    timers, random, metrics, *membership, std::move(handoverHooks));
+
   upstream::PartRouterHooks routerHooks;
   routerHooks.ownerOf = [this](const std::string& aReplica) { return views.OwnerOf(aReplica); };
   routerHooks.dispatch = [this](upstream::PartRequest aPart, upstream::PartCallback aCallback) {
+    if (!handover->MayUse(aPart.replica)) {
+      RefuseAsNotOwner(aPart, aCallback);
+      return;
+    }
     dispatcher->Dispatch(std::move(aPart), std::move(aCallback));
   };
   routerHooks.cancel = [this](const std::string& aPartId) { dispatcher->Cancel(aPartId); };
@@ -72,15 +109,37 @@
 Daemon::Parts::RefreshOwnership()
 {
   const auto configuration = keeper.InForce();
-  if (!configuration || !dispatcher || membership->IsRelearning()) {
+  if (!configuration || !handover) {
     return;
   }
-  owners = membership::OwnersOf(configuration->declaration, membership->Owners());
-  const auto isOwned = [this](const std::string& aReplica) {
-    const auto it = owners.find(aReplica);
-    return it != owners.end() && it->second == settings.vm;
-  };
-  dispatcher->SetOwned(ListOwnedReplicas(configuration->declaration, isOwned));
+  handover->Assign(membership::OwnersOf(configuration->declaration, membership->Owners()));
+  RefreshHeld();
+}
+
+void
+Daemon::Parts::RefreshHeld()
+{
+  const auto configuration = keeper.InForce();
+  const auto isHeld = [this](const std::string& aReplica) { return held.contains(aReplica); };
+  dispatcher->SetOwned(ListOwnedReplicas(configuration->declaration, isHeld));
+}
+
+void
+Daemon::Parts::ReportReleased()
+{
+  std::vector<std::string> done;
+  for (const std::string& replica : releasing) {
+    if (!dispatcher->IsReleasing(replica)) {
+      done.push_back(replica);
+    }
+  }
+  for (const std::string& replica : done) {
+    releasing.erase(replica);
+    handover->Released(replica);
+  }
+  if (!releasing.empty()) {
+    timers.Schedule(kReleasePoll, [this] { ReportReleased(); });
+  }
 }
 
 std::vector<nlohmann::json>
--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -412,6 +412,15 @@
   }
 }
 
+bool
+PartDispatcher::IsReleasing(const std::string& aReplica) const
+{
+  return std::any_of(
+    mState->retiring.begin(), mState->retiring.end(), [&aReplica](const State::WorkerPtr& aWorker) {
+      return aWorker->Replica().declaration.name == aReplica && !aWorker->IsDone();
+    });
+}
+
 void
 PartDispatcher::Dispatch(PartRequest aRequest, PartCallback aCallback)
 {
--- a/upstream/part_dispatcher.h
+++ b/upstream/part_dispatcher.h
@@ -65,6 +65,9 @@
    */
   void SetOwned(const std::vector<OwnedReplica>& aReplicas);
 
+  /** @return whether work or connections of a replica that is no longer owned are left here. */
+  bool IsReleasing(const std::string& aReplica) const;
+
   /** Takes a part for an owned replica; the callback comes exactly once, possibly at once. */
   void Dispatch(PartRequest aRequest, PartCallback aCallback);
 
