Demonstrate both deployments in one process

skylarkwing demo runs eight daemons and the stand-ins on loopback under load with a few faults and prints the four measures and how often a property was broken.

--- /dev/null
+++ b/bench/demo_command.cpp
@@ -0,0 +1,204 @@
+#include "bench/demo_command.h"
+
+#include "bench/builtin_deployment.h"
+#include "bench/command_options.h"
+#include "bench/experiment.h"
+#include "core/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <iomanip>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <getopt.h>
+
+namespace skylarkwing::bench {
+
+namespace {
+
+constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
+constexpr std::uint64_t kLongestSeconds = 3600;
+constexpr double kPercent = 100.0;
+
+/** What the command line asks for. */
+struct DemoOptions
+{
+  std::vector<std::string> deployments = BuiltinDeploymentNames();
+  std::chrono::seconds length{ 20 };
+  std::uint64_t seed = 1;
+  bool isJson = false;
+  bool isHelp = false;
+};
+
+void
+PrintHelp()
+{
+  std::cout
+    << "Usage: skylarkwing demo [OPTIONS]\n\n"
+       "Runs eight daemons and stand-ins of the upstreams, the store and the VM list in one\n"
+       "process on loopback, puts load and a few faults on them, and prints the figures.\n\n"
+       "  --deployment NAME  adebayo or brezelkar; both if absent\n"
+       "  --seconds N        length of the load for each deployment; 20 if absent\n"
+       "  --seed N           repeats the callers' and the stand-ins' random decisions\n"
+       "  --json             print one JSON document\n"
+       "  --help             print this\n"
+       "  --version          print the version\n\n"
+       "Exit codes: 0 every property held, 1 one was broken or nothing ran, 2 wrong usage.\n";
+}
+
+/** @return what is wrong, or nothing. */
+std::optional<std::string>
+ReadOption(int aOption, const char* aValue, DemoOptions& aOptions)
+{
+  switch (aOption) {
+    case 'd':
+      if (!BuiltinDeployment(aValue)) {
+        return "--deployment must be adebayo or brezelkar, not \"" + std::string(aValue) + '"';
+      }
+      aOptions.deployments = { aValue };
+      return std::nullopt;
+    case 's': {
+      const auto seconds = ParseWhole(aValue, 1, kLongestSeconds);
+      if (!seconds) {
+        return "--seconds must be a whole number from 1 to 3600, not \"" + std::string(aValue) +
+               '"';
+      }
+      aOptions.length = std::chrono::seconds{ *seconds };
+      return std::nullopt;
+    }
+    case 'e': {
+      const auto seed = ParseWhole(aValue, 0, UINT32_MAX);
+      if (!seed) {
+        return "--seed must be a whole number, not \"" + std::string(aValue) + '"';
+      }
+      aOptions.seed = *seed;
+      return std::nullopt;
+    }
+    case 'j':
+      aOptions.isJson = true;
+      return std::nullopt;
+    case 'h':
+      aOptions.isHelp = true;
+      return std::nullopt;
+    default:
+      return "unknown option or missing value";
+  }
+}
+
+/** @return the exit code when the command ends here. */
+std::optional<int>
+ReadOptions(int argc, char** argv, DemoOptions& aOptions)
+{
+  static const std::array<option, 7> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
+                                                 { "seconds", required_argument, nullptr, 's' },
+                                                 { "seed", required_argument, nullptr, 'e' },
+                                                 { "json", no_argument, nullptr, 'j' },
+                                                 { "help", no_argument, nullptr, 'h' },
+                                                 { "version", no_argument, nullptr, 'v' },
+                                                 { nullptr, 0, nullptr, 0 } } };
+  optind = 1;
+  opterr = 0;
+  int found = 0;
+  while ((found = getopt_long(argc, argv, "", kOptions.data(), nullptr)) != -1) {
+    if (found == 'v') {
+      std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
+      return kExitDone;
+    }
+    const auto wrong = ReadOption(found, optarg, aOptions);
+    if (wrong) {
+      return FailUsage("demo", *wrong);
+    }
+  }
+  if (optind < argc) {
+    return FailUsage("demo", "unexpected \"" + std::string(argv[optind]) + '"');
+  }
+  if (aOptions.isHelp) {
+    PrintHelp();
+    return kExitDone;
+  }
+  return std::nullopt;
+}
+
+void
+PrintCounts(const std::string& aTitle, const nlohmann::json& aCounts)
+{
+  std::cout << "  " << aTitle << ':';
+  bool isAny = false;
+  for (const auto& [name, count] : aCounts.items()) {
+    if (count.get<std::uint64_t>() > 0) {
+      std::cout << ' ' << name << ' ' << count;
+      isAny = true;
+    }
+  }
+  std::cout << (isAny ? "\n" : " none\n");
+}
+
+void
+PrintResult(const ExperimentResult& aRun)
+{
+  const LoadResult& load = aRun.load;
+  std::cout << aRun.deployment << " (seed " << aRun.seed << ")\n" << std::fixed;
+  if (!aRun.error.empty()) {
+    std::cout << "  did not run: " << aRun.error << '\n';
+    return;
+  }
+  std::cout << std::setprecision(2) << "  queries:        " << load.sent << " sent, "
+            << load.answered << " answered (" << kPercent * load.AnsweredShare() << " %), "
+            << load.complete << " complete\n"
+            << std::setprecision(1) << "  latency:        p50 " << load.LatencyMs(0.5)
+            << " ms, p99 " << load.LatencyMs(0.99) << " ms, late " << load.late << '\n'
+            << std::setprecision(3) << "  coverage:       " << kPercent * load.Coverage() << " %\n"
+            << "  extra load:     " << kPercent * load.ExtraLoad() << " % of " << load.partsNeeded
+            << " parts\n";
+  PrintCounts("refusals", load.refusals);
+  PrintCounts("properties broken at upstreams", load.properties);
+  PrintCounts("properties broken at callers", load.faults);
+}
+
+} // namespace
+
+int
+RunDemo(int argc, char** argv)
+{
+  DemoOptions options;
+  const std::optional<int> end = ReadOptions(argc, argv, options);
+  if (end) {
+    return *end;
+  }
+  core::InitializeLog(core::LogLevel::Error, core::LogFormat::Plain);
+  bool isGood = true;
+  nlohmann::json runs = nlohmann::json::array();
+  for (const std::string& name : options.deployments) {
+    ExperimentOptions experiment;
+    experiment.declaration = *BuiltinDeployment(name);
+    experiment.scenario = DemoScenario();
+    experiment.scenario.length = options.length;
+    experiment.seed = options.seed;
+    const ExperimentResult result =
+      RunExperiment(experiment, TerminalProgress(name, options.length));
+    EndProgress();
+    isGood =
+      isGood && result.error.empty() && result.load.Broken() == 0 && result.load.answered > 0;
+    if (options.isJson) {
+      runs.push_back({ { "deployment", name },
+                       { "seed", result.seed },
+                       { "error", result.error },
+                       { "load", result.load },
+                       { "store", result.store } });
+    } else {
+      PrintResult(result);
+    }
+  }
+  if (options.isJson) {
+    constexpr int kIndent = 2;
+    std::cout << nlohmann::json{ { "runs", runs } }.dump(kIndent) << '\n';
+  }
+  return isGood ? kExitDone : kExitFailed;
+}
+
+} // namespace skylarkwing::bench
--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -48,7 +48,8 @@
   bool PlayUpstreams(const ScenarioEvent& aEvent);
   bool PlayPlatform(const ScenarioEvent& aEvent);
   void PlayCluster(const ScenarioEvent& aEvent);
-  void ForTargets(const ScenarioEvent& aEvent, const std::function<void(UpstreamStandin&)>& aAction);
+  void ForTargets(const ScenarioEvent& aEvent,
+                  const std::function<void(UpstreamStandin&)>& aAction);
   bool IsTarget(const ScenarioEvent& aEvent, const UpstreamStandinOptions& aOptions) const;
   std::string DomainName(const ScenarioEvent& aEvent) const;
   const IndexDeclaration& Index(const ScenarioEvent& aEvent) const;
@@ -252,11 +253,8 @@
       return std::make_unique<NaiveNode>(aPlace, aDeclaration, aAll);
     };
   }
-  return [](const NodePlace& aPlace,
-            const Declaration&,
-            const std::vector<NodePlace>&) -> std::unique_ptr<EntryNode> {
-    return std::make_unique<DaemonNode>(aPlace);
-  };
+  return [](const NodePlace& aPlace, const Declaration&, const std::vector<NodePlace>&)
+           -> std::unique_ptr<EntryNode> { return std::make_unique<DaemonNode>(aPlace); };
 }
 
 LoadOptions
@@ -326,11 +324,8 @@
 WarmUp(const ExperimentOptions& aOptions, ClusterFixture& aCluster)
 {
   constexpr std::uint64_t kSeedOffset = 1'000'000;
-  const LoadOptions options = MakeLoadOptions(aOptions,
-                                              aCluster,
-                                              kWarmUpRate * aOptions.rate,
-                                              kWarmUpTime,
-                                              aOptions.seed + kSeedOffset);
+  const LoadOptions options = MakeLoadOptions(
+    aOptions, aCluster, kWarmUpRate * aOptions.rate, kWarmUpTime, aOptions.seed + kSeedOffset);
   LoadRun run(aCluster, options);
   while (!run.IsOver()) {
     std::this_thread::sleep_for(kTick);
--- a/bench/loop_thread.cpp
+++ b/bench/loop_thread.cpp
@@ -46,4 +46,16 @@
   }
 }
 
+void
+LoopThread::Abandon()
+{
+  if (!mThread.joinable()) {
+    return;
+  }
+  mParts->loop.stop();
+  mThread.join();
+  mGuard.reset();
+  static_cast<void>(mParts.release());
+}
+
 } // namespace skylarkwing::bench
--- a/bench/loop_thread.h
+++ b/bench/loop_thread.h
@@ -43,6 +43,9 @@
   /** Lets the loop finish what runs, for a bounded time, and ends the thread. */
   void Stop();
 
+  /** Ends the thread at once, as the loss of its VM does; the loop's memory is never freed. */
+  void Abandon();
+
 private:
   struct Parts
   {
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -112,11 +112,10 @@
     }
     scenario.events.push_back(*event);
   }
-  std::stable_sort(scenario.events.begin(),
-                   scenario.events.end(),
-                   [](const ScenarioEvent& aLeft, const ScenarioEvent& aRight) {
-                     return aLeft.at < aRight.at;
-                   });
+  std::stable_sort(
+    scenario.events.begin(),
+    scenario.events.end(),
+    [](const ScenarioEvent& aLeft, const ScenarioEvent& aRight) { return aLeft.at < aRight.at; });
   return { scenario, {} };
 }
 
