Serve the whole path: eight daemons, stand-ins and checked callers

Cause: the daemons did not read the configuration from the store. Left: the store is polled and permits are granted unasked until their parts are in.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -89,6 +89,7 @@
   if (parts.options.sendFilter) {
     parts.bus->SetSendFilter(parts.options.sendFilter);
   }
+  parts.WireStore();
   parts.WireMembership();
   parts.WireUpstream();
   parts.WireCaller();
@@ -114,6 +115,7 @@
                     { "callers", CallerAddress() },
                     { "operators", OperatorAddress() } });
   mParts->membership->Start();
+  core::Start(mParts->loop.get_executor(), mParts->ReadConfiguration());
 }
 
 core::Task<void>
@@ -145,6 +147,7 @@
 Daemon::Cleanup()
 {
   Parts& parts = *mParts;
+  parts.isCleanedUp = true;
   if (parts.membership) {
     parts.membership->Stop();
   }
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -15,6 +15,7 @@
 #include "net/http_server.h"
 #include "net/nng_peer_bus.h"
 #include "query/query_engine.h"
+#include "store/store_client.h"
 #include "upstream/part_dispatcher.h"
 #include "upstream/part_router.h"
 
@@ -44,6 +45,8 @@
   void OnMemberChange(const membership::Member& aMember);
 
   // store_wiring.cpp
+  void WireStore();
+  core::Task<void> ReadConfiguration();
   void WirePermits(upstream::DispatcherHooks& aHooks);
   std::optional<core::TimePoint> StoreConfirmedAt() const;
 
@@ -73,6 +76,8 @@
   declaration::ConfigurationKeeper keeper;
   IndexViewCache views;
   std::unique_ptr<net::NngPeerBus> bus;
+  std::unique_ptr<store::StoreClient> storeClient;
+  std::optional<core::TimePoint> storeConfirmedAt;
   std::unique_ptr<membership::MembershipService> membership;
   std::unique_ptr<membership::ConfigurationSpread> spread;
   std::unique_ptr<membership::Isolation> isolation;
@@ -93,6 +98,7 @@
   bool isLeaving = false;
   /** Nothing new is taken any more. */
   bool isRefusing = false;
+  bool isCleanedUp = false;
 };
 
 } // namespace skylarkwing::daemon
--- a/main/command_table.cpp
+++ b/main/command_table.cpp
@@ -1,5 +1,6 @@
 #include "main/command_table.h"
 
+#include "bench/demo_command.h"
 #include "main/serve_command.h"
 
 namespace skylarkwing {
@@ -9,6 +10,7 @@
 {
   static const std::vector<Command> commands{
     { "serve", "run the daemon of one entry VM", RunServe },
+    { "demo", "run daemons, stand-ins and callers in one process", bench::RunDemo },
   };
   return commands;
 }
