Count crashes by replica and shard, and prove the quarantine

Cause: evidence named processes where askers name replicas, so one crash would have counted twice. An answer for any shard cleared a suspicion, so a request that crashes one shard's replicas was cleared by the others' answers and could go on taking them. Lost evidence was never sent again.

Change: the ledger counts replicas, keeps process and shard beside them, clears by an answer of the same shard only, and remembers what it has forgiven so that late repeats don't bring it back. Crash evidence is repeated after 1 s and 3 s, within the 5 s that the claim lasts; Evidence() brings a daemon that has just joined up to date. A connection counts as seen alive by the number of crashes before it and not by the clock.

--- a/upstream/crash_ledger.cpp
+++ b/upstream/crash_ledger.cpp
@@ -15,25 +15,6 @@
 constexpr std::size_t kMaximumRecords = 4 * 1024;
 constexpr std::chrono::minutes kSuspicionLifetime{ 30 };
 constexpr std::chrono::hours kQuarantineLifetime{ 24 };
-constexpr char kIncarnationSeparator = '@';
-
-std::string
-CrashName(const std::string& aReplica, const std::string& aIncarnation)
-{
-  return aReplica + kIncarnationSeparator + aIncarnation;
-}
-
-bool
-IsOfReplica(const std::string& aCrash, const std::string& aReplica)
-{
-  return aCrash.substr(0, aCrash.rfind(kIncarnationSeparator)) == aReplica;
-}
-
-bool
-Contains(const std::vector<std::string>& aList, const std::string& aName)
-{
-  return std::find(aList.begin(), aList.end(), aName) != aList.end();
-}
 
 } // namespace
 
@@ -51,8 +32,8 @@
 CrashVerdict
 CrashLedger::Judge(std::uint64_t aFingerprint, const std::vector<std::string>& aCrashedReplicas)
 {
-  for (const std::string& crash : aCrashedReplicas) {
-    AddCrash(aFingerprint, crash);
+  for (const std::string& replica : aCrashedReplicas) {
+    AddCrash(aFingerprint, { replica, {}, std::nullopt });
   }
   const auto it = mRecords.find(aFingerprint);
   if (it == mRecords.end() || it->second.crashes.empty()) {
@@ -73,17 +54,26 @@
   if (it == mRecords.end()) {
     return false;
   }
-  return std::any_of(
-    it->second.crashes.begin(), it->second.crashes.end(), [&aReplica](const std::string& aCrash) {
-      return IsOfReplica(aCrash, aReplica);
-    });
+  const std::vector<Crash>& crashes = it->second.crashes;
+  return std::any_of(crashes.begin(), crashes.end(), [&aReplica](const Crash& aCrash) {
+    return aCrash.replica == aReplica;
+  });
 }
 
 std::vector<std::string>
 CrashLedger::CrashedReplicas(std::uint64_t aFingerprint) const
 {
+  std::vector<std::string> names;
   const auto it = mRecords.find(aFingerprint);
-  return it == mRecords.end() ? std::vector<std::string>{} : it->second.crashes;
+  if (it == mRecords.end()) {
+    return names;
+  }
+  for (const Crash& crash : it->second.crashes) {
+    if (std::find(names.begin(), names.end(), crash.replica) == names.end()) {
+      names.push_back(crash.replica);
+    }
+  }
+  return names;
 }
 
 void
@@ -91,13 +81,15 @@
 {
   switch (aEvidence.kind) {
     case EvidenceKind::Crash:
-      AddCrash(aEvidence.fingerprint, CrashName(aEvidence.replica, aEvidence.incarnation));
+      AddCrash(aEvidence.fingerprint,
+               { aEvidence.replica, aEvidence.incarnation, aEvidence.shard });
       return;
     case EvidenceKind::Alive:
-      ForgiveCrash(aEvidence.fingerprint, CrashName(aEvidence.replica, aEvidence.incarnation));
+      ForgiveCrash(aEvidence.fingerprint,
+                   { aEvidence.replica, aEvidence.incarnation, std::nullopt });
       return;
     case EvidenceKind::Harmless:
-      RecordAnswer(aEvidence.fingerprint);
+      RecordAnswer(aEvidence.fingerprint, aEvidence.shard);
       return;
     case EvidenceKind::Lifted:
       ForgiveAll(aEvidence.fingerprint);
@@ -106,52 +98,97 @@
 }
 
 bool
-CrashLedger::RecordAnswer(std::uint64_t aFingerprint)
+CrashLedger::RecordAnswer(std::uint64_t aFingerprint, std::uint32_t aShard)
 {
+  MarkSafe(aFingerprint);
   const auto it = mRecords.find(aFingerprint);
-  const std::size_t n = it == mRecords.end() ? 0 : it->second.crashes.size();
   // An answer that is older than the second crash must not end a quarantine.
-  if (n >= kCrashesUntilQuarantine) {
+  if (it == mRecords.end() || it->second.crashes.size() >= kCrashesUntilQuarantine) {
     return false;
   }
-  if (n > 0) {
-    ForgiveAll(aFingerprint);
+  std::vector<Crash> refuted = it->second.crashes;
+  std::erase_if(refuted, [aShard](const Crash& aCrash) { return aCrash.shard != aShard; });
+  for (const Crash& crash : refuted) {
+    ForgiveCrash(aFingerprint, crash);
   }
-  MarkSafe(aFingerprint);
-  return n > 0;
+  return !refuted.empty();
 }
 
 std::vector<std::uint64_t>
 CrashLedger::SuspectedOf(const std::string& aReplica, const std::string& aIncarnation) const
 {
-  const std::string name = CrashName(aReplica, aIncarnation);
+  const auto isOfProcess = [&aReplica, &aIncarnation](const Crash& aCrash) {
+    return aCrash.replica == aReplica && aCrash.incarnation == aIncarnation;
+  };
   std::vector<std::uint64_t> fingerprints;
   for (const auto& [fingerprint, record] : mRecords) {
-    if (Contains(record.crashes, name)) {
+    if (std::any_of(record.crashes.begin(), record.crashes.end(), isOfProcess)) {
       fingerprints.push_back(fingerprint);
     }
   }
   return fingerprints;
 }
 
+std::vector<CrashEvidence>
+CrashLedger::Evidence() const
+{
+  std::vector<CrashEvidence> evidence;
+  for (const auto& [fingerprint, record] : mRecords) {
+    for (const Crash& crash : record.crashes) {
+      evidence.push_back({ fingerprint,
+                           EvidenceKind::Crash,
+                           crash.replica,
+                           crash.incarnation,
+                           crash.shard.value_or(0) });
+    }
+  }
+  return evidence;
+}
+
 std::vector<QuarantinedFingerprint>
 CrashLedger::Quarantined() const
 {
   std::vector<QuarantinedFingerprint> list;
   for (const auto& [fingerprint, record] : mRecords) {
     if (record.crashes.size() >= kCrashesUntilQuarantine) {
-      list.push_back({ fingerprint, record.crashes, mTimers.Now() - record.lastSeen });
+      list.push_back(
+        { fingerprint, CrashedReplicas(fingerprint), mTimers.Now() - record.lastSeen });
     }
   }
   return list;
 }
 
+bool
+CrashLedger::MayBeSame(const Crash& aLeft, const Crash& aRight)
+{
+  const bool isProcessKnown = !aLeft.incarnation.empty() && !aRight.incarnation.empty();
+  return aLeft.replica == aRight.replica &&
+         (!isProcessKnown || aLeft.incarnation == aRight.incarnation);
+}
+
+bool
+CrashLedger::HasCrash(const std::vector<Crash>& aList, const Crash& aCrash)
+{
+  return std::any_of(aList.begin(), aList.end(), [&aCrash](const Crash& aKnown) {
+    return MayBeSame(aKnown, aCrash);
+  });
+}
+
 void
-CrashLedger::AddCrash(std::uint64_t aFingerprint, const std::string& aCrash)
+CrashLedger::AddCrash(std::uint64_t aFingerprint, const Crash& aCrash)
 {
   DropExpired();
   Record& record = mRecords[aFingerprint];
-  if (Contains(record.crashes, aCrash) || Contains(record.forgiven, aCrash)) {
+  if (HasCrash(record.forgiven, aCrash)) {
+    return;
+  }
+  const auto known =
+    std::find_if(record.crashes.begin(), record.crashes.end(), [&aCrash](const Crash& aKnown) {
+      return MayBeSame(aKnown, aCrash);
+    });
+  if (known != record.crashes.end()) {
+    // The owner's own evidence says more than a name that came with a request.
+    *known = aCrash.shard ? aCrash : *known;
     return;
   }
   record.crashes.push_back(aCrash);
@@ -161,12 +198,13 @@
 }
 
 void
-CrashLedger::ForgiveCrash(std::uint64_t aFingerprint, const std::string& aCrash)
+CrashLedger::ForgiveCrash(std::uint64_t aFingerprint, const Crash& aCrash)
 {
   Record& record = mRecords[aFingerprint];
-  std::erase(record.crashes, aCrash);
+  std::erase_if(record.crashes,
+                [&aCrash](const Crash& aKnown) { return MayBeSame(aKnown, aCrash); });
   record.lastSeen = mTimers.Now();
-  if (!Contains(record.forgiven, aCrash)) {
+  if (!HasCrash(record.forgiven, aCrash)) {
     record.forgiven.push_back(aCrash);
   }
 }
@@ -174,7 +212,12 @@
 void
 CrashLedger::ForgiveAll(std::uint64_t aFingerprint)
 {
-  for (const std::string& crash : CrashedReplicas(aFingerprint)) {
+  const auto it = mRecords.find(aFingerprint);
+  if (it == mRecords.end()) {
+    return;
+  }
+  const std::vector<Crash> crashes = it->second.crashes;
+  for (const Crash& crash : crashes) {
     ForgiveCrash(aFingerprint, crash);
   }
 }
--- a/upstream/crash_ledger.h
+++ b/upstream/crash_ledger.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,7 +19,7 @@
   Crash,
   /** The process was seen alive afterwards, so only its connection was lost. */
   Alive,
-  /** The fingerprint was answered since, so it is harmless. */
+  /** The same shard answered the fingerprint since, so it is harmless there. */
   Harmless,
   /** An operator lifted the quarantine. */
   Lifted,
@@ -37,6 +38,8 @@
   std::string replica;
   /** The process that went away or was seen; empty when it never said. */
   std::string incarnation;
+  /** The shard that was searched, of Crash and Harmless. */
+  std::uint32_t shard = 0;
 };
 
 /** Whether a fingerprint may run. */
@@ -56,7 +59,7 @@
 struct QuarantinedFingerprint
 {
   std::uint64_t fingerprint = 0;
-  /** The replicas that fell, as "name@incarnation". */
+  /** The names of the replicas that fell. */
   std::vector<std::string> crashedReplicas;
   /** Time since the last crash or refusal. */
   core::Duration sinceLastSeen{};
@@ -81,39 +84,52 @@
    * Judges a fingerprint; evidence that came with the request counts and is kept.
    *
    * @param aFingerprint the request's fingerprint.
-   * @param aCrashedReplicas evidence from the asker, as "name@incarnation".
+   * @param aCrashedReplicas names of replicas that the asker knows to have fallen.
    */
   CrashVerdict Judge(std::uint64_t aFingerprint, const std::vector<std::string>& aCrashedReplicas);
 
   /** @return whether a replica of that name fell to the fingerprint, whatever its process. */
   bool HasFallen(std::uint64_t aFingerprint, const std::string& aReplica) const;
 
-  /** @return the replicas known to have fallen, as "name@incarnation". */
+  /** @return the names of the replicas known to have fallen. */
   std::vector<std::string> CrashedReplicas(std::uint64_t aFingerprint) const;
 
   /** Takes in evidence, of this daemon or of another one; taking it in twice changes nothing. */
   void Merge(const CrashEvidence& aEvidence);
 
   /**
-   * Records that a fingerprint was answered.
+   * Records that a fingerprint was answered for a shard. It clears crashes on that shard only,
+   * because what crashes a replica may lie in one shard's data.
    *
    * @return whether that cleared a suspicion, which the others should then hear.
    */
-  bool RecordAnswer(std::uint64_t aFingerprint);
+  bool RecordAnswer(std::uint64_t aFingerprint, std::uint32_t aShard);
 
   /** @return the fingerprints suspected because of that process, which was seen alive. */
   std::vector<std::uint64_t> SuspectedOf(const std::string& aReplica,
                                          const std::string& aIncarnation) const;
 
+  /** @return every crash that counts, for a daemon that has just joined. */
+  std::vector<CrashEvidence> Evidence() const;
+
   /** @return the fingerprints that run no more. */
   std::vector<QuarantinedFingerprint> Quarantined() const;
 
 private:
+  struct Crash
+  {
+    std::string replica;
+    /** The process that went away; empty when the evidence does not say. */
+    std::string incarnation;
+    /** Nothing when the evidence does not say. */
+    std::optional<std::uint32_t> shard;
+  };
+
   struct Record
   {
-    std::vector<std::string> crashes;
+    std::vector<Crash> crashes;
     /** Crashes that count no more; a late repeat of them must not bring the suspicion back. */
-    std::vector<std::string> forgiven;
+    std::vector<Crash> forgiven;
     core::TimePoint lastSeen;
   };
 
@@ -122,8 +138,10 @@
   std::list<std::uint64_t> mSafeOrder;
   std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> mSafe;
 
-  void AddCrash(std::uint64_t aFingerprint, const std::string& aCrash);
-  void ForgiveCrash(std::uint64_t aFingerprint, const std::string& aCrash);
+  static bool MayBeSame(const Crash& aLeft, const Crash& aRight);
+  static bool HasCrash(const std::vector<Crash>& aList, const Crash& aCrash);
+  void AddCrash(std::uint64_t aFingerprint, const Crash& aCrash);
+  void ForgiveCrash(std::uint64_t aFingerprint, const Crash& aCrash);
   void ForgiveAll(std::uint64_t aFingerprint);
   bool IsSafe(std::uint64_t aFingerprint);
   void MarkSafe(std::uint64_t aFingerprint);
--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -4,6 +4,8 @@
 #include "upstream/canary_gate.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -12,6 +14,10 @@
 
 namespace {
 
+// Messages between daemons may be lost; the claim on a suspected fingerprint outlasts the repeats.
+constexpr std::array<std::chrono::seconds, 2> kEvidenceRepeats{ std::chrono::seconds{ 1 },
+                                                                std::chrono::seconds{ 3 } };
+
 bool
 IsSamePlace(const OwnedReplica& aLeft, const OwnedReplica& aRight)
 {
@@ -84,6 +90,7 @@
   std::optional<PartAnswer> RefuseBeforeSend(const PartRequest& aRequest);
   void Finish(const PendingPartPtr& aPart, PartAnswer aAnswer, const PartCallback& aCallback);
   void RecordCrash(const PartRequest& aRequest, const std::string& aIncarnation);
+  void RepeatLater(const CrashEvidence& aEvidence, core::Duration aDelay);
   void RecordAlive(const std::string& aReplica, const std::string& aIncarnation);
   void CancelQuarantined(std::uint64_t aFingerprint);
   void Cancel(const PendingPartPtr& aPart);
@@ -268,8 +275,9 @@
     aAnswer.status = PartStatus::Quarantined;
     aAnswer.refusal = PartRefusal::Unavailable;
   }
-  if (aAnswer.status == PartStatus::Answered && ledger.RecordAnswer(fingerprint)) {
-    hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {} });
+  if (aAnswer.status == PartStatus::Answered &&
+      ledger.RecordAnswer(fingerprint, aPart->request.shard)) {
+    hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {}, aPart->request.shard });
   }
   endedParts[static_cast<std::size_t>(aAnswer.status)]->Increment();
   aAnswer.crashedReplicas = ledger.CrashedReplicas(fingerprint);
@@ -282,7 +290,7 @@
 PartDispatcher::State::RecordCrash(const PartRequest& aRequest, const std::string& aIncarnation)
 {
   const CrashEvidence evidence{
-    aRequest.fingerprint, EvidenceKind::Crash, aRequest.replica, aIncarnation
+    aRequest.fingerprint, EvidenceKind::Crash, aRequest.replica, aIncarnation, aRequest.shard
   };
   ledger.Merge(evidence);
   crashes.Increment();
@@ -293,14 +301,28 @@
                     { "incarnation", aIncarnation },
                     { "fingerprint", std::to_string(aRequest.fingerprint) } });
   hooks.broadcastCrash(evidence);
+  for (const std::chrono::seconds delay : kEvidenceRepeats) {
+    RepeatLater(evidence, delay);
+  }
   CancelQuarantined(aRequest.fingerprint);
 }
 
+void
+PartDispatcher::State::RepeatLater(const CrashEvidence& aEvidence, core::Duration aDelay)
+{
+  timers.Schedule(aDelay, [weak = weak_from_this(), aEvidence] {
+    const auto self = weak.lock();
+    if (self && self->ledger.HasFallen(aEvidence.fingerprint, aEvidence.replica)) {
+      self->hooks.broadcastCrash(aEvidence);
+    }
+  });
+}
+
 void
 PartDispatcher::State::RecordAlive(const std::string& aReplica, const std::string& aIncarnation)
 {
   for (const std::uint64_t fingerprint : ledger.SuspectedOf(aReplica, aIncarnation)) {
-    const CrashEvidence evidence{ fingerprint, EvidenceKind::Alive, aReplica, aIncarnation };
+    const CrashEvidence evidence{ fingerprint, EvidenceKind::Alive, aReplica, aIncarnation, 0 };
     ledger.Merge(evidence);
     hooks.broadcastCrash(evidence);
   }
@@ -457,14 +479,26 @@
   mState->CancelQuarantined(aEvidence.fingerprint);
 }
 
+std::vector<CrashEvidence>
+PartDispatcher::Evidence() const
+{
+  return mState->ledger.Evidence();
+}
+
 void
 PartDispatcher::Lift(std::uint64_t aFingerprint)
 {
-  const CrashEvidence evidence{ aFingerprint, EvidenceKind::Lifted, {}, {} };
+  const CrashEvidence evidence{ aFingerprint, EvidenceKind::Lifted, {}, {}, 0 };
   mState->ledger.Merge(evidence);
   mState->hooks.broadcastCrash(evidence);
 }
 
+std::vector<std::string>
+PartDispatcher::CrashedReplicas(std::uint64_t aFingerprint) const
+{
+  return mState->ledger.CrashedReplicas(aFingerprint);
+}
+
 std::vector<QuarantinedFingerprint>
 PartDispatcher::Quarantined() const
 {
--- a/upstream/part_dispatcher.h
+++ b/upstream/part_dispatcher.h
@@ -74,9 +74,15 @@
   /** Takes in evidence that another daemon has broadcast. */
   void Merge(const CrashEvidence& aEvidence);
 
+  /** @return every crash that counts; a daemon that has just joined is to Merge() them. */
+  std::vector<CrashEvidence> Evidence() const;
+
   /** Lets a quarantined fingerprint run again, here and on all daemons that hear of it. */
   void Lift(std::uint64_t aFingerprint);
 
+  /** @return the names of the replicas known to have crashed while running the fingerprint. */
+  std::vector<std::string> CrashedReplicas(std::uint64_t aFingerprint) const;
+
   /** @return the fingerprints that run no more. */
   std::vector<QuarantinedFingerprint> Quarantined() const;
 
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -79,7 +79,8 @@
   std::shared_ptr<UpstreamConnection> connection;
   /** The process at the other end. */
   std::string incarnation;
-  core::TimePoint connectedFrom;
+  /** How many crashes had been seen when it was opened. */
+  std::uint64_t crashesBefore = 0;
   bool isReady = false;
   /** The next part; none only wakes the task. */
   core::Mailbox<PendingPartPtr> parts;
@@ -333,7 +334,7 @@
     aLane->connection->Close();
   }
   aLane->incarnation.clear();
-  aLane->connectedFrom = mTimers.Now();
+  aLane->crashesBefore = mCrashes;
   aLane->connection = mHooks.connect(mReplica.declaration.address);
   const std::shared_ptr<UpstreamConnection> connection = aLane->connection;
   const bool isConnected = co_await connection->Connect(kConnectTimeout);
@@ -351,7 +352,8 @@
   aLane->incarnation = reply.incarnation;
   OnProcess(reply.incarnation);
   OnHoldings(reply.holdings);
-  if (aLane->connectedFrom > mLastCrash) {
+  // A connection opened before the last crash may have been answered by the process that died.
+  if (aLane->crashesBefore == mCrashes) {
     mHooks.onAlive(mReplica.declaration.name, reply.incarnation);
   }
   co_return true;
@@ -857,7 +859,7 @@
     Answer(aPart, PartStatus::Unknown, PartRefusal::ConnectionLost);
     return;
   }
-  mLastCrash = mTimers.Now();
+  ++mCrashes;
   // The evidence leaves first: whoever hears of the crash must not be able to send it on before.
   mHooks.onCrash(aPart->request, aLane.incarnation);
   Answer(aPart, PartStatus::Crashed, PartRefusal::ConnectionLost);
--- a/upstream/replica_worker.h
+++ b/upstream/replica_worker.h
@@ -137,7 +137,7 @@
   bool mHoldsPermit = false;
   core::TimePoint mNextPermitTry;
   core::TimePoint mLastAnswer;
-  core::TimePoint mLastCrash;
+  std::uint64_t mCrashes = 0;
   core::TimePoint mDrainNotice;
   core::TimerId mQueueTimer = 0;
   core::TimerId mPermitTimer = 0;
--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -193,8 +193,13 @@
 BOOST_AUTO_TEST_CASE(an_answer_outranks_the_load_endpoint)
 {
   Load(milliseconds{ 300 });
+  BOOST_REQUIRE(IsWarm(*this));
+  int changes = 0;
+  dispatchers["vm-1"]->OnFactChange(
+    [&changes](const ReplicaFact& aFact) { changes += aFact.state != ReplicaState::Warm; });
   upstream.stateOnLoad = UpstreamState::Cold;
   Load(milliseconds{ 2000 });
+  BOOST_TEST(changes == 0);
   BOOST_TEST(IsWarm(*this));
 }
 
