--- a/query/engine_state.cpp
+++ b/query/engine_state.cpp
@@ -68,6 +68,7 @@
   , counters(aMetrics)
   , chooser(aRandom, settings.failureDomain, hooks.wayTo)
   , safeFingerprints(aTimers, settings.safeFingerprints, settings.keepSafeFingerprint)
+  , canaryGate(aTimers)
   , mPartPrefix(aRandom.Token())
 {
 }
--- a/query/query_run.cpp
+++ b/query/query_run.cpp
@@ -24,11 +24,14 @@
 constexpr std::uint32_t kMostRestarts = 2;
 
 /** Shards that are asked for a replica to run the canary. */
-constexpr std::uint32_t kMostCanaryShards = 3;
+constexpr std::uint32_t kMostCanaryShards = 8;
 
 /** Share of the hedge budget that the hedge delay aims to spend, so that bursts find tokens. */
 constexpr double kPlannedBudgetShare = 0.75;
 
+/** A hedge waits longer than its quantile by this part, so that even latencies cause no hedges. */
+constexpr int kHedgeMarginDivisor = 10;
+
 constexpr core::Duration kOverloadedRetryAfter = std::chrono::milliseconds{ 100 };
 constexpr core::Duration kUnavailableRetryAfter = std::chrono::milliseconds{ 500 };
 constexpr core::Duration kQuarantinedRetryAfter = std::chrono::seconds{ 60 };
@@ -84,7 +87,7 @@
     co_return Refuse(QueryRefusal::DeadlineTooClose);
   }
   while (Begin()) {
-    const bool isSafe = co_await RunCanary();
+    const bool isSafe = co_await PassCanary();
     if (isSafe) {
       for (std::uint32_t n = 0; n < mShards.size(); ++n) {
         OpenShard(n);
@@ -121,11 +124,46 @@
 }
 
 core::Task<bool>
-QueryRun::RunCanary()
+QueryRun::PassCanary()
 {
-  if (mCrashed.empty() && mState->safeFingerprints.Contains(mFingerprint)) {
+  if (IsKnownSafe()) {
     co_return true;
   }
+  const bool hasPlace = co_await AwaitPlace();
+  if (!hasPlace) {
+    co_return IsKnownSafe();
+  }
+  const bool isSafe = co_await RunCanary();
+  mState->canaryGate.Leave(mFingerprint, mCrashed);
+  co_return isSafe;
+}
+
+bool
+QueryRun::IsKnownSafe()
+{
+  return mCrashed.empty() && mState->safeFingerprints.Contains(mFingerprint);
+}
+
+core::Task<bool>
+QueryRun::AwaitPlace()
+{
+  while (HasTimeForAttempt() && !mIsQuarantined && !IsKnownSafe()) {
+    const std::shared_ptr<CanaryGate::Waiter> waiter = mState->canaryGate.Enter(mFingerprint);
+    if (!waiter) {
+      co_return true;
+    }
+    const std::optional<CanaryGate::Crashed> crashed = co_await waiter->Receive(mAnswerBy);
+    if (crashed) {
+      mCrashed.insert(crashed->begin(), crashed->end());
+      mIsQuarantined = mCrashed.size() >= kMostExposedReplicas;
+    }
+  }
+  co_return false;
+}
+
+core::Task<bool>
+QueryRun::RunCanary()
+{
   mIsCanary = true;
   mState->counters.canaries.Increment();
   const std::uint32_t first = CanaryShardOf(mFingerprint, mSnapshot.shardCount);
@@ -167,7 +205,8 @@
 QueryRun::OpenShard(std::uint32_t aShard)
 {
   ShardProgress& shard = mShards[aShard];
-  if (shard.isAnswered || shard.isOpen) {
+  // What ran as a canary, if only in part, has had its further attempts already.
+  if (shard.isAnswered || shard.isOpen || shard.mayHaveRun) {
     return;
   }
   shard.isOpen = true;
@@ -313,7 +352,9 @@
   const Attempt attempt = std::move(it->second);
   mAttempts.erase(it);
   --mShards[attempt.shard].running;
-  mMayHaveRun |= aAnswer.status != PartStatus::NotRun;
+  const bool mayHaveRun = aAnswer.status != PartStatus::NotRun;
+  mShards[attempt.shard].mayHaveRun |= mayHaveRun;
+  mMayHaveRun |= mayHaveRun;
   NoteEvidence(attempt, aAnswer);
   if (aAnswer.status == PartStatus::Answered && !IsForAttempt(aAnswer, attempt)) {
     mState->counters.mismatchedAnswers.Increment();
@@ -508,7 +549,10 @@
   const double affordable = 1.0 - kPlannedBudgetShare * mProfile.hedgeBudget;
   const double quantile = std::max(mProfile.hedgeQuantile, affordable);
   const auto delay = mState->latency.Quantile(mRequest.index, aShard, quantile);
-  return delay.value_or(mState->settings.firstHedgeDelay);
+  if (!delay) {
+    return mState->settings.firstHedgeDelay;
+  }
+  return *delay + *delay / kHedgeMarginDivisor;
 }
 
 core::TimePoint
@@ -596,15 +640,17 @@
     return Refuse(QueryRefusal::Quarantined);
   }
   const Coverage coverage = CountCoverage();
-  const bool isEnough = coverage.answered > 0 && ShareOf(coverage) >= mProfile.leastCoverage;
+  const bool hasHits = std::any_of(mShards.begin(), mShards.end(), [](const ShardProgress& aShard) {
+    return aShard.isAnswered || !aShard.hits.empty();
+  });
+  const bool isEnough = hasHits && ShareOf(coverage) >= mProfile.leastCoverage;
   const bool isEarlierBetter =
     mEarlierAnswer && (!isEnough || ShareOf(mEarlierAnswer->coverage) > ShareOf(coverage));
   if (isEarlierBetter) {
     return *mEarlierAnswer;
   }
   if (!isEnough) {
-    QueryResult refusal =
-      Refuse(coverage.answered > 0 ? QueryRefusal::TooLittleCoverage : FailureReason());
+    QueryResult refusal = Refuse(hasHits ? QueryRefusal::TooLittleCoverage : FailureReason());
     refusal.coverage = coverage;
     refusal.snapshot = mSnapshot.snapshot;
     return refusal;
--- a/query/query_run.h
+++ b/query/query_run.h
@@ -47,6 +47,7 @@
     bool isOpen = false;
     bool isAnswered = false;
     bool isHedged = false;
+    bool mayHaveRun = false;
     bool sawWrongSnapshot = false;
     std::uint32_t running = 0;
     std::uint32_t reroutes = 0;
@@ -59,7 +60,10 @@
   using HedgeQueue = std::priority_queue<HedgeDue, std::vector<HedgeDue>, std::greater<HedgeDue>>;
 
   bool Begin();
+  core::Task<bool> PassCanary();
+  core::Task<bool> AwaitPlace();
   core::Task<bool> RunCanary();
+  bool IsKnownSafe();
   core::Task<void> Gather();
 
   void OpenShard(std::uint32_t aShard);
--- a/query/tests/query_fixture.cpp
+++ b/query/tests/query_fixture.cpp
@@ -151,7 +151,7 @@
 QueryFixture::Send(upstream::PartRequest aRequest, upstream::PartCallback aCallback)
 {
   const PartBehaviour part = behaviour(aRequest);
-  sent.push_back({ aRequest, timers.Now(), false });
+  sent.push_back({ aRequest, timers.Now(), std::nullopt });
   mRunning[aRequest.partId] = std::move(aCallback);
   if (part.status == upstream::PartStatus::NotRun) {
     mNotRun.insert(aRequest.partId);
@@ -184,7 +184,7 @@
 {
   for (SentPart& part : sent) {
     if (part.request.partId == aPartId) {
-      part.isCancelled = true;
+      part.cancelledAt = timers.Now();
     }
   }
 }
--- a/query/tests/query_fixture.h
+++ b/query/tests/query_fixture.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,7 +34,7 @@
 {
   upstream::PartRequest request;
   core::TimePoint sentAt;
-  bool isCancelled = false;
+  std::optional<core::TimePoint> cancelledAt;
 };
 
 /**
