--- /dev/null
+++ b/bench/loop_thread.cpp
@@ -0,0 +1,49 @@
+#include "bench/loop_thread.h"
+
+namespace skylarkwing::bench {
+
+namespace {
+
+constexpr std::chrono::seconds kFinishTime{ 2 };
+
+} // namespace
+
+LoopThread::LoopThread()
+  : mParts(std::make_unique<Parts>())
+  , mGuard(boost::asio::make_work_guard(mParts->loop))
+  , mThread([this] { mParts->loop.run(); })
+{
+}
+
+LoopThread::~LoopThread()
+{
+  Stop();
+}
+
+void
+LoopThread::Stop()
+{
+  if (!mThread.joinable()) {
+    return;
+  }
+  std::promise<void> ended;
+  std::future<void> end = ended.get_future();
+  bool isCutShort = false;
+  std::thread watcher([this, &end, &isCutShort] {
+    if (end.wait_for(kFinishTime) == std::future_status::timeout) {
+      isCutShort = true;
+      mParts->loop.stop();
+    }
+  });
+  mGuard.reset();
+  mThread.join();
+  ended.set_value();
+  watcher.join();
+  if (isCutShort) {
+    // Tasks that still wait hold on to the timer service, which has to go before the loop, so
+    // neither can go.
+    static_cast<void>(mParts.release());
+  }
+}
+
+} // namespace skylarkwing::bench
