Read crash evidence as process names

The owners name a process that went away as name@incarnation. The asker added the replica's bare name next to it, so one crash counted as two and no second replica was tried. A crash now counts once, by the owner's name for the process; the fake owners of the tests speak the same way.

--- a/query/query_hooks.h
+++ b/query/query_hooks.h
@@ -19,7 +19,10 @@
   upstream::PartCanceller cancelPart;
   /** @return what is known of an index now, nullptr when nothing is. */
   std::function<std::shared_ptr<const IndexView>(const std::string& aIndex)> indexView;
-  /** Optional: the replicas known on this daemon to have crashed while running a fingerprint. */
+  /**
+   * Optional: the processes known on this daemon to have gone away while they ran a fingerprint,
+   * as "name@incarnation".
+   */
   std::function<std::vector<std::string>(std::uint64_t aFingerprint)> crashedReplicas;
   /** Optional: one-way time to another VM. */
   WayEstimate wayTo;
--- a/query/query_run.cpp
+++ b/query/query_run.cpp
@@ -55,6 +55,13 @@
   }
 }
 
+/** @return the replica of a piece of evidence, "name@incarnation" or only the name. */
+std::string
+ReplicaOf(const std::string& aCrash)
+{
+  return aCrash.substr(0, aCrash.find('@'));
+}
+
 double
 ShareOf(const Coverage& aCoverage)
 {
@@ -275,7 +282,9 @@
   const SnapshotView* version = mView->Find(mSnapshot.snapshot);
   const std::vector<std::size_t>& holders = version->holders[aShard];
   std::set<std::string> avoided = mShards[aShard].tried;
-  avoided.insert(mCrashed.begin(), mCrashed.end());
+  for (const std::string& crash : mCrashed) {
+    avoided.insert(ReplicaOf(crash));
+  }
   if (mIsCanary) {
     return FirstInCanaryOrder(*mView, holders, avoided, mFingerprint);
   }
@@ -305,9 +314,15 @@
 std::size_t
 QueryRun::Exposure() const
 {
-  std::set<std::string> exposed = mCrashed;
-  exposed.insert(mSuspects.begin(), mSuspects.end());
-  return exposed.size();
+  return mCrashed.size() + mSuspects.size();
+}
+
+bool
+QueryRun::HasFallen(const std::string& aReplica) const
+{
+  return std::any_of(mCrashed.begin(), mCrashed.end(), [&aReplica](const std::string& aCrash) {
+    return ReplicaOf(aCrash) == aReplica;
+  });
 }
 
 upstream::PartRequest
@@ -469,7 +484,10 @@
 {
   mCrashed.insert(aAnswer.crashedReplicas.begin(), aAnswer.crashedReplicas.end());
   if (aAnswer.status == PartStatus::Crashed) {
-    mCrashed.insert(aAttempt.replica);
+    mSuspects.erase(aAttempt.replica);
+    if (!HasFallen(aAttempt.replica)) {
+      mCrashed.insert(aAttempt.replica);
+    }
   }
   if (!mCrashed.empty()) {
     mState->safeFingerprints.Remove(mFingerprint);
--- a/query/query_run.h
+++ b/query/query_run.h
@@ -73,6 +73,7 @@
   void RefreshView();
   bool IsGuarded() const;
   std::size_t Exposure() const;
+  bool HasFallen(const std::string& aReplica) const;
   upstream::PartRequest PartFor(std::uint32_t aShard, const ReplicaView& aReplica) const;
   core::TimePoint PartDeadline(const std::string& aOwner) const;
 
@@ -123,7 +124,7 @@
   bool mIsVersionFailing = false;
   bool mMayHaveRun = false;
   std::map<upstream::PartRefusal, std::uint32_t> mFailures;
-  /** Replicas that crashed while running this fingerprint. */
+  /** Processes that went away while they ran this fingerprint, as "name@incarnation". */
   std::set<std::string> mCrashed;
   /** Replicas that run it under guard now, or from which no answer came. */
   std::set<std::string> mSuspects;
--- a/query/tests/query_engine_test.cpp
+++ b/query/tests/query_engine_test.cpp
@@ -394,13 +394,13 @@
 {
   QueryFixture fixture;
   fixture.AddVersion(7, 5, 3);
-  fixture.knownCrashes = { "r0-0" };
+  fixture.knownCrashes = { "r0-0@a1" };
   fixture.behaviour = [](const PartRequest&) {
     return Failing(PartStatus::Crashed, PartRefusal::ConnectionLost);
   };
   BOOST_TEST((fixture.Ask().refusal == QueryRefusal::Quarantined));
   BOOST_TEST(fixture.sent.size() == 1U);
-  fixture.knownCrashes = { "r0-0", "r1-0" };
+  fixture.knownCrashes = { "r0-0@a1", "r1-0@a1" };
   BOOST_TEST((fixture.Ask("{\"q\":2}").refusal == QueryRefusal::Quarantined));
   BOOST_TEST(fixture.sent.size() == 1U);
 }
