Fit the screen page to the screen

Rendered at 1920x1080 with 27 services, the page overflowed in the cold-start and domain-out states, state shapes were not filled, and a conflict offered to force. Services take one tile of two lines, the text shrinks to 70 % at the least until everything shows, and hidden controls stay hidden.

--- a/console/screen_page.cpp
+++ b/console/screen_page.cpp
@@ -16,7 +16,8 @@
   --good: #58d68d; --busy: #ffd166; --bad: #ff7b72; --off: #9fb3c8; --focus: #7cc4ff;
 }
 * { box-sizing: border-box; }
-html { font-size: clamp(15px, 1.02vw, 44px); }
+html { font-size: calc(var(--fit, 1) * clamp(15px, 1.02vw, 44px)); }
+[hidden] { display: none !important; }
 body { margin: 0; background: var(--ground); color: var(--text); line-height: 1.3;
   font-family: system-ui, "DejaVu Sans", sans-serif; font-variant-numeric: tabular-nums; }
 h1, h2, h3, p, ul, ol { margin: 0; padding: 0; }
@@ -25,24 +26,24 @@
   margin: 0 0 .45rem; font-weight: 600; }
 svg.shape { width: 1em; height: 1em; vertical-align: -.12em; fill: none; stroke: currentColor;
   stroke-width: 3; flex: none; }
-svg.shape .solid { fill: currentColor; }
-header { display: flex; flex-wrap: wrap; gap: .5rem 2rem; align-items: center;
-  padding: .6rem 1.2rem; border-bottom: 2px solid var(--line); }
+.solid { fill: currentColor; }
+header { display: flex; flex-wrap: wrap; gap: .2rem 1.5rem; align-items: center;
+  padding: .4rem 1.2rem; border-bottom: 2px solid var(--line); }
 h1 { font-size: 1.9rem; }
-.fact { font-size: 1.45rem; display: flex; align-items: center; gap: .5rem; font-weight: 600; }
-.fact small { font-size: 1rem; color: var(--quiet); font-weight: 400; }
+.fact { font-size: 1.3rem; display: flex; align-items: center; gap: .5rem; font-weight: 600; }
+.fact small { font-size: 1.1rem; color: var(--quiet); font-weight: 400; }
 .good { color: var(--good); } .busy { color: var(--busy); } .bad { color: var(--bad); }
 .off { color: var(--off); }
 #alarms { display: grid; }
 #alarms p { padding: .5rem 1.2rem; font-size: 1.7rem; font-weight: 700; background: #4a1518;
   border-bottom: 2px solid var(--bad); }
 #alarms p.note { background: #3d3412; border-color: var(--busy); }
-main { padding: .8rem 1.2rem; display: grid; gap: 1rem; grid-template-columns: 1.75fr 1fr; }
+main { padding: .8rem 1.2rem; display: grid; gap: 1rem; grid-template-columns: minmax(0, 1.6fr) minmax(0, 1fr); }
 #domains-part { grid-column: 1 / -1; }
 #domains { display: grid; gap: .8rem; grid-template-columns: repeat(auto-fit, minmax(19rem, 1fr)); }
-.card { background: var(--panel); border: 2px solid var(--line); border-radius: .4rem;
-  padding: .7rem .9rem; }
-.card.out { border: .3rem dashed var(--busy); }
+.card { background: var(--panel); border: .3rem solid var(--line); border-radius: .4rem;
+  padding: .4rem .8rem; display: flex; flex-direction: column; }
+.card.out { border-style: dashed; border-color: var(--busy); }
 .card h3 { font-size: 1.8rem; display: flex; justify-content: space-between; gap: .6rem; }
 .card h3 .word { display: flex; align-items: center; gap: .35rem; }
 .card .why { font-size: 1.15rem; min-height: 1.5rem; color: var(--busy); }
@@ -51,28 +52,31 @@
 .counts span { display: inline-flex; align-items: center; gap: .35rem; white-space: nowrap; }
 .vms { display: flex; flex-wrap: wrap; gap: .1rem 1rem; font-size: 1.1rem; margin: .25rem 0; }
 .vms li { display: inline-flex; gap: .3rem; align-items: center; }
-.row { display: flex; justify-content: space-between; align-items: center; gap: 1rem; }
+.row { margin-top: auto; display: flex; justify-content: space-between; align-items: center; gap: 1rem; }
 button { font: inherit; font-size: 1.1rem; font-weight: 600; color: var(--text);
   background: #26435f; border: 2px solid #5d88b0; border-radius: .3rem; padding: .3rem .9rem; }
 button:hover { background: #315679; }
 button.small { font-size: .95rem; padding: .1rem .5rem; }
 :focus-visible { outline: .22rem solid var(--focus); outline-offset: .15rem; }
-#services { display: grid; gap: .45rem; grid-template-columns: repeat(auto-fill, minmax(15.5rem, 1fr)); }
-.service { background: var(--panel); border-left: .45rem solid var(--line); padding: .3rem .6rem; }
+#services h3 { font-size: 1.1rem; color: var(--quiet); margin: 0; padding: .15rem .5rem;
+  font-weight: 600; align-self: center; text-align: right; }
+#services h3.bad { color: var(--bad); }
+#services { display: grid; gap: .4rem; grid-template-columns: repeat(auto-fill, minmax(13.4rem, 1fr)); }
+.service { background: var(--panel); border-left: .4rem solid var(--line); padding: .15rem .5rem; }
 .service.whole { border-left-color: var(--good); }
-.service.ramping { border-left: .45rem double var(--busy); }
-.service.lacking { border: .25rem dashed var(--bad); }
-.service .name { font-size: 1.15rem; font-weight: 700; display: flex; justify-content: space-between;
-  gap: .5rem; }
-.service .name .in { color: var(--quiet); font-weight: 400; font-size: .95rem; overflow: hidden;
-  text-overflow: ellipsis; white-space: nowrap; }
-.service .shards { font-size: 1.15rem; font-weight: 600; }
-.service .replicas { display: flex; flex-wrap: wrap; gap: 0 .8rem; font-size: 1.1rem; }
-.service .replicas span { display: inline-flex; gap: .3rem; align-items: center; }
-.service .load { color: var(--quiet); font-size: .98rem; }
+.service.ramping { border-left: .4rem double var(--busy); }
+.service.lacking { border: .25rem dashed var(--bad); grid-column: span 2; }
+.service .name { font-size: 1.12rem; font-weight: 700; display: flex; justify-content: space-between;
+  gap: .5rem; white-space: nowrap; }
+.service.lacking .name { font-size: 1.4rem; }
+.service .replicas { display: flex; flex-wrap: wrap; gap: 0 .7rem; font-size: 1.02rem;
+  font-weight: 600; }
+.service .replicas span { display: inline-flex; gap: .25rem; align-items: center; }
+.service .load { color: var(--quiet); font-weight: 400; white-space: nowrap; }
+.service .gap { font-size: 1.12rem; font-weight: 600; }
 aside { display: grid; gap: 1rem; align-content: start; }
 table { border-collapse: collapse; width: 100%; font-size: 1.2rem; }
-th, td { text-align: right; padding: .12rem .5rem; border-bottom: 1px solid var(--line); }
+th, td { text-align: right; padding: .12rem .35rem; white-space: nowrap; border-bottom: 1px solid var(--line); }
 th:first-child, td:first-child { text-align: left; }
 thead th { color: var(--quiet); font-weight: 400; font-size: .98rem; }
 .burn { font-weight: 700; white-space: nowrap; }
@@ -130,15 +134,15 @@
     <div id="domains"></div>
   </section>
   <section aria-labelledby="h-services">
-    <h2 id="h-services">Services</h2>
+    <h2 id="h-services">Services · shards held · replicas · p99 · requests running/allowed + waiting</h2>
     <div id="services"></div>
   </section>
   <aside>
     <section aria-labelledby="h-burn">
-      <h2 id="h-burn">Service-level burn (1 spends exactly the budget)</h2>
+      <h2 id="h-burn">Service-level burn · 1 spends the budget</h2>
       <table>
-        <thead><tr><th scope="col">Profile</th><th scope="col">Queries/s</th><th scope="col">p99</th>
-          <th scope="col">Latency 5m · 1h</th><th scope="col">Coverage 5m · 1h</th></tr></thead>
+        <thead><tr><th scope="col">Profile</th><th scope="col">per s</th><th scope="col">p99</th>
+          <th scope="col">Late<br>5m · 1h</th><th scope="col">Incomplete<br>5m · 1h</th></tr></thead>
         <tbody id="burn"></tbody>
       </table>
     </section>
@@ -186,6 +190,9 @@
 <script>
 "use strict";
 const kQuietLimitMs = 25000;
+const kGrowIntervalMs = 10000;
+const kLeastFit = 0.7;
+const kFitStep = 0.05;
 const kReplicaStates = {
   warm: ["s-full", "good"], warming: ["s-half", "busy"], cold: ["s-empty", "busy"],
   unknown: ["s-ask", "busy"], draining: ["s-down", "off"], out: ["s-cross", "off"],
@@ -201,6 +208,8 @@
 let pending = null;
 let isLive = false;
 let stream = null;
+let shrunkAt = 0;
+let fit = 1;
 
 const byId = (id) => document.getElementById(id);
 
@@ -254,7 +263,7 @@
   setFact("force", whole ? "s-tick" : "s-half", whole ? "good" : "busy",
     `generation ${state.generation} in force at ${state.inForce} of ${state.members}`,
     whole ? "" : missingText());
-  const lacking = state.services.filter((s) => s.shardsHeld < s.shards || s.shards === 0);
+  const lacking = state.services.filter(lacksShards);
   setFact("coverage", lacking.length ? "s-warn" : "s-tick", lacking.length ? "bad" : "good",
     lacking.length ? `${lacking.length} of ${state.serviceCount} services lack shards`
       : `all ${state.serviceCount} services hold every shard`);
@@ -329,36 +338,49 @@
   }
 }
 
-function shardsLine(service) {
-  if (service.shards === 0) return make("p", "shards bad", shape("s-warn"), " no snapshot known");
-  if (service.shardsHeld >= service.shards) {
-    const noun = service.shards === 1 ? "shard" : "shards";
-    return make("p", "shards good", shape("s-tick"), ` ${service.shards} ${noun} held`);
-  }
-  const missing = service.missingShards.length ? " · missing " + service.missingShards.join(", ") : "";
-  return make("p", "shards bad", shape("s-warn"), ` ${service.shardsHeld} of ${service.shards} shards${missing}`);
+function lacksShards(service) {
+  return service.shards === 0 || service.shardsHeld < service.shards;
+}
+
+function shardsMark(service) {
+  const lacking = lacksShards(service);
+  const label = lacking ? "lacks shards" : "holds every shard";
+  return make("span", lacking ? "bad" : "good", shape(lacking ? "s-warn" : "s-tick", label),
+    ` ${service.shardsHeld}/${service.shards}`);
+}
+
+function gapLine(service) {
+  if (!lacksShards(service)) return "";
+  if (service.shards === 0) return make("p", "gap bad", "no snapshot known");
+  return make("p", "gap bad", "no replica for shard " + service.missingShards.join(", "));
 }
 
 function renderService(service) {
-  const lacking = service.shards === 0 || service.shardsHeld < service.shards;
   const ramping = service.replicas.some((r) => r.state !== "warm" && r.count > 0);
-  const box = make("article", "service " + (lacking ? "lacking" : ramping ? "ramping" : "whole"));
-  const p99 = service.p99Milliseconds > 0 ? `p99 ${Math.round(service.p99Milliseconds)} ms` : "no traffic";
-  const waiting = service.queued > 0 ? ` · ${service.queued} waiting` : "";
-  box.append(
-    make("p", "name", make("span", "", service.service), make("span", "in", service.index)),
-    shardsLine(service),
-    make("p", "replicas", ...service.replicas.filter((r) => r.count > 0)
-      .map((r) => stateMark(kReplicaStates, r.state, `${r.count} ${r.state}`))),
-    make("p", "load", `${p99} · load ${service.inFlight}/${service.allowance}${waiting}`));
-  return box;
+  const kind = lacksShards(service) ? "lacking" : ramping ? "ramping" : "whole";
+  const p99 = service.p99Milliseconds > 0 ? `${Math.round(service.p99Milliseconds)} ms` : "no traffic";
+  const waiting = service.queued > 0 ? ` +${service.queued}` : "";
+  const replicas = service.replicas.filter((r) => r.count > 0)
+    .map((r) => stateMark(kReplicaStates, r.state, `${r.count} ${r.state}`));
+  return make("article", "service " + kind,
+    make("p", "name", service.service, shardsMark(service)), gapLine(service),
+    make("p", "replicas", ...replicas,
+      make("span", "load", `${p99} · ${service.inFlight}/${service.allowance}${waiting}`)));
 }
 
 function renderServices() {
-  const boxes = state.services.map(renderService);
+  const groups = new Map();
+  for (const service of state.services) {
+    const title = lacksShards(service) ? "Lacking shards" : service.index;
+    groups.set(title, (groups.get(title) || []).concat(renderService(service)));
+  }
+  const parts = [];
+  for (const [title, boxes] of groups) {
+    parts.push(make("h3", title === "Lacking shards" ? "bad" : "", title), ...boxes);
+  }
   const more = (state.serviceCount || 0) - state.services.length;
-  if (more > 0) boxes.push(make("p", "off", `and ${more} more services, all whole or listed by "status"`));
-  byId("services").replaceChildren(...boxes);
+  if (more > 0) parts.push(make("p", "off", `and ${more} more services`));
+  byId("services").replaceChildren(...parts);
 }
 
 function burnCell(short, long) {
@@ -383,7 +405,7 @@
     make("p", "", make("span", "who", record.author), ` made generation ${record.generation} `,
       make("span", "when", clock(record.writtenAt))),
     ...record.changes.slice(0, 4).map((line) => make("p", "", line)),
-    make("p", "reason", record.reason ? "Reason: " + record.reason : ""))));
+    record.reason ? make("p", "reason", "Reason: " + record.reason) : "")));
 }
 
 function renderQuarantine() {
@@ -415,6 +437,21 @@
   change = null;
 }
 
+function setFit(value) {
+  fit = value;
+  document.documentElement.style.setProperty("--fit", String(value));
+}
+
+// A shared screen has nobody to scroll it, so the text shrinks a little until all of it shows.
+function fitScreen() {
+  const overflows = () => document.documentElement.scrollHeight > window.innerHeight;
+  if (Date.now() - shrunkAt > kGrowIntervalMs) setFit(1);
+  while (overflows() && fit > kLeastFit && window.innerWidth > 900) {
+    setFit(fit - kFitStep);
+    shrunkAt = Date.now();
+  }
+}
+
 function take(patch) {
   Object.assign(state, patch);
   state.heardAt = Date.now();
@@ -424,6 +461,7 @@
   followPending();
   renderHeader();
   renderAlarms();
+  fitScreen();
 }
 
 function headers() {
@@ -583,6 +621,7 @@
 });
 byId("change-form").addEventListener("submit", submitChange);
 byId("change-cancel").addEventListener("click", () => byId("change-dialog").close());
+window.addEventListener("resize", () => { shrunkAt = 0; fitScreen(); });
 setLive(false);
 follow();
 </script>
