--- /dev/null
+++ b/daemon/upstream_wiring.cpp
@@ -0,0 +1,157 @@
+#include "daemon/daemon_parts.h"
+
+#include "daemon/owned_replicas.h"
+#include "membership/ownership.h"
+#include "upstream/upstream_messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace skylarkwing::daemon {
+
+namespace {
+
+constexpr const char* kCrashKind = "crash-evidence";
+/** How often replicas that were given up are looked at until nothing of them is left. */
+constexpr core::Duration kReleasePoll = std::chrono::milliseconds{ 5 };
+
+/** Crash evidence as it travels between daemons. */
+struct EvidenceMessage
+{
+  std::uint64_t fingerprint = 0;
+  int kind = 0;
+  std::string replica;
+  std::string incarnation;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvidenceMessage, fingerprint, kind, replica, incarnation)
+
+void
+RefuseAsNotOwner(const upstream::PartRequest& aPart, const upstream::PartCallback& aCallback)
+{
+  upstream::PartAnswer answer;
+  answer.partId = aPart.partId;
+  answer.status = upstream::PartStatus::NotRun;
+  answer.refusal = upstream::PartRefusal::NotOwner;
+  answer.snapshot = aPart.snapshot;
+  answer.shard = aPart.shard;
+  aCallback(std::move(answer));
+}
+
+} // namespace
+
+void
+Daemon::Parts::WireUpstream()
+{
+  upstream::DispatcherHooks hooks;
+  WirePermits(hooks);
+  hooks.broadcastCrash = [this](const upstream::CrashEvidence& aEvidence) {
+    const EvidenceMessage message{ aEvidence.fingerprint,
+                                   static_cast<int>(aEvidence.kind),
+                                   aEvidence.replica,
+                                   aEvidence.incarnation };
+    for (const std::string& vm : membership->Peers()) {
+      bus->Send(vm, kCrashKind, message);
+    }
+  };
+  dispatcher = std::make_unique<upstream::PartDispatcher>(
+    loop.get_executor(), timers, random, metrics, std::move(hooks));
+  dispatcher->OnFactChange([this](const upstream::ReplicaFact& aFact) {
+    upstream::ReplicaFact fact = aFact;
+    fact.owner = settings.vm;
+    views.Update(std::move(fact));
+  });
+  bus->OnMessage(kCrashKind, [this](const net::PeerMessageOrigin&, const nlohmann::json& aBody) {
+    const auto message = aBody.get<EvidenceMessage>();
+    upstream::CrashEvidence evidence;
+    evidence.fingerprint = message.fingerprint;
+    evidence.kind = static_cast<upstream::EvidenceKind>(message.kind);
+    evidence.replica = message.replica;
+    evidence.incarnation = message.incarnation;
+    dispatcher->Merge(evidence);
+  });
+
+  membership::HandoverHooks handoverHooks;
+  handoverHooks.onAcquire = [this](const std::string& aReplica) {
+    held.insert(aReplica);
+    releasing.erase(aReplica);
+    RefreshHeld();
+  };
+  handoverHooks.onRelease = [this](const std::string& aReplica) {
+    held.erase(aReplica);
+    RefreshHeld();
+    const bool isFirst = releasing.empty();
+    releasing.insert(aReplica);
+    if (isFirst) {
+      timers.Schedule(kReleasePoll, [this] { ReportReleased(); });
+    }
+  };
+  handover = std::make_unique<membership::Handover>(
+    timers, random, metrics, *membership, std::move(handoverHooks));
+
+  upstream::PartRouterHooks routerHooks;
+  routerHooks.ownerOf = [this](const std::string& aReplica) { return views.OwnerOf(aReplica); };
+  routerHooks.dispatch = [this](upstream::PartRequest aPart, upstream::PartCallback aCallback) {
+    if (!handover->MayUse(aPart.replica)) {
+      RefuseAsNotOwner(aPart, aCallback);
+      return;
+    }
+    dispatcher->Dispatch(std::move(aPart), std::move(aCallback));
+  };
+  routerHooks.cancel = [this](const std::string& aPartId) { dispatcher->Cancel(aPartId); };
+  router = std::make_unique<upstream::PartRouter>(
+    timers, metrics, *bus, settings.vm, std::move(routerHooks));
+}
+
+void
+Daemon::Parts::RefreshOwnership()
+{
+  const auto configuration = keeper.InForce();
+  if (!configuration || !handover) {
+    return;
+  }
+  handover->Assign(membership::OwnersOf(configuration->declaration, membership->Owners()));
+  RefreshHeld();
+}
+
+void
+Daemon::Parts::RefreshHeld()
+{
+  const auto configuration = keeper.InForce();
+  const auto isHeld = [this](const std::string& aReplica) { return held.contains(aReplica); };
+  dispatcher->SetOwned(ListOwnedReplicas(configuration->declaration, isHeld));
+}
+
+void
+Daemon::Parts::ReportReleased()
+{
+  std::vector<std::string> done;
+  for (const std::string& replica : releasing) {
+    if (!dispatcher->IsReleasing(replica)) {
+      done.push_back(replica);
+    }
+  }
+  for (const std::string& replica : done) {
+    releasing.erase(replica);
+    handover->Released(replica);
+  }
+  if (!releasing.empty()) {
+    timers.Schedule(kReleasePoll, [this] { ReportReleased(); });
+  }
+}
+
+std::vector<nlohmann::json>
+Daemon::Parts::OwnFacts()
+{
+  std::vector<nlohmann::json> facts;
+  for (upstream::ReplicaFact& fact : dispatcher->Facts()) {
+    fact.owner = settings.vm;
+    facts.emplace_back(fact);
+    views.Update(std::move(fact));
+  }
+  return facts;
+}
+
+} // namespace skylarkwing::daemon
