--- a/core/text_rules.cpp
+++ b/core/text_rules.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kLongestName = 64;
 constexpr std::size_t kLongestTitle = 128;
-constexpr std::size_t kLongestRemark = 500;
+constexpr std::size_t kLongestRemark = 1024;
 
 bool
 IsAsciiAlphanumeric(char aCharacter)
@@ -65,7 +65,7 @@
 const TextRule&
 RemarkRule()
 {
-  static const TextRule kRule{ "a text of at most 500 bytes", IsRemark };
+  static const TextRule kRule{ "a text of at most 1024 bytes", IsRemark };
   return kRule;
 }
 
