Mend what the failure tests of the membership showed

Under virtual time with lost messages, cuts, pauses, restarts and lists that differ, these came up and are mended: - two new daemons that had each heard 'free' from the other held one replica: of two that ask each other one wins by a fixed order, and who declares a replica free names whom it told before; - a newcomer held settled members for new: a process's heartbeat count tells its age everywhere; - a daemon behind a cut in one direction gave a live member up: any later heartbeat count ends a silence; - a probe ended the watch over its sender, and a cut-off daemon then held everyone for alive; - heartbeats that had waited through a pause counted as fresh: their age is taken off; - a restarted daemon was not introduced to for five seconds; - a returning daemon counted one return several times.

--- a/membership/handover.cpp
+++ b/membership/handover.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/name_table.h"
+#include "membership/hash.h"
 
 #include <utility>
 
@@ -22,6 +23,14 @@
 /** Longer than any request runs; an owner that still holds on then has lost the replica. */
 constexpr seconds kLongestWait{ 10 };
 
+/** @return whether the first VM goes before the second when both want a replica. */
+bool
+IsBefore(const std::string& aReplica, const std::string& aFirst, const std::string& aSecond)
+{
+  const std::uint64_t replica = HashOf(aReplica);
+  return CombineHashes(replica, HashOf(aFirst)) < CombineHashes(replica, HashOf(aSecond));
+}
+
 std::vector<std::string>
 TextsIn(const nlohmann::json& aBody, const char* aKey)
 {
@@ -189,13 +198,15 @@
   if (mMembership.IsRelearning()) {
     return;
   }
+  const std::string& self = mMembership.Self().vm;
   std::map<std::string, std::vector<std::string>> questions;
   std::vector<std::string> free;
   for (auto& [replica, state] : mReplicas) {
     if (state.holding != Holding::Waiting) {
       continue;
     }
-    std::erase_if(state.askedFrom, [this](const std::string& aVm) { return !IsThere(aVm); });
+    std::erase_if(state.askedFrom,
+                  [&](const std::string& aVm) { return aVm == self || !IsThere(aVm); });
     const bool isOverdue = mTimers.Now() - state.since >= core::Duration(kLongestWait);
     if (isOverdue && !state.askedFrom.empty()) {
       mOverdue.Increment();
@@ -228,21 +239,52 @@
 Handover::HearRequest(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
 {
   auto free = nlohmann::json::array();
+  auto others = nlohmann::json::object();
   for (const auto& replica : TextsIn(aBody, "replicas")) {
-    const auto it = mReplicas.find(replica);
-    if (it == mReplicas.end() || it->second.holding == Holding::Waiting) {
-      free.push_back(replica);
+    if (!IsFreeFor(replica, aOrigin.vm)) {
+      continue;
+    }
+    free.push_back(replica);
+    std::string& freedTo = mFreedTo[replica];
+    if (freedTo != aOrigin.vm && IsThere(freedTo)) {
+      others[replica] = freedTo;
     }
+    freedTo = aOrigin.vm;
   }
   if (!free.empty()) {
-    mMembership.Send(aOrigin.vm, kAnswerKind, { { "free", std::move(free) } });
+    const nlohmann::json body{ { "free", std::move(free) }, { "others", std::move(others) } };
+    mMembership.Send(aOrigin.vm, kAnswerKind, body);
   }
 }
 
+bool
+Handover::IsFreeFor(const std::string& aReplica, const std::string& aAsker)
+{
+  const auto it = mReplicas.find(aReplica);
+  if (it == mReplicas.end()) {
+    return true;
+  }
+  const std::string& self = mMembership.Self().vm;
+  if (it->second.holding != Holding::Waiting || IsBefore(aReplica, self, aAsker)) {
+    return false;
+  }
+  // What the asker said before no longer holds: it wants the replica now.
+  it->second.askedFrom.insert(aAsker);
+  return true;
+}
+
 void
 Handover::HearAnswer(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
 {
-  for (const auto& replica : TextsIn(aBody, "free")) {
+  const auto free = TextsIn(aBody, "free");
+  const auto others = aBody.is_object() ? aBody.find("others") : aBody.end();
+  for (const auto& replica : free) {
+    const auto it = mReplicas.find(replica);
+    const bool isOther = others != aBody.end() && others->is_object() &&
+                         others->contains(replica) && (*others)[replica].is_string();
+    if (it != mReplicas.end() && isOther) {
+      it->second.askedFrom.insert((*others)[replica].get<std::string>());
+    }
     HearFree(aOrigin.vm, replica);
   }
 }
--- a/membership/handover.h
+++ b/membership/handover.h
@@ -43,7 +43,9 @@
  * Passes replicas from owner to owner, so that no two daemons hold connections to one replica.
  *
  * A new owner asks whoever may hold the replica and begins once each of them has released it or is
- * gone. Not thread-safe: one instance belongs to one event loop.
+ * gone. Of two that ask each other, because their member lists differ, the one that comes first in
+ * a fixed order wins; and whoever declares a replica free tells to whom it did so before. Not
+ * thread-safe: one instance belongs to one event loop.
  */
 class Handover
 {
@@ -90,6 +92,7 @@
   void HearRequest(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
   void HearAnswer(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
   void HearFree(const std::string& aVm, const std::string& aReplica);
+  bool IsFreeFor(const std::string& aReplica, const std::string& aAsker);
   bool IsThere(const std::string& aVm) const;
 
   core::TimerService& mTimers;
@@ -98,6 +101,8 @@
   PeriodicTimer mTimer;
   OwnerMap mOwners;
   std::map<std::string, Replica> mReplicas;
+  /** The VM that each replica was last declared free to. */
+  std::map<std::string, std::string> mFreedTo;
   prometheus::Counter& mAcquired;
   prometheus::Counter& mReleased;
   prometheus::Counter& mOverdue;
--- a/membership/isolation.cpp
+++ b/membership/isolation.cpp
@@ -23,6 +23,9 @@
  */
 constexpr milliseconds kMajorityAgreement{ 1500 };
 
+/** A heartbeat that arrived within this time shows that its sender is heard. */
+constexpr milliseconds kFreshness{ 1000 };
+
 } // namespace
 
 std::string_view
@@ -70,7 +73,8 @@
     return;
   }
   mChanges.Increment();
-  const bool isCutOff = contact == Contact::Minority || contact == Contact::Nobody;
+  const bool wasReached = mContact == Contact::Store || mContact == Contact::Peers;
+  const bool isCutOff = wasReached && (contact == Contact::Minority || contact == Contact::Nobody);
   core::LogChange(
     isCutOff ? core::LogLevel::Error : core::LogLevel::Info,
     "membership",
@@ -84,12 +88,19 @@
 {
   const MemberTable& table = mMembership.Table();
   std::size_t agreeing = 1;
+  std::size_t heard = 1;
   for (const auto& [vm, entry] : table.Entries()) {
+    const bool isFresh =
+      entry.heardDirectly && mTimers.Now() - *entry.heardDirectly < core::Duration(kFreshness);
+    heard += isFresh ? 1 : 0;
     const MemberState state = entry.member.state;
     const bool isHeard = state == MemberState::Alive || state == MemberState::Leaving;
     agreeing += isHeard && entry.member.generation <= table.Self().generation ? 1 : 0;
   }
-  return 2 * agreeing > table.KnownCount();
+  // In a fleet most members are known by hearsay only, and hearsay says nothing when it stops; the
+  // heartbeats that come here are the sample that shows it.
+  const std::size_t sample = std::min(table.KnownCount(), kMonitors + 1);
+  return 2 * agreeing > table.KnownCount() && 2 * heard > sample;
 }
 
 bool
--- a/membership/member_table.cpp
+++ b/membership/member_table.cpp
@@ -63,37 +63,31 @@
 }
 
 ReportOutcome
-MemberTable::HearHeartbeat(const Member& aMember, bool aWatched)
+MemberTable::HearHeartbeat(const Member& aMember, std::optional<bool> aWatched, core::Duration aAge)
 {
   auto it = mEntries.find(aMember.vm);
-  if (it == mEntries.end()) {
-    MemberEntry& entry = Insert(aMember);
-    entry.heardDirectly = mTimers.Now();
-    entry.isWatched = aWatched;
-    EndOthersAt(aMember);
-    return ReportOutcome::Changed;
-  }
-  MemberEntry& entry = it->second;
-  const Order order = OrderOf(aMember, entry.member);
+  const bool isNew = it == mEntries.end();
+  const Order order = isNew ? Order::Newer : OrderOf(aMember, it->second.member);
   if (order == Order::Older) {
     return ReportOutcome::Outdated;
   }
-  entry.heardDirectly = mTimers.Now();
-  entry.isWatched = aWatched;
-  entry.toleratedSilence = mLimits.suspectAfter;
+  MemberEntry& entry = mEntries[aMember.vm];
   if (order == Order::Newer) {
     Replace(entry, aMember);
-    entry.heardDirectly = mTimers.Now();
-    entry.isWatched = aWatched;
+    NoteHeartbeat(entry, aWatched, aAge);
     EndOthersAt(aMember);
     return ReportOutcome::Changed;
   }
+  NoteHeartbeat(entry, aWatched, aAge);
   if (aMember.state == MemberState::Leaving) {
     TakeVitals(entry, aMember);
-    entry.isDeparted = false;
-    const bool isNew = entry.member.state != MemberState::Leaving;
+    const bool isNews = entry.member.state != MemberState::Leaving;
     SetState(entry, MemberState::Leaving);
-    return isNew ? ReportOutcome::Changed : ReportOutcome::Known;
+    return isNews ? ReportOutcome::Changed : ReportOutcome::Known;
+  }
+  // A heartbeat that waited proves no more than a report does.
+  if (aAge >= mLimits.suspectAfter) {
+    return HearReport(aMember);
   }
   // A heartbeat that was overtaken by newer news of the same life still proves that life.
   return TakeLife(entry, aMember);
@@ -162,9 +156,7 @@
 MemberTable::ExcuseSilences()
 {
   for (auto& [vm, entry] : mEntries) {
-    if (entry.heardDirectly) {
-      entry.heardDirectly = mTimers.Now();
-    }
+    entry.seenToRun = mTimers.Now();
     if (entry.member.state == MemberState::Suspect) {
       entry.suspectSince = mTimers.Now();
     }
@@ -174,6 +166,11 @@
 void
 MemberTable::ReturnSelf()
 {
+  // Its peers tell one after another, and nobody goes twice within the time that going takes.
+  const core::Duration sinceReturn = mTimers.Now() - mSelf.aliveSince;
+  if (sinceReturn < mLimits.suspectAfter + mLimits.goneAfter) {
+    return;
+  }
   Revive(mSelf);
 }
 
@@ -282,7 +279,11 @@
   aEntry.isInVmList = isInVmList;
   aEntry.toleratedSilence = mLimits.suspectAfter;
   aEntry.aliveSince = mTimers.Now();
-  aEntry.settledAt = aEntry.aliveSince + mLimits.newSettling;
+  // All daemons agree on how long a process has run, whenever they came to hear of it.
+  const core::Duration ran = mLimits.heartbeatPeriod * aMember.beat;
+  aEntry.settledAt =
+    aEntry.aliveSince + std::max(mLimits.newSettling - ran, core::Duration::zero());
+  aEntry.seenToRun = mTimers.Now();
   aEntry.suspectSince = mTimers.Now();
   aEntry.goneSince = mTimers.Now();
   // A process that restarts again and again flaps like one whose network does.
@@ -326,6 +327,7 @@
   if (aState == MemberState::Gone) {
     aEntry.goneSince = mTimers.Now();
     aEntry.isDeparted = before == MemberState::Leaving;
+    aEntry.isWatched = false;
   }
   if (aState == MemberState::Alive) {
     aEntry.isForgotten = false;
@@ -343,6 +345,9 @@
   if (aMember.beat < aEntry.member.beat) {
     return;
   }
+  if (aMember.beat > aEntry.member.beat) {
+    aEntry.seenToRun = mTimers.Now();
+  }
   aEntry.member.beat = aMember.beat;
   aEntry.member.generation = std::max(aEntry.member.generation, aMember.generation);
   aEntry.member.load = aMember.load;
@@ -389,6 +394,18 @@
   return aEntry.heardDirectly && mTimers.Now() - *aEntry.heardDirectly < mLimits.suspectAfter;
 }
 
+void
+MemberTable::NoteHeartbeat(MemberEntry& aEntry, std::optional<bool> aWatched, core::Duration aAge)
+{
+  const core::TimePoint sent = mTimers.Now() - aAge;
+  aEntry.heardDirectly = std::max(aEntry.heardDirectly.value_or(sent), sent);
+  aEntry.isWatched = aWatched.value_or(aEntry.isWatched);
+  if (aAge < mLimits.suspectAfter) {
+    aEntry.seenToRun = mTimers.Now();
+    aEntry.toleratedSilence = mLimits.suspectAfter;
+  }
+}
+
 void
 MemberTable::JudgeSilence(MemberEntry& aEntry)
 {
@@ -398,20 +415,26 @@
     SetState(aEntry, MemberState::Gone);
     return;
   }
-  if (!aEntry.isWatched || !aEntry.heardDirectly) {
-    return;
-  }
-  const core::Duration silence = now - *aEntry.heardDirectly;
-  if (state == MemberState::Alive && silence >= aEntry.toleratedSilence) {
+  const core::Duration silence = now - aEntry.seenToRun;
+  const core::Duration tolerance = ToleranceFor(aEntry);
+  if (state == MemberState::Alive && silence >= tolerance) {
     SetState(aEntry, MemberState::Suspect);
     return;
   }
-  const bool isLeftSilent = silence >= mLimits.suspectAfter + mLimits.goneAfter;
-  if (state == MemberState::Leaving && isLeftSilent) {
+  if (state == MemberState::Leaving && silence >= tolerance + mLimits.goneAfter) {
     SetState(aEntry, MemberState::Gone);
   }
 }
 
+core::Duration
+MemberTable::ToleranceFor(const MemberEntry& aEntry) const
+{
+  if (aEntry.isWatched) {
+    return aEntry.toleratedSilence;
+  }
+  return mLimits.unwatchedSilence + mLimits.unwatchedSilencePerMember * mEntries.size();
+}
+
 void
 MemberTable::EndOthersAt(const Member& aMember)
 {
--- a/membership/member_table.h
+++ b/membership/member_table.h
@@ -22,8 +22,10 @@
   core::Duration suspectAfter = std::chrono::milliseconds{ 1000 };
   /** Time from suspect to gone, in which it or whoever hears it can object. */
   core::Duration goneAfter = std::chrono::milliseconds{ 500 };
-  /** How long a new member is alive before it may own replicas. */
+  /** How long a new process runs before it may own replicas. */
   core::Duration newSettling = std::chrono::milliseconds{ 1000 };
+  /** Time between a process's heartbeats, by which their count tells how long it has run. */
+  core::Duration heartbeatPeriod = std::chrono::milliseconds{ 250 };
   /** The same for one that was gone and came back; doubles with every return. */
   core::Duration returnSettling = std::chrono::milliseconds{ 2000 };
   core::Duration longestSettling = std::chrono::minutes{ 2 };
@@ -31,6 +33,12 @@
   core::Duration flapMemory = std::chrono::minutes{ 10 };
   /** How long a gone member is remembered, so that an older incarnation cannot come back. */
   core::Duration goneMemory = std::chrono::hours{ 2 };
+  /**
+   * Time without any sign of life after which a member is suspect although its heartbeats go to
+   * others: so much, and so much more for each member, because signs of each come more seldom.
+   */
+  core::Duration unwatchedSilence = std::chrono::milliseconds{ 3000 };
+  core::Duration unwatchedSilencePerMember = std::chrono::milliseconds{ 100 };
   /** Longest silence that a member may have after its suspicion was refuted again and again. */
   core::Duration longestSilence = std::chrono::seconds{ 8 };
 };
@@ -56,6 +64,8 @@
   Member member;
   /** When a heartbeat of it arrived here, or nothing when none did. */
   std::optional<core::TimePoint> heardDirectly;
+  /** When anything showed that it still ran, by a higher heartbeat count. */
+  core::TimePoint seenToRun;
   /** Whether its heartbeats are meant to come here, so that their absence tells something. */
   bool isWatched = false;
   /** Silence that is taken for now before it is suspect. */
@@ -110,9 +120,12 @@
    * Takes a heartbeat that arrived from the member itself.
    *
    * @param aMember what it says of itself.
-   * @param aWatched whether this daemon is to watch it from now on.
+   * @param aWatched whether this daemon is to watch it from now on, nothing for no change.
+   * @param aAge how long it waited on its way: it proves nothing of the time since.
    */
-  ReportOutcome HearHeartbeat(const Member& aMember, bool aWatched);
+  ReportOutcome HearHeartbeat(const Member& aMember,
+                              std::optional<bool> aWatched,
+                              core::Duration aAge = {});
 
   /** Takes another daemon's report about a member other than self. */
   ReportOutcome HearReport(const Member& aMember);
@@ -162,7 +175,9 @@
   void TakeVitals(MemberEntry& aEntry, const Member& aMember);
   ReportOutcome TakeDoubt(MemberEntry& aEntry, const Member& aMember);
   ReportOutcome TakeLife(MemberEntry& aEntry, const Member& aMember);
+  core::Duration ToleranceFor(const MemberEntry& aEntry) const;
   bool WasHeardLately(const MemberEntry& aEntry) const;
+  void NoteHeartbeat(MemberEntry& aEntry, std::optional<bool> aWatched, core::Duration aAge);
   void JudgeSilence(MemberEntry& aEntry);
   void EndOthersAt(const Member& aMember);
 
--- a/membership/membership_service.cpp
+++ b/membership/membership_service.cpp
@@ -186,7 +186,7 @@
   RunHeartbeat();
   if (!mRing.IsFullMesh()) {
     for (const auto& vm : RandomPeers(kNewsReceivers)) {
-      SendHeartbeat(vm, false);
+      SendHeartbeat(vm, std::nullopt);
     }
   }
 }
@@ -334,20 +334,19 @@
     mBus.Connect(silent[i]->vm, silent[i]->peerAddress);
     // The member may have lost everything about this daemon meanwhile.
     mHeartbeatsSent.erase(silent[i]->vm);
-    SendHeartbeat(silent[i]->vm, false);
+    SendHeartbeat(silent[i]->vm, std::nullopt);
   }
 }
 
 void
-MembershipService::SendHeartbeat(const std::string& aVm, bool aWatched)
+MembershipService::SendHeartbeat(const std::string& aVm, std::optional<bool> aWatched)
 {
   const Member& self = mTable.Self();
   Heartbeat heartbeat;
   heartbeat.vitals = VitalsOf(self);
   heartbeat.state = self.state;
   heartbeat.isWatched = aWatched;
-  const std::uint32_t n = mHeartbeatsSent[aVm]++;
-  if (n < kFirstIntroductions || n % kIntroductionInterval == 0) {
+  if (NeedsIntroduction(aVm)) {
     heartbeat.introduction = self;
   }
   if (!mRing.IsFullMesh()) {
@@ -356,6 +355,19 @@
   Send(aVm, kHeartbeatKind, HeartbeatToJson(heartbeat));
 }
 
+bool
+MembershipService::NeedsIntroduction(const std::string& aVm)
+{
+  const MemberEntry* entry = mTable.Find(aVm);
+  const std::string incarnation = entry != nullptr ? entry->member.incarnation : std::string();
+  HeartbeatCount& count = mHeartbeatsSent[aVm];
+  if (count.incarnation != incarnation) {
+    count = { incarnation, 0 };
+  }
+  const std::uint32_t n = count.sent++;
+  return n < kFirstIntroductions || n % kIntroductionInterval == 0;
+}
+
 std::vector<Vitals>
 MembershipService::SampleOthers()
 {
@@ -434,7 +446,7 @@
   Member member = heartbeat->introduction ? *heartbeat->introduction : known->member;
   ApplyVitals(heartbeat->vitals, member);
   member.state = heartbeat->state;
-  const ReportOutcome outcome = mTable.HearHeartbeat(member, heartbeat->isWatched);
+  const ReportOutcome outcome = mTable.HearHeartbeat(member, heartbeat->isWatched, aOrigin.age);
   if (outcome == ReportOutcome::Outdated) {
     const MembersReport report{ ReportReason::Correction, { mTable.Find(aOrigin.vm)->member } };
     Send(aOrigin.vm, kMembersKind, MembersReportToJson(report));
@@ -654,6 +666,10 @@
   } else {
     mBus.Connect(aMember.vm, aMember.peerAddress);
   }
+  if (aMember.state == MemberState::Alive && mRing.IsFullMesh() && mIsStarted) {
+    // In a full mesh facts are sent once, and this member may have missed some.
+    SendComparison(aMember.vm, false);
+  }
   if (aMember.state == MemberState::Suspect) {
     mSuspicions->Increment();
   }
--- a/membership/membership_service.h
+++ b/membership/membership_service.h
@@ -144,14 +144,22 @@
   bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody);
 
 private:
+  /** Heartbeats sent to one process of a VM; another process there knows nothing of them. */
+  struct HeartbeatCount
+  {
+    std::string incarnation;
+    std::uint32_t sent = 0;
+  };
+
   void SetUpMetrics();
   void SetUpHandlers();
   void RunHeartbeat();
   void RunJudgement(core::Duration aLateness);
   void RunComparison();
   void RunProbes();
-  void SendHeartbeat(const std::string& aVm, bool aWatched);
+  void SendHeartbeat(const std::string& aVm, std::optional<bool> aWatched);
   void StopWatchers(const std::vector<std::string>& aBefore);
+  bool NeedsIntroduction(const std::string& aVm);
   std::vector<Vitals> SampleOthers();
   void SendNews();
   void ScheduleNews();
@@ -199,7 +207,7 @@
   PeriodicTimer mVmListTimer;
   core::Duration mComparisonPeriod{};
   std::size_t mNewByComparison = 0;
-  std::map<std::string, std::uint32_t> mHeartbeatsSent;
+  std::map<std::string, HeartbeatCount> mHeartbeatsSent;
   std::vector<MemberListener> mListeners;
   std::vector<OwnersListener> mOwnersListeners;
   std::vector<JudgedListener> mJudgedListeners;
--- a/membership/messages.cpp
+++ b/membership/messages.cpp
@@ -151,8 +151,10 @@
 HeartbeatToJson(const Heartbeat& aHeartbeat)
 {
   nlohmann::json json{ { "v", VitalsToJson(aHeartbeat.vitals) },
-                       { "s", static_cast<std::uint64_t>(aHeartbeat.state) },
-                       { "w", aHeartbeat.isWatched } };
+                       { "s", static_cast<std::uint64_t>(aHeartbeat.state) } };
+  if (aHeartbeat.isWatched) {
+    json["w"] = *aHeartbeat.isWatched;
+  }
   if (aHeartbeat.introduction) {
     json["i"] = MemberToJson(*aHeartbeat.introduction);
   }
@@ -165,20 +167,22 @@
 std::optional<Heartbeat>
 HeartbeatFromJson(const nlohmann::json& aJson)
 {
-  if (!aJson.is_object() || !aJson.contains("v") || !aJson.contains("w")) {
+  if (!aJson.is_object() || !aJson.contains("v")) {
     return std::nullopt;
   }
   const auto vitals = VitalsFromJson(aJson["v"]);
   const auto state = ReadNumber(aJson, "s");
   const bool isSender = state == static_cast<std::uint64_t>(MemberState::Alive) ||
                         state == static_cast<std::uint64_t>(MemberState::Leaving);
-  if (!vitals || !isSender || !aJson["w"].is_boolean()) {
+  if (!vitals || !isSender) {
     return std::nullopt;
   }
   Heartbeat heartbeat;
   heartbeat.vitals = *vitals;
   heartbeat.state = static_cast<MemberState>(*state);
-  heartbeat.isWatched = aJson["w"].get<bool>();
+  if (aJson.contains("w") && aJson["w"].is_boolean()) {
+    heartbeat.isWatched = aJson["w"].get<bool>();
+  }
   if (aJson.contains("i")) {
     heartbeat.introduction = MemberFromJson(aJson["i"]);
   }
--- a/membership/messages.h
+++ b/membership/messages.h
@@ -42,8 +42,8 @@
 {
   Vitals vitals;
   MemberState state = MemberState::Alive;
-  /** The receiver is to watch the sender from now on. */
-  bool isWatched = false;
+  /** Whether the receiver is to watch the sender from now on; a probe changes nothing. */
+  std::optional<bool> isWatched;
   /** The whole sender, for a receiver that may not know it yet. */
   std::optional<Member> introduction;
   /** What the sender knows of a few others. */
--- a/membership/tests/fake_network.cpp
+++ b/membership/tests/fake_network.cpp
@@ -34,22 +34,25 @@
   if ((isCut && isCut(aFrom.mVm, aVm)) || mRandom.Fraction() < loss) {
     return true;
   }
-  const net::PeerMessageOrigin origin{ aFrom.mVm, aFrom.mIncarnation };
-  mTimers.Schedule(delay, [this, origin, aAddress, kind, encoded, size] {
+  const net::PeerMessageOrigin origin{ aFrom.mVm, aFrom.mIncarnation, {} };
+  const core::TimePoint due = mTimers.Now() + delay;
+  mTimers.Schedule(delay, [this, origin, due, aAddress, kind, encoded, size] {
     const auto it = mBuses.find(aAddress);
     if (it == mBuses.end()) {
       return;
     }
     FakeBus* bus = it->second;
     bus->receivedBytes += size;
-    bus->mProcess.Run([this, aAddress, bus, origin, kind, encoded] {
+    bus->mProcess.Run([this, aAddress, bus, origin, due, kind, encoded] {
       const auto present = mBuses.find(aAddress);
       if (present == mBuses.end() || present->second != bus) {
         return;
       }
       const auto handler = bus->mHandlers.find(kind);
       if (handler != bus->mHandlers.end()) {
-        handler->second(origin, nlohmann::json::from_msgpack(encoded));
+        net::PeerMessageOrigin late = origin;
+        late.age = mTimers.Now() - due;
+        handler->second(late, nlohmann::json::from_msgpack(encoded));
       }
     });
   });
--- /dev/null
+++ b/membership/tests/isolation_test.cpp
@@ -0,0 +1,106 @@
+#include "membership/tests/fake_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace skylarkwing::membership::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Cuts daemons below a number from the others. */
+void
+CutBelow(FakeCluster& aCluster, std::size_t aNumber)
+{
+  aCluster.network.isCut = [aNumber](const std::string& aFrom, const std::string& aTo) {
+    const auto from = std::stoul(aFrom.substr(3));
+    const auto to = std::stoul(aTo.substr(3));
+    return (from < aNumber) != (to < aNumber);
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(isolation)
+
+BOOST_AUTO_TEST_CASE(daemons_that_agree_go_on_without_the_store)
+{
+  FakeCluster cluster(1);
+  cluster.StartAll(8);
+  cluster.Advance(std::chrono::minutes{ 10 });
+  for (std::size_t n = 0; n < 8; ++n) {
+    BOOST_TEST(cluster.At(n).isolation.MayTakeNewWork());
+    BOOST_TEST((cluster.At(n).isolation.Present() == Contact::Peers));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_minority_stops_within_three_seconds_and_the_majority_goes_on)
+{
+  for (const std::size_t count : { 8U, 32U }) {
+    FakeCluster cluster(count);
+    cluster.StartAll(count);
+    CutBelow(cluster, count / 4);
+    cluster.Advance(milliseconds{ 500 });
+    BOOST_TEST(cluster.At(0).isolation.MayTakeNewWork());
+    cluster.Advance(milliseconds{ 2500 });
+    for (std::size_t n = 0; n < count; ++n) {
+      BOOST_TEST(cluster.At(n).isolation.MayTakeNewWork() == (n >= count / 4));
+    }
+    BOOST_TEST((cluster.At(0).isolation.Present() == Contact::Minority));
+    cluster.network.isCut = nullptr;
+    cluster.Advance(seconds{ 5 });
+    BOOST_TEST(cluster.At(0).isolation.MayTakeNewWork());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_minority_that_reaches_the_store_goes_on)
+{
+  FakeCluster cluster(2);
+  cluster.StartAll(8);
+  CutBelow(cluster, 1);
+  cluster.Advance(seconds{ 10 });
+  FakeDaemon& daemon = cluster.At(0);
+  BOOST_TEST(!daemon.isolation.MayTakeNewWork());
+  BOOST_TEST((daemon.isolation.Present() == Contact::Nobody));
+  daemon.storeConfirmedAt = cluster.timers.Now();
+  BOOST_TEST(daemon.isolation.MayTakeNewWork());
+  cluster.Advance(milliseconds{ 3001 });
+  BOOST_TEST(!daemon.isolation.MayTakeNewWork());
+}
+
+BOOST_AUTO_TEST_CASE(peers_that_know_a_newer_configuration_do_not_agree)
+{
+  FakeCluster cluster(3);
+  cluster.StartAll(8);
+  // Nothing but heartbeats reaches daemon 0, so that it hears of the generation and can't get it.
+  cluster.At(0).bus.OnMessage("configuration", [](const auto&, const auto&) {});
+  cluster.At(1).keeper.Offer(ConfigurationOf(1), "store");
+  cluster.Advance(seconds{ 1 });
+  BOOST_TEST(cluster.At(0).isolation.MayTakeNewWork());
+  cluster.Advance(seconds{ 2 });
+  BOOST_TEST(!cluster.At(0).isolation.MayTakeNewWork());
+  BOOST_TEST(cluster.At(2).isolation.MayTakeNewWork());
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_does_not_trust_what_it_knew_before_a_pause)
+{
+  FakeCluster cluster(4);
+  cluster.StartAll(8);
+  cluster.At(3).process.Pause();
+  cluster.Advance(seconds{ 10 });
+  CutBelow(cluster, 8);
+  cluster.network.isCut = [](const std::string& aFrom, const std::string& aTo) {
+    return aFrom == VmOf(3) || aTo == VmOf(3);
+  };
+  BOOST_TEST(!cluster.At(3).isolation.MayTakeNewWork());
+  cluster.At(3).process.Resume();
+  for (int n = 0; n < 40; ++n) {
+    BOOST_TEST(!cluster.At(3).isolation.MayTakeNewWork());
+    cluster.Advance(milliseconds{ 100 });
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::membership::tests
--- /dev/null
+++ b/membership/tests/member_table_test.cpp
@@ -0,0 +1,208 @@
+#include "membership/member_table.h"
+
+#include "core/random_source.h"
+#include "core/virtual_timer_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+namespace skylarkwing::membership::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+Member
+MemberOf(const std::string& aVm, std::uint64_t aStartOrder, std::uint64_t aBeat)
+{
+  Member member;
+  member.vm = aVm;
+  member.incarnation = aVm + "-" + std::to_string(aStartOrder);
+  member.startOrder = aStartOrder;
+  member.beat = aBeat;
+  member.peerAddress = aVm + ":7200";
+  member.state = MemberState::Alive;
+  return member;
+}
+
+VmRecord
+RecordOf(const std::string& aVm)
+{
+  return { aVm, "domain", "region", aVm + ":7100", aVm + ":7200", false };
+}
+
+struct Fixture
+{
+  MemberState StateOf(const std::string& aVm) const { return table.Find(aVm)->member.state; }
+
+  bool MayOwn(const std::string& aVm) const
+  {
+    const auto owners = table.Owners();
+    return std::any_of(
+      owners.begin(), owners.end(), [&](const Member& aMember) { return aMember.vm == aVm; });
+  }
+
+  void Pass(core::Duration aSpan)
+  {
+    timers.Advance(aSpan);
+    table.Judge();
+  }
+
+  core::VirtualTimerService timers;
+  MemberTable table{ timers, MemberOf("self", 1, 0) };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(member_table, Fixture)
+
+BOOST_AUTO_TEST_CASE(the_vm_list_proves_existence_only)
+{
+  table.MergeVmList({ RecordOf("a") });
+  BOOST_TEST((StateOf("a") == MemberState::Joining));
+  table.HearHeartbeat(MemberOf("b", 1, 1), true);
+  table.MergeVmList({ RecordOf("a") });
+  BOOST_TEST((StateOf("b") == MemberState::Alive));
+  BOOST_TEST(table.KnownCount() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_member_counts_until_the_vm_list_drops_it)
+{
+  table.MergeVmList({ RecordOf("a") });
+  table.HearHeartbeat(MemberOf("a", 1, 1), true);
+  Pass(seconds{ 1 });
+  Pass(milliseconds{ 500 });
+  BOOST_TEST((StateOf("a") == MemberState::Gone));
+  BOOST_TEST(table.KnownCount() == 2U);
+  table.MergeVmList({});
+  BOOST_TEST(table.KnownCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_member_turns_suspect_then_gone)
+{
+  table.HearHeartbeat(MemberOf("a", 1, 1), true);
+  Pass(milliseconds{ 999 });
+  BOOST_TEST((StateOf("a") == MemberState::Alive));
+  Pass(milliseconds{ 1 });
+  BOOST_TEST((StateOf("a") == MemberState::Suspect));
+  Pass(milliseconds{ 500 });
+  BOOST_TEST((StateOf("a") == MemberState::Gone));
+}
+
+BOOST_AUTO_TEST_CASE(a_doubt_does_not_outweigh_a_recent_heartbeat)
+{
+  table.HearHeartbeat(MemberOf("a", 1, 5), true);
+  Member doubt = MemberOf("a", 1, 9);
+  doubt.state = MemberState::Gone;
+  BOOST_TEST((table.HearReport(doubt) == ReportOutcome::Outdated));
+  BOOST_TEST((StateOf("a") == MemberState::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_heartbeat_count_refutes_a_doubt_and_an_older_does_not)
+{
+  table.HearReport(MemberOf("a", 1, 5));
+  Member doubt = MemberOf("a", 1, 5);
+  doubt.state = MemberState::Suspect;
+  table.HearReport(doubt);
+  table.HearReport(MemberOf("a", 1, 5));
+  BOOST_TEST((StateOf("a") == MemberState::Suspect));
+  table.HearReport(MemberOf("a", 1, 6));
+  BOOST_TEST((StateOf("a") == MemberState::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(an_older_incarnation_never_comes_back)
+{
+  table.HearHeartbeat(MemberOf("a", 2, 1), true);
+  BOOST_TEST((table.HearHeartbeat(MemberOf("a", 1, 99), true) == ReportOutcome::Outdated));
+  Pass(seconds{ 1 });
+  Pass(seconds{ 1 });
+  BOOST_TEST((table.HearReport(MemberOf("a", 1, 99)) == ReportOutcome::Outdated));
+  BOOST_TEST((StateOf("a") == MemberState::Gone));
+}
+
+BOOST_AUTO_TEST_CASE(a_reused_address_ends_the_member_that_had_it)
+{
+  table.HearHeartbeat(MemberOf("a", 1, 1), true);
+  Member next = MemberOf("b", 2, 1);
+  next.peerAddress = "a:7200";
+  table.HearHeartbeat(next, true);
+  BOOST_TEST((StateOf("a") == MemberState::Gone));
+  BOOST_TEST((StateOf("b") == MemberState::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(who_left_stays_away)
+{
+  Member leaving = MemberOf("a", 1, 1);
+  table.HearHeartbeat(leaving, true);
+  leaving.state = MemberState::Leaving;
+  table.HearHeartbeat(leaving, true);
+  table.HearReport(MemberOf("a", 1, 9));
+  BOOST_TEST((StateOf("a") == MemberState::Leaving));
+  Pass(milliseconds{ 1500 });
+  table.HearReport(MemberOf("a", 1, 10));
+  BOOST_TEST((StateOf("a") == MemberState::Gone));
+  BOOST_TEST(table.KnownCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_flapping_member_waits_longer_each_time)
+{
+  std::uint64_t beat = 0;
+  core::Duration last{};
+  for (int round = 0; round < 4; ++round) {
+    table.HearHeartbeat(MemberOf("a", 1, ++beat), true);
+    const core::Duration settling = table.Find("a")->settledAt - timers.Now();
+    BOOST_TEST((settling > last));
+    last = settling;
+    Pass(seconds{ 1 });
+    Pass(milliseconds{ 500 });
+  }
+  BOOST_TEST((last == seconds{ 8 }));
+  table.HearHeartbeat(MemberOf("a", 1, ++beat), false);
+  timers.Advance(minutes{ 11 });
+  BOOST_TEST(MayOwn("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_replaced_process_waits_before_it_owns)
+{
+  table.HearHeartbeat(MemberOf("a", 1, 1), false);
+  Pass(seconds{ 2 });
+  BOOST_TEST(MayOwn("a"));
+  table.HearHeartbeat(MemberOf("a", 2, 1), false);
+  BOOST_TEST(!MayOwn("a"));
+  Pass(seconds{ 1 });
+  BOOST_TEST(MayOwn("a"));
+}
+
+BOOST_AUTO_TEST_CASE(no_order_of_reports_moves_a_member_back)
+{
+  const auto holds = rc::check("start order and beat only grow", [](std::uint64_t aSeed) {
+    core::RandomSource random(aSeed);
+    Fixture fixture;
+    std::pair<std::uint64_t, std::uint64_t> highest;
+    for (int n = 0; n < 100; ++n) {
+      Member member = MemberOf("a", 1 + random.Below(3), random.Below(50));
+      member.state = static_cast<MemberState>(1 + random.Below(4));
+      if (random.Below(2) == 0 && member.state != MemberState::Gone) {
+        member.state = MemberState::Alive;
+        fixture.table.HearHeartbeat(member, random.Below(2) == 0);
+      } else {
+        fixture.table.HearReport(member);
+      }
+      fixture.Pass(milliseconds(random.Below(800)));
+      const MemberEntry* entry = fixture.table.Find("a");
+      if (entry == nullptr) {
+        continue;
+      }
+      const std::pair present(entry->member.startOrder, entry->member.beat);
+      RC_ASSERT(present >= highest);
+      highest = present;
+    }
+  });
+  BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::membership::tests
--- /dev/null
+++ b/membership/tests/promises_test.cpp
@@ -0,0 +1,128 @@
+#include "membership/tests/fake_cluster.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace skylarkwing::membership::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Outcome = std::optional<std::optional<core::TimePoint>>;
+
+core::Task<void>
+AskInto(Promises& aPromises, std::string aReplica, std::shared_ptr<Outcome> aOutcome)
+{
+  const auto until = co_await aPromises.AskAll(std::move(aReplica));
+  *aOutcome = until;
+}
+
+std::shared_ptr<Outcome>
+Begin(FakeCluster& aCluster, std::size_t aNumber, const std::string& aReplica)
+{
+  auto outcome = std::make_shared<Outcome>();
+  core::Start(aCluster.loop.get_executor(),
+              AskInto(aCluster.At(aNumber).promises, aReplica, outcome));
+  return outcome;
+}
+
+/** @return until when the promises hold, or nothing. */
+std::optional<core::TimePoint>
+Ask(FakeCluster& aCluster, std::size_t aNumber, const std::string& aReplica)
+{
+  const auto outcome = Begin(aCluster, aNumber, aReplica);
+  aCluster.loop.restart();
+  aCluster.loop.poll();
+  aCluster.Advance(seconds{ 1 });
+  BOOST_REQUIRE(outcome->has_value());
+  return **outcome;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(promises)
+
+BOOST_AUTO_TEST_CASE(only_one_daemon_gets_a_replica_until_its_time_is_over)
+{
+  FakeCluster cluster(1);
+  cluster.StartAll(8);
+  cluster.Advance(seconds{ 1 });
+  const core::TimePoint asked = cluster.timers.Now();
+  const auto until = Ask(cluster, 0, "r-1");
+  BOOST_REQUIRE(until.has_value());
+  BOOST_TEST((*until <= asked + kPromiseTtl));
+  BOOST_TEST(cluster.At(5).promises.IsPromisedElsewhere("r-1"));
+  BOOST_TEST(!Ask(cluster, 1, "r-1").has_value());
+  BOOST_TEST(Ask(cluster, 1, "r-2").has_value());
+  cluster.Advance(kPromiseTtl);
+  BOOST_TEST(Ask(cluster, 1, "r-1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(of_daemons_that_ask_at_once_at_most_one_gets_it)
+{
+  FakeCluster cluster(2);
+  cluster.StartAll(8);
+  cluster.Advance(seconds{ 1 });
+  std::vector<std::shared_ptr<Outcome>> outcomes;
+  for (std::size_t n = 0; n < 8; ++n) {
+    outcomes.push_back(Begin(cluster, n, "r-1"));
+  }
+  cluster.loop.restart();
+  cluster.loop.poll();
+  cluster.Advance(seconds{ 1 });
+  std::size_t granted = 0;
+  for (const auto& outcome : outcomes) {
+    granted += outcome->has_value() && (*outcome)->has_value() ? 1 : 0;
+  }
+  BOOST_TEST(granted <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_member_blocks_until_the_vm_list_drops_it)
+{
+  FakeCluster cluster(3);
+  cluster.StartAll(8);
+  cluster.Advance(seconds{ 1 });
+  cluster.Kill(7);
+  cluster.Advance(seconds{ 5 });
+  BOOST_TEST(!Ask(cluster, 0, "r-1").has_value());
+  cluster.ShowVmList();
+  BOOST_TEST(Ask(cluster, 0, "r-1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_member_does_not_forget_what_it_promised)
+{
+  FakeCluster cluster(4);
+  cluster.StartAll(2);
+  cluster.Advance(seconds{ 1 });
+  BOOST_REQUIRE(Ask(cluster, 0, "r-1").has_value());
+  cluster.StartDaemon(1);
+  cluster.ShowVmList();
+  cluster.Advance(milliseconds{ 500 });
+  BOOST_TEST(!Ask(cluster, 1, "r-1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_of_a_store_permit_does_not_promise_it_away)
+{
+  FakeCluster cluster(5);
+  cluster.StartAll(4);
+  cluster.Advance(seconds{ 1 });
+  cluster.At(2).permits.insert("r-1");
+  BOOST_TEST(!Ask(cluster, 0, "r-1").has_value());
+  cluster.At(2).permits.clear();
+  BOOST_TEST(Ask(cluster, 0, "r-1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_asker_gives_back_what_it_got)
+{
+  FakeCluster cluster(6);
+  cluster.StartAll(4);
+  cluster.Advance(seconds{ 1 });
+  cluster.At(3).permits.insert("r-1");
+  BOOST_TEST(!Ask(cluster, 0, "r-1").has_value());
+  BOOST_TEST(!cluster.At(1).promises.IsPromisedElsewhere("r-1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::membership::tests
