--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -10,6 +10,8 @@
 #include <fstream>
 #include <utility>
 
+#include <unistd.h>
+
 namespace skylarkwing::bench {
 
 namespace {
@@ -19,14 +21,27 @@
 constexpr const char* kConfigurationKey = "skylarkwing/configuration";
 constexpr const char* kOperatorToken = "operator-of-the-experiment";
 
-/** @return a loopback address whose port was free a moment ago. */
-std::string
-FreeAddress()
+// Ports below those that the system gives to outgoing connections, which could take one meanwhile.
+constexpr std::uint32_t kFirstPort = 12'000;
+constexpr std::uint32_t kPorts = 20'000;
+
+/** @return where a process begins to look for ports, so that two experiments seldom meet. */
+std::uint32_t
+FirstPortOffset()
+{
+  constexpr std::uint32_t kStride = 613;
+  return static_cast<std::uint32_t>(getpid()) * kStride % kPorts;
+}
+
+bool
+IsFree(std::uint16_t aPort)
 {
   boost::asio::io_context loop;
-  boost::asio::ip::tcp::acceptor acceptor(
-    loop, { boost::asio::ip::address_v4::loopback(), 0 }, false);
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  boost::asio::ip::tcp::acceptor acceptor(loop);
+  boost::system::error_code ec;
+  acceptor.open(boost::asio::ip::tcp::v4(), ec);
+  acceptor.bind({ boost::asio::ip::address_v4::loopback(), aPort }, ec);
+  return !ec;
 }
 
 /** @return the shards of one service: those whose number falls to it in turn. */
@@ -47,6 +62,7 @@
   , mFactory(std::move(aFactory))
   , mReference(std::make_shared<NaiveReference>())
   , mLedgers{ std::make_shared<standin::RunLedger>(), std::make_shared<standin::CrashLedger>() }
+  , mNextPort(FirstPortOffset())
 {
   for (std::size_t n = 0; n < kStandinThreads; ++n) {
     mThreads.push_back(std::make_unique<LoopThread>());
@@ -342,6 +358,16 @@
   PlatformThread().Run([this, &value] { mStore->Put(kConfigurationKey, value); });
 }
 
+std::string
+ClusterFixture::FreeAddress()
+{
+  std::uint32_t port = 0;
+  do {
+    port = kFirstPort + mNextPort++ % kPorts;
+  } while (!IsFree(static_cast<std::uint16_t>(port)));
+  return "127.0.0.1:" + std::to_string(port);
+}
+
 NodePlace
 ClusterFixture::NewPlace()
 {
--- a/bench/cluster_fixture.h
+++ b/bench/cluster_fixture.h
@@ -133,6 +133,7 @@
   std::vector<Node> mNodes;
   std::vector<NodePlace> mPlaces;
   std::uint32_t mVmsMade = 0;
+  std::uint32_t mNextPort;
   std::string mTokenFile;
 
   bool StartUpstreams();
@@ -144,6 +145,7 @@
   bool WriteToken();
   void WriteConfiguration();
   NodePlace NewPlace();
+  std::string FreeAddress();
   void PublishVms();
   LoopThread& PlatformThread() { return *mThreads.front(); }
 };
--- /dev/null
+++ b/bench/tests/load_driver_test.cpp
@@ -0,0 +1,158 @@
+#include "bench/load_driver.h"
+
+#include "bench/cluster_fixture.h"
+#include "bench/experiment.h"
+#include "bench/naive_node.h"
+#include "core/task.h"
+#include "net/http_server.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace skylarkwing::bench {
+
+namespace {
+
+using nlohmann::json;
+
+core::Task<net::HttpResponse>
+Answer(net::HttpResponse aResponse)
+{
+  co_return aResponse;
+}
+
+/** An entry process that answers every query with the same response. */
+struct FakeEntry
+{
+  net::HttpServer server;
+  net::HttpResponse response;
+
+  explicit FakeEntry(boost::asio::io_context& aLoop)
+    : server(aLoop, net::HttpServerLimits{}, [this](const net::HttpRequest& aRequest) {
+      return Answer(aRequest.Path() == "/v1/entry-points" ? EntryPoints() : response);
+    })
+  {
+    BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+  }
+
+  net::HttpResponse EntryPoints() const
+  {
+    const json point = { { "vm", "vm-1" },
+                         { "address", server.Address() },
+                         { "failureDomain", "a" },
+                         { "identityPrefix", "vm-1.a.0" } };
+    net::HttpResponse points;
+    points.body = json{ { "entryPoints", json::array({ point }) }, { "keepSeconds", 1 } }.dump();
+    return points;
+  }
+};
+
+/** Callers against one fake entry process, on one loop. */
+struct DriverFixture
+{
+  boost::asio::io_context loop;
+  core::AsioTimerService timers{ loop };
+  FakeEntry entry{ loop };
+  std::shared_ptr<NaiveReference> reference = std::make_shared<NaiveReference>();
+  std::shared_ptr<standin::RunLedger> runs = std::make_shared<standin::RunLedger>();
+
+  LoadResult Run(bool aIsIdempotent)
+  {
+    LoadOptions options;
+    options.seeds = { entry.server.Address() };
+    options.streams = {
+      { "p", "catalogue", aIsIdempotent, std::chrono::milliseconds{ 2000 }, 40.0 }
+    };
+    options.length = std::chrono::milliseconds{ 500 };
+    LoadDriver driver(loop, timers, options, reference, runs);
+    driver.Start();
+    while (!driver.IsDone()) {
+      loop.run_one();
+    }
+    LoadResult result = driver.Result();
+    entry.server.Close();
+    while (loop.poll() > 0) {
+    }
+    return result;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LoadDriverTest)
+
+BOOST_FIXTURE_TEST_CASE(CountsAnswersAndTheirFaults, DriverFixture)
+{
+  reference->AddSnapshot("catalogue", 1, 2);
+  entry.response.body = R"({"hits":[],"snapshot":1,"complete":true,
+                            "coverage":{"answered":2,"total":2,"missing":[]}})";
+  const LoadResult result = Run(true);
+  BOOST_TEST(result.sent > 0U);
+  BOOST_TEST(result.answered == result.sent);
+  BOOST_TEST(result.partsNeeded == 2 * result.sent);
+  // No search of the callers is without hits in two shards.
+  BOOST_TEST(result.faults.falseCoverage == result.sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(CountsRefusalsByKindAndFalseOnes, DriverFixture)
+{
+  entry.response.status = 503;
+  entry.response.body = R"({"error":"overloaded","reason":"","executed":"no"})";
+  runs->RecordStart("t-1-1/0");
+  const LoadResult result = Run(false);
+  BOOST_TEST(result.answered == 0U);
+  BOOST_TEST(result.refusals.at("overloaded") == result.sent);
+  BOOST_TEST(result.faults.falseNotRun == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TheNaivePolicyGivesTrueAnswersOnACalmCluster)
+{
+  ClusterOptions options;
+  options.declaration.deployment = "small";
+  options.declaration.failureDomains = { { "a", "r", false, "" }, { "b", "r", false, "" } };
+  declaration::IndexDeclaration index;
+  index.name = "catalogue";
+  index.limits.slots = 4;
+  for (const char* name : { "s-1", "s-2" }) {
+    const std::string service = name;
+    index.services.push_back(
+      { service,
+        { { service + "-a", "127.0.0.1:1", "a" }, { service + "-b", "127.0.0.1:1", "b" } } });
+  }
+  options.declaration.indexes.push_back(index);
+  declaration::ProfileDeclaration profile;
+  profile.name = "lookup";
+  profile.indexes = { "catalogue" };
+  options.declaration.profiles.push_back(profile);
+  options.nodes = 2;
+  ClusterFixture cluster(options,
+                         [](const NodePlace& aPlace,
+                            const declaration::Declaration& aDeclaration,
+                            const std::vector<NodePlace>& aAll) -> std::unique_ptr<EntryNode> {
+                           return std::make_unique<NaiveNode>(aPlace, aDeclaration, aAll);
+                         });
+  BOOST_REQUIRE(cluster.Start());
+  LoopThread thread;
+  LoadOptions load;
+  load.seeds = cluster.CallerAddresses();
+  load.streams = UsualStreams(cluster.Declaration(), 1.0);
+  load.length = std::chrono::milliseconds{ 1000 };
+  auto driver = thread.Run([&] {
+    return std::make_unique<LoadDriver>(
+      thread.Loop(), thread.Timers(), load, cluster.Reference(), cluster.Runs());
+  });
+  thread.Run([&] { driver->Start(); });
+  while (!thread.Run([&] { return driver->IsDone(); })) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+  }
+  LoadResult result = thread.Run([&] { return driver->Result(); });
+  thread.Run([&] { driver.reset(); });
+  cluster.Collect(result);
+  BOOST_TEST(result.answered > 0U);
+  BOOST_TEST(result.Broken() == 0U);
+  BOOST_TEST(result.upstream.received > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::bench
--- a/main/command_table.cpp
+++ b/main/command_table.cpp
@@ -1,5 +1,7 @@
 #include "main/command_table.h"
 
+#include "bench/bench_command.h"
+#include "bench/demo_command.h"
 #include "main/serve_command.h"
 
 namespace skylarkwing {
@@ -9,6 +11,8 @@
 {
   static const std::vector<Command> commands{
     { "serve", "run the daemon of one entry VM", RunServe },
+    { "bench", "run scenarios under two policies and compare them", bench::RunBench },
+    { "demo", "run daemons and stand-ins in one process and show the figures", bench::RunDemo },
   };
   return commands;
 }
