--- a/main/command_table.cpp
+++ b/main/command_table.cpp
@@ -11,8 +11,8 @@
 {
   static const std::vector<Command> commands{
     { "serve", "run the daemon of one entry VM", RunServe },
+    { "demo", "run daemons, stand-ins and callers in one process", bench::RunDemo },
     { "bench", "run scenarios under two policies and compare them", bench::RunBench },
-    { "demo", "run daemons and stand-ins in one process and show the figures", bench::RunDemo },
   };
   return commands;
 }
