--- a/main/command_table.cpp
+++ b/main/command_table.cpp
@@ -1,5 +1,6 @@
 #include "main/command_table.h"
 
+#include "bench/bench_command.h"
 #include "bench/demo_command.h"
 #include "main/serve_command.h"
 
@@ -11,6 +12,7 @@
   static const std::vector<Command> commands{
     { "serve", "run the daemon of one entry VM", RunServe },
     { "demo", "run daemons, stand-ins and callers in one process", bench::RunDemo },
+    { "bench", "run scenarios under two policies and compare them", bench::RunBench },
   };
   return commands;
 }
