--- a/daemon/owned_replicas.cpp
+++ b/daemon/owned_replicas.cpp
@@ -6,13 +6,13 @@
 
 std::vector<upstream::OwnedReplica>
 ListOwnedReplicas(const declaration::Declaration& aDeclaration,
-                  const std::function<bool(const std::string& aReplica)>& isOwned)
+                  const std::function<bool(const std::string& aReplica)>& aIsOwned)
 {
   std::vector<upstream::OwnedReplica> owned;
   for (const auto& index : aDeclaration.indexes) {
     for (const auto& service : index.services) {
       for (const auto& replica : service.replicas) {
-        if (!isOwned(replica.name)) {
+        if (!aIsOwned(replica.name)) {
           continue;
         }
         upstream::OwnedReplica entry;
--- a/daemon/owned_replicas.h
+++ b/daemon/owned_replicas.h
@@ -14,11 +14,11 @@
  * Lists the replicas that one daemon takes care of.
  *
  * @param aDeclaration the configuration in force.
- * @param isOwned whether the daemon takes care of a replica.
+ * @param aIsOwned whether the daemon takes care of a replica.
  */
 std::vector<upstream::OwnedReplica>
 ListOwnedReplicas(const declaration::Declaration& aDeclaration,
-                  const std::function<bool(const std::string& aReplica)>& isOwned);
+                  const std::function<bool(const std::string& aReplica)>& aIsOwned);
 
 /** @return whether operators have taken a failure domain out. */
 bool
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -46,13 +46,10 @@
   int exitCode = -1;
 };
 
-enum ServeOption : int
-{
-  kSettings = 's',
-  kCheck = 'c',
-  kHelpOption = 'h',
-  kVersion = 'v',
-};
+constexpr int kSettings = 's';
+constexpr int kCheck = 'c';
+constexpr int kHelpOption = 'h';
+constexpr int kVersion = 'v';
 
 ServeOptions
 ParseOptions(int aCount, char** aArguments)
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "core/name_table.h"
 #include "net/endpoint.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -20,8 +21,8 @@
 constexpr core::NameTable<HttpClientError, 6> kErrorNames{
   { "none", "connect_failed", "nothing_sent", "broken", "timed_out", "malformed" }
 };
-constexpr std::uint64_t kLargestAnswerBytes = 16 * 1024 * 1024;
-constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr std::uint64_t kLargestAnswerBytes = std::uint64_t{ 16 } * 1024 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{ 64 } * 1024;
 
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -3,7 +3,10 @@
 #include "core/name_table.h"
 #include "net/endpoint.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -118,17 +121,16 @@
 void
 CancelAfter(asio::steady_timer& aTimer,
             core::Duration aDelay,
-            std::shared_ptr<beast::tcp_stream> aStream,
-            std::shared_ptr<bool> aIsLate)
+            const std::shared_ptr<beast::tcp_stream>& aStream,
+            const std::shared_ptr<bool>& aIsLate)
 {
   aTimer.expires_after(aDelay);
-  aTimer.async_wait(
-    [stream = std::move(aStream), isLate = std::move(aIsLate)](const beast::error_code& aError) {
-      if (!aError) {
-        *isLate = true;
-        stream->cancel();
-      }
-    });
+  aTimer.async_wait([stream = aStream, isLate = aIsLate](const beast::error_code& aError) {
+    if (!aError) {
+      *isLate = true;
+      stream->cancel();
+    }
+  });
 }
 
 bool
@@ -410,7 +412,6 @@
   StopAccepting();
   mState->isClosed = true;
   for (auto& [id, stream] : mState->streams) {
-    stream->cancel();
     beast::error_code ec;
     stream->socket().close(ec);
   }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -18,8 +18,8 @@
 /** Bounds on what one client may send and hold. */
 struct HttpServerLimits
 {
-  std::size_t headerBytes = 16 * 1024;
-  std::size_t bodyBytes = 1024 * 1024;
+  std::size_t headerBytes = std::size_t{ 16 } * 1024;
+  std::size_t bodyBytes = std::size_t{ 1024 } * 1024;
   std::size_t connections = 4096;
   core::Duration idleTimeout = std::chrono::seconds{ 60 };
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
--- a/net/nng_peer_bus.cpp
+++ b/net/nng_peer_bus.cpp
@@ -29,9 +29,9 @@
 constexpr int kReceiveBufferMessages = 1024;
 constexpr nng_duration kReconnectMinimumMilliseconds = 50;
 constexpr nng_duration kReconnectMaximumMilliseconds = 1000;
-constexpr std::size_t kLargestMessageBytes = 16 * 1024 * 1024;
+constexpr std::size_t kLargestMessageBytes = std::size_t{ 16 } * 1024 * 1024;
 
-/** What wraps the body of every message. */
+/** What every message carries beside its body. */
 struct Envelope
 {
   int version = kMessageVersion;
@@ -41,7 +41,6 @@
   std::string kind;
   /** The sender's monotonic time; only differences between messages mean anything. */
   std::int64_t sentMicroseconds = 0;
-  json body;
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Envelope,
@@ -50,18 +49,16 @@
                                    vm,
                                    incarnation,
                                    kind,
-                                   sentMicroseconds,
-                                   body)
+                                   sentMicroseconds)
 
 std::optional<Envelope>
-Decode(const std::vector<std::uint8_t>& aBytes)
+ReadEnvelope(const json& aMessage)
 {
-  const json message = json::from_msgpack(aBytes, true, false);
-  if (message.is_discarded()) {
+  if (!aMessage.is_object() || !aMessage.contains("body")) {
     return std::nullopt;
   }
   try {
-    return message.get<Envelope>();
+    return aMessage.get<Envelope>();
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -73,6 +70,25 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(aTime.time_since_epoch()).count();
 }
 
+/** Queues a copy of the bytes without waiting. @return an nng error, 0 for none. */
+int
+SendCopy(nng_socket aSocket, const std::vector<std::uint8_t>& aBytes)
+{
+  nng_msg* message = nullptr;
+  int error = nng_msg_alloc(&message, 0);
+  if (error != 0) {
+    return error;
+  }
+  error = nng_msg_append(message, aBytes.data(), aBytes.size());
+  if (error == 0) {
+    error = nng_sendmsg(aSocket, message, NNG_FLAG_NONBLOCK);
+  }
+  if (error != 0) {
+    nng_msg_free(message);
+  }
+  return error;
+}
+
 std::string
 Url(const std::string& aAddress)
 {
@@ -207,7 +223,8 @@
 {
   receivedMessages.Increment();
   receivedBytes.Increment(static_cast<double>(aBytes.size()));
-  const std::optional<Envelope> envelope = Decode(aBytes);
+  const json message = json::from_msgpack(aBytes, true, false);
+  const std::optional<Envelope> envelope = ReadEnvelope(message);
   if (!envelope || envelope->version != kMessageVersion ||
       envelope->cluster != identity.clusterName) {
     refused.Increment();
@@ -223,7 +240,7 @@
   origin.incarnation = envelope->incarnation;
   origin.age = AgeOf(*envelope);
   try {
-    it->second(origin, envelope->body);
+    it->second(origin, message.at("body"));
   } catch (const json::exception&) {
     // The body does not have the fields of its kind: the sender speaks another dialect.
     refused.Increment();
@@ -327,9 +344,10 @@
   envelope.incarnation = mState->identity.incarnation;
   envelope.kind = std::string(aKind);
   envelope.sentMicroseconds = Microseconds(mState->timers.Now());
-  envelope.body = aBody;
-  std::vector<std::uint8_t> bytes = json::to_msgpack(json(std::move(envelope)));
-  if (nng_send(outlet->socket, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK) != 0) {
+  json message(envelope);
+  message["body"] = aBody;
+  const std::vector<std::uint8_t> bytes = json::to_msgpack(message);
+  if (SendCopy(outlet->socket, bytes) != 0) {
     mState->notSent.Increment();
     return false;
   }
--- a/net/tests/http_test.cpp
+++ b/net/tests/http_test.cpp
@@ -1,6 +1,10 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -74,8 +78,8 @@
 ExchangeTwice(Fixture& aFixture, std::vector<HttpReply>& aReplies)
 {
   HttpConnection connection(aFixture.loop.get_executor());
-  std::string address = aFixture.server->Address();
-  BOOST_TEST(co_await connection.Connect(std::move(address), 1s));
+  const bool isConnected = co_await connection.Connect(aFixture.server->Address(), 1s);
+  BOOST_TEST(isConnected);
   for (int n = 0; n < 2; ++n) {
     HttpRequest request;
     request.method = "POST";
--- a/net/tests/nng_peer_bus_test.cpp
+++ b/net/tests/nng_peer_bus_test.cpp
@@ -42,10 +42,10 @@
 
 struct Daemon
 {
-  Daemon(boost::asio::io_context& aLoop, std::string aCluster, std::string aVm)
+  Daemon(boost::asio::io_context& aLoop, const std::string& aCluster, const std::string& aVm)
     : timers(aLoop)
     , address(FreeAddress(aLoop))
-    , bus(aLoop, timers, metrics, { std::move(aCluster), aVm, aVm + "-1" })
+    , bus(aLoop, timers, metrics, { aCluster, aVm, aVm + "-1" })
   {
     BOOST_REQUIRE(bus.Listen(address));
     bus.OnMessage("number", [this](const PeerMessageOrigin& aOrigin, const nlohmann::json& aBody) {
