--- /dev/null
+++ b/daemon/burn_exchange.cpp
@@ -0,0 +1,135 @@
+#include "daemon/burn_exchange.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace skylarkwing::daemon {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kRequestKind = "burn-request";
+constexpr const char* kAnswerKind = "burn-answer";
+
+/** A daemon that has not answered by then is named as missing in the report. */
+constexpr core::Duration kAnswerTimeout = std::chrono::milliseconds{ 800 };
+/** Burn rates on screens are collected again when they are older than this. */
+constexpr core::Duration kRecentLifetime = std::chrono::seconds{ 2 };
+
+std::vector<declaration::ProfileDeclaration>
+ProfilesOf(const declaration::ConfigurationKeeper& aKeeper)
+{
+  const auto configuration = aKeeper.InForce();
+  return configuration ? configuration->declaration.profiles
+                       : std::vector<declaration::ProfileDeclaration>{};
+}
+
+} // namespace
+
+BurnExchange::BurnExchange(core::TimerService& aTimers,
+                           net::PeerBus& aBus,
+                           std::string aSelf,
+                           console::BurnTracker& aTracker,
+                           const declaration::ConfigurationKeeper& aKeeper,
+                           BurnExchangeHooks aHooks)
+  : mTimers(aTimers)
+  , mBus(aBus)
+  , mSelf(std::move(aSelf))
+  , mTracker(aTracker)
+  , mKeeper(aKeeper)
+  , mHooks(std::move(aHooks))
+{
+  mBus.OnMessage(kRequestKind, [this](const net::PeerMessageOrigin& aOrigin, const json& aBody) {
+    HearRequest(aOrigin, aBody);
+  });
+  mBus.OnMessage(kAnswerKind, [this](const net::PeerMessageOrigin& aOrigin, const json& aBody) {
+    HearAnswer(aOrigin, aBody);
+  });
+}
+
+BurnExchange::~BurnExchange()
+{
+  for (auto& [id, round] : mRounds) {
+    mTimers.Cancel(round.timer);
+  }
+}
+
+void
+BurnExchange::Collect(console::BurnDetail aDetail, ReportCallback aCallback)
+{
+  const std::uint64_t id = ++mLastRound;
+  Round round{ console::BurnMerger(ProfilesOf(mKeeper)), {}, std::move(aCallback), 0 };
+  round.merger.Merge(mSelf, mTracker.Snapshot(aDetail));
+  const json request{ { "round", id }, { "full", aDetail == console::BurnDetail::Full } };
+  for (const std::string& vm : mHooks.peers()) {
+    round.waitingFor.insert(vm);
+    mBus.Send(vm, kRequestKind, request);
+  }
+  const bool isAlone = round.waitingFor.empty();
+  round.timer =
+    mTimers.Schedule(isAlone ? core::Duration::zero() : kAnswerTimeout, [this, id] { End(id); });
+  mRounds.emplace(id, std::move(round));
+}
+
+const std::vector<console::ProfileStatus>&
+BurnExchange::Recent()
+{
+  const bool isOld = mTimers.Now() - mRecentAt > kRecentLifetime;
+  if (isOld && !mIsRefreshing) {
+    mIsRefreshing = true;
+    Collect(console::BurnDetail::Windows, [this](const console::BurnReport& aReport) {
+      mIsRefreshing = false;
+      mRecentAt = mTimers.Now();
+      mRecent.clear();
+      for (const console::ProfileReport& profile : aReport.profiles) {
+        mRecent.push_back(console::ToProfileStatus(profile));
+      }
+    });
+  }
+  return mRecent;
+}
+
+void
+BurnExchange::HearRequest(const net::PeerMessageOrigin& aOrigin, const json& aBody)
+{
+  const bool isFull = aBody.at("full").get<bool>();
+  const auto detail = isFull ? console::BurnDetail::Full : console::BurnDetail::Windows;
+  const json answer{ { "round", aBody.at("round") }, { "counts", mTracker.Snapshot(detail) } };
+  mBus.Send(aOrigin.vm, kAnswerKind, answer);
+}
+
+void
+BurnExchange::HearAnswer(const net::PeerMessageOrigin& aOrigin, const json& aBody)
+{
+  const auto id = aBody.at("round").get<std::uint64_t>();
+  const auto it = mRounds.find(id);
+  if (it == mRounds.end() || !it->second.waitingFor.contains(aOrigin.vm)) {
+    return;
+  }
+  if (!it->second.merger.Merge(aOrigin.vm, aBody.at("counts"))) {
+    return;
+  }
+  it->second.waitingFor.erase(aOrigin.vm);
+  if (it->second.waitingFor.empty()) {
+    End(id);
+  }
+}
+
+void
+BurnExchange::End(std::uint64_t aRound)
+{
+  auto node = mRounds.extract(aRound);
+  if (node.empty()) {
+    return;
+  }
+  Round& round = node.mapped();
+  mTimers.Cancel(round.timer);
+  const auto configuration = mKeeper.InForce();
+  const std::string deployment = configuration ? configuration->declaration.deployment : "";
+  const std::vector<std::string> missing(round.waitingFor.begin(), round.waitingFor.end());
+  round.callback(round.merger.Report(deployment, mTimers.WallClockMilliseconds(), missing));
+}
+
+} // namespace skylarkwing::daemon
