--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -332,6 +332,37 @@
   BOOST_TEST(upstream.Connections() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_search_that_lost_its_connection_keeps_its_slot)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1");
+  RunFor(milliseconds{ 10 });
+  BOOST_REQUIRE(upstream.Running() == 1U);
+  upstream.BreakConnections();
+  Send("vm-1", "r1");
+  RunFor(milliseconds{ 40 });
+  BOOST_TEST(upstream.overfullWhileCold == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_owned_again_waits_for_its_former_worker)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1");
+  RunFor(milliseconds{ 10 });
+  BOOST_REQUIRE(upstream.Running() == 1U);
+  dispatchers["vm-1"]->SetOwned({});
+  dispatchers["vm-1"]->SetOwned({ Declare("r1") });
+  for (int n = 0; n < 40; ++n) {
+    Send("vm-1", "r1");
+    RunFor(milliseconds{ 1 });
+  }
+  BOOST_TEST(upstream.overfullWhileCold == 0U);
+  RunFor(milliseconds{ 500 });
+  const std::string id = Send("vm-1", "r1");
+  RunFor(milliseconds{ 100 });
+  BOOST_TEST((StatusOf(id) == PartStatus::Answered));
+}
+
 BOOST_AUTO_TEST_CASE(a_wrong_snapshot_is_withdrawn_from_the_fact)
 {
   MakeWarm("vm-1", "r1");
