--- a/declaration/configuration_codec.cpp
+++ b/declaration/configuration_codec.cpp
@@ -38,6 +38,7 @@
   aReader.Texts("changes", aTarget.changes, ChangeRule(), Presence::Required);
   std::uint64_t writtenAt = 0;
   aReader.Integer64("writtenAt", writtenAt, kUnixMilliseconds, Presence::Required);
+  aReader.Text("writeId", aTarget.writeId, core::NameRule(), Presence::Required);
   aTarget.writtenAt = static_cast<std::int64_t>(writtenAt);
 }
 
@@ -93,11 +94,9 @@
 json
 ToJson(const ChangeRecord& aRecord)
 {
-  return { { "generation", aRecord.generation },
-           { "author", aRecord.author },
-           { "reason", aRecord.reason },
-           { "changes", aRecord.changes },
-           { "writtenAt", aRecord.writtenAt } };
+  return { { "generation", aRecord.generation }, { "author", aRecord.author },
+           { "reason", aRecord.reason },         { "changes", aRecord.changes },
+           { "writtenAt", aRecord.writtenAt },   { "writeId", aRecord.writeId } };
 }
 
 json
--- a/declaration/declaration.h
+++ b/declaration/declaration.h
@@ -110,6 +110,8 @@
   std::vector<std::string> changes;
   /** Milliseconds since the Unix epoch. */
   std::int64_t writtenAt = 0;
+  /** The configuration's `writeId` of that generation. */
+  std::string writeId;
 };
 
 /** A declaration as it stands in the store: numbered, and with the changes that led to it. */
