--- a/bench/bench_command.cpp
+++ b/bench/bench_command.cpp
@@ -4,6 +4,7 @@
 #include "bench/command_options.h"
 #include "bench/experiment.h"
 #include "bench/report_writer.h"
+#include "bench/slope_probe.h"
 #include "core/log.h"
 #include "declaration/declaration_parser.h"
 
@@ -43,6 +44,7 @@
   bool isJson = false;
   bool isCsv = false;
   std::string htmlFile;
+  std::string slope;
   bool isHelp = false;
 };
 
@@ -62,6 +64,9 @@
        "  --seconds N        length of each run, in place of the scenario's own\n"
        "  --nodes N          entry processes, 8 if absent\n"
        "  --rate PERCENT     load, as a share of the usual one; 100 if absent\n"
+       "  --slope NAME       measure a cost against a size in place of scenarios: fan-out, "
+       "daemons,\n"
+       "                     replicas or codec\n"
        "  --json | --csv     print JSON, or comma-separated values, in place of a table\n"
        "  --html FILE        write a page with plots as well\n"
        "  --help             print this\n"
@@ -137,6 +142,9 @@
     case 'v':
       aOptions.isCsv = true;
       return std::nullopt;
+    case 'l':
+      aOptions.slope = aValue;
+      return std::nullopt;
     case 'm':
       aOptions.htmlFile = aValue;
       return std::nullopt;
@@ -152,7 +160,7 @@
 std::optional<int>
 ReadOptions(int argc, char** argv, BenchOptions& aOptions)
 {
-  static const std::array<option, 14> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
+  static const std::array<option, 15> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
                                                   { "scenario", required_argument, nullptr, 'c' },
                                                   { "scenarios", required_argument, nullptr, 'f' },
                                                   { "policy", required_argument, nullptr, 'p' },
@@ -160,6 +168,7 @@
                                                   { "seconds", required_argument, nullptr, 's' },
                                                   { "nodes", required_argument, nullptr, 'n' },
                                                   { "rate", required_argument, nullptr, 'r' },
+                                                  { "slope", required_argument, nullptr, 'l' },
                                                   { "json", no_argument, nullptr, 'j' },
                                                   { "csv", no_argument, nullptr, 'v' },
                                                   { "html", required_argument, nullptr, 'm' },
@@ -283,6 +292,17 @@
   }
 }
 
+int
+PrintSlope(const BenchOptions& aOptions)
+{
+  const std::string table = RunSlope(aOptions.slope, aOptions.seed);
+  if (table.empty()) {
+    return FailUsage("bench", "--slope must be fan-out, daemons, replicas or codec");
+  }
+  std::cout << table;
+  return kExitDone;
+}
+
 bool
 IsGood(const ExperimentResult& aRun)
 {
@@ -300,13 +320,16 @@
   if (end) {
     return *end;
   }
+  core::InitializeLog(core::LogLevel::Error, core::LogFormat::Plain);
+  if (!options.slope.empty()) {
+    return PrintSlope(options);
+  }
   std::string error;
   const auto declaration = FindDeployment(options.deployment, error);
   const auto scenarios = LoadScenarios(options, error);
   if (!declaration || !scenarios) {
     return FailUsage("bench", error);
   }
-  core::InitializeLog(core::LogLevel::Error, core::LogFormat::Plain);
   const std::vector<ExperimentResult> results = RunAll(options, *declaration, *scenarios);
   PrintResults(options, results);
   if (!options.htmlFile.empty()) {
--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <utility>
 
 #include <unistd.h>
@@ -211,6 +212,32 @@
   }
 }
 
+std::chrono::nanoseconds
+ClusterFixture::StandinCpuTime()
+{
+  std::chrono::nanoseconds used{ 0 };
+  for (const auto& thread : mThreads) {
+    used += thread->CpuTime();
+  }
+  return used;
+}
+
+std::string
+ClusterFixture::OperatorToken()
+{
+  return kOperatorToken;
+}
+
+std::uint64_t
+ClusterFixture::LeastGeneration()
+{
+  std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
+  for (const Node& node : mNodes) {
+    least = std::min(least, node.process->Generation());
+  }
+  return least;
+}
+
 standin::StoreCalls
 ClusterFixture::StoreCalls()
 {
--- a/bench/cluster_fixture.h
+++ b/bench/cluster_fixture.h
@@ -97,6 +97,15 @@
   /** Takes VMs off the list whose entry process has shut down. */
   void RemoveStoppedNodes();
 
+  /** @return the processor time that the stand-ins have used. */
+  std::chrono::nanoseconds StandinCpuTime();
+
+  /** @return the token that lets operators read and change. */
+  static std::string OperatorToken();
+
+  /** @return the lowest generation of the configuration that any entry process has in force. */
+  std::uint64_t LeastGeneration();
+
   /** @return the calls that the store took so far. */
   standin::StoreCalls StoreCalls();
 
--- a/bench/daemon_node.cpp
+++ b/bench/daemon_node.cpp
@@ -80,6 +80,13 @@
   });
 }
 
+std::uint64_t
+DaemonNode::Generation()
+{
+  State& state = *mState;
+  return state.thread.Run([&state] { return state.daemon->Counts().generation; });
+}
+
 void
 DaemonNode::BeginStop()
 {
--- a/bench/daemon_node.h
+++ b/bench/daemon_node.h
@@ -14,6 +14,7 @@
   ~DaemonNode() override;
 
   bool Start() override;
+  std::uint64_t Generation() override;
   void BeginStop() override;
   bool IsStopped() override;
   void Kill() override;
--- a/bench/entry_node.h
+++ b/bench/entry_node.h
@@ -41,6 +41,9 @@
   /** @return false when it cannot start; the reason is on the log. */
   virtual bool Start() = 0;
 
+  /** @return the generation of the configuration in force there; 0 for none. */
+  virtual std::uint64_t Generation() = 0;
+
   /** Begins a graceful shutdown. */
   virtual void BeginStop() = 0;
 
--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -1,6 +1,7 @@
 #include "bench/experiment.h"
 
 #include "bench/daemon_node.h"
+#include "bench/load_run.h"
 #include "bench/naive_node.h"
 #include "core/name_table.h"
 
@@ -21,8 +22,6 @@
 constexpr std::chrono::milliseconds kTick{ 50 };
 constexpr std::chrono::milliseconds kWarmUpTime{ 6000 };
 constexpr double kWarmUpRate = 0.3;
-/** After the load, for queries whose caller gave up and for late parts. */
-constexpr std::chrono::seconds kSettleTime{ 8 };
 /** Whole queries for each index and second, over all of its profiles that may run twice. */
 constexpr double kIdempotentRate = 40.0;
 constexpr double kOtherRate = 20.0;
@@ -275,50 +274,6 @@
   return options;
 }
 
-/** Callers on a thread of their own, from their start until their last query has ended. */
-class LoadRun
-{
-public:
-  LoadRun(const ClusterFixture& aCluster, const LoadOptions& aOptions)
-    : mEnd(std::chrono::steady_clock::now() + aOptions.length)
-  {
-    mDriver = mThread.Run([&] {
-      return std::make_unique<LoadDriver>(
-        mThread.Loop(), mThread.Timers(), aOptions, aCluster.Reference(), aCluster.Runs());
-    });
-    mThread.Run([this] { mDriver->Start(); });
-  }
-
-  ~LoadRun()
-  {
-    mThread.Run([this] { mDriver.reset(); });
-    mThread.Stop();
-  }
-
-  LoadRun(const LoadRun&) = delete;
-  LoadRun& operator=(const LoadRun&) = delete;
-
-  LoadDriver& Driver() { return *mDriver; }
-  LoopThread& Thread() { return mThread; }
-
-  LoadResult Result()
-  {
-    return mThread.Run([this] { return mDriver->Result(); });
-  }
-
-  /** @return whether every query has ended, or too much time has passed. */
-  bool IsOver()
-  {
-    const bool isTooLate = std::chrono::steady_clock::now() > mEnd + kSettleTime;
-    return isTooLate || mThread.Run([this] { return mDriver->IsDone(); });
-  }
-
-private:
-  std::chrono::steady_clock::time_point mEnd;
-  LoopThread mThread;
-  std::unique_ptr<LoadDriver> mDriver;
-};
-
 /** Runs a little load until connections are open and replicas are warm. */
 CallerFaults
 WarmUp(const ExperimentOptions& aOptions, ClusterFixture& aCluster)
--- a/bench/loop_thread.cpp
+++ b/bench/loop_thread.cpp
@@ -1,5 +1,9 @@
 #include "bench/loop_thread.h"
 
+#include <ctime>
+
+#include <pthread.h>
+
 namespace skylarkwing::bench {
 
 namespace {
@@ -20,6 +24,18 @@
   Stop();
 }
 
+std::chrono::nanoseconds
+LoopThread::CpuTime()
+{
+  clockid_t clock = 0;
+  timespec used{};
+  if (pthread_getcpuclockid(mThread.native_handle(), &clock) != 0 ||
+      clock_gettime(clock, &used) != 0) {
+    return std::chrono::nanoseconds{ 0 };
+  }
+  return std::chrono::seconds{ used.tv_sec } + std::chrono::nanoseconds{ used.tv_nsec };
+}
+
 void
 LoopThread::Stop()
 {
--- a/bench/loop_thread.h
+++ b/bench/loop_thread.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
@@ -40,6 +41,9 @@
     return result.get();
   }
 
+  /** @return the processor time that the thread has used. */
+  std::chrono::nanoseconds CpuTime();
+
   /** Lets the loop finish what runs, for a bounded time, and ends the thread. */
   void Stop();
 
--- a/bench/naive_node.cpp
+++ b/bench/naive_node.cpp
@@ -374,6 +374,12 @@
   return mState->thread.Run([state = mState] { return state->Listen(); });
 }
 
+std::uint64_t
+NaiveNode::Generation()
+{
+  return 0;
+}
+
 void
 NaiveNode::BeginStop()
 {
--- a/bench/naive_node.h
+++ b/bench/naive_node.h
@@ -27,6 +27,7 @@
   ~NaiveNode() override;
 
   bool Start() override;
+  std::uint64_t Generation() override;
   void BeginStop() override;
   bool IsStopped() override;
   void Kill() override;
