--- a/daemon/status_reader.cpp
+++ b/daemon/status_reader.cpp
@@ -140,7 +140,7 @@
     status.inFlight += fact->inFlight;
     status.allowance += fact->allowance;
     status.queued += fact->queued;
-    slowest = std::max(slowest, fact->p95Microseconds);
+    slowest = std::max(slowest, fact->p99Microseconds);
   }
   status.replicas = states.List();
   status.p99Milliseconds = slowest / kMicrosecondsPerMillisecond;
--- a/upstream/latency_window.cpp
+++ b/upstream/latency_window.cpp
@@ -57,6 +57,7 @@
   std::sort(begin, end);
   mMedian = sorted[n / 2];
   mP95 = sorted[std::min(n - 1, n * 95 / 100)];
+  mP99 = sorted[std::min(n - 1, n * 99 / 100)];
 }
 
 } // namespace skylarkwing::upstream
--- a/upstream/latency_window.h
+++ b/upstream/latency_window.h
@@ -37,6 +37,9 @@
   /** @return the 95th percentile in microseconds, 0 while nothing is known. */
   std::uint32_t P95() const { return mP95; }
 
+  /** @return the 99th percentile in microseconds, 0 while nothing is known. */
+  std::uint32_t P99() const { return mP99; }
+
 private:
   static constexpr std::size_t kSize = 128;
 
@@ -45,6 +48,7 @@
   std::uint32_t mSlowBits = 0;
   std::uint32_t mMedian = 0;
   std::uint32_t mP95 = 0;
+  std::uint32_t mP99 = 0;
 
   LatencyVerdict RecordSlow(bool aIsSlow);
   void ComputeQuantiles();
--- a/upstream/replica_fact.h
+++ b/upstream/replica_fact.h
@@ -52,9 +52,10 @@
   std::uint32_t allowance = 0;
   std::uint32_t inFlight = 0;
   std::uint32_t queued = 0;
-  /** Typical and slow time of a part there, in microseconds. */
+  /** Typical and slow times of a part there, in microseconds. */
   std::uint32_t medianMicroseconds = 0;
   std::uint32_t p95Microseconds = 0;
+  std::uint32_t p99Microseconds = 0;
 };
 
 } // namespace skylarkwing::upstream
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -218,6 +218,7 @@
   fact.queued = static_cast<std::uint32_t>(mQueue.Size());
   fact.medianMicroseconds = mLatency.Median();
   fact.p95Microseconds = mLatency.P95();
+  fact.p99Microseconds = mLatency.P99();
   return fact;
 }
 
--- a/upstream/upstream_messages.cpp
+++ b/upstream/upstream_messages.cpp
@@ -134,7 +134,8 @@
             { "state", NameOf(aFact.state) },  { "holdings", aFact.holdings },
             { "allowance", aFact.allowance },  { "inFlight", aFact.inFlight },
             { "queued", aFact.queued },        { "medianUs", aFact.medianMicroseconds },
-            { "p95Us", aFact.p95Microseconds } };
+            { "p95Us", aFact.p95Microseconds },
+            { "p99Us", aFact.p99Microseconds } };
 }
 
 void
@@ -153,6 +154,7 @@
   aFact.queued = aJson.at("queued").get<std::uint32_t>();
   aFact.medianMicroseconds = aJson.at("medianUs").get<std::uint32_t>();
   aFact.p95Microseconds = aJson.at("p95Us").get<std::uint32_t>();
+  aFact.p99Microseconds = aJson.at("p99Us").get<std::uint32_t>();
 }
 
 void
