Give operators the commands check, diff, apply, status, domain, history and report

They talk to any daemon's operators' address. A change that was sent and not answered exits with 3, never with 1, because it may have taken effect. apply and domain follow the generation until it is in force at every VM and name those that lack it. Changes are checked for harm by the declaration's own check, and for leaving no live entry VM.

--- a/console/change_json.cpp
+++ b/console/change_json.cpp
@@ -131,9 +131,12 @@
 }
 
 json
-ToJson(const DeclarationFault& aFault)
+FaultToJson(const declaration::Fault& aFault)
 {
-  return { { "path", aFault.path }, { "reason", aFault.reason } };
+  return { { "path", aFault.path },
+           { "expected", aFault.expected },
+           { "found", aFault.found },
+           { "reason", "expected " + aFault.expected + ", found " + aFault.found } };
 }
 
 declaration::ChangeRecord
@@ -148,10 +151,14 @@
   return record;
 }
 
-DeclarationFault
+declaration::Fault
 FaultFromJson(const json& aJson)
 {
-  return { aJson.at("path").get<std::string>(), aJson.at("reason").get<std::string>() };
+  declaration::Fault fault;
+  fault.path = aJson.at("path").get<std::string>();
+  fault.expected = aJson.at("expected").get<std::string>();
+  fault.found = aJson.at("found").get<std::string>();
+  return fault;
 }
 
 } // namespace
@@ -196,8 +203,8 @@
     conflicts.push_back(ToJson(record));
   }
   json faults = json::array();
-  for (const DeclarationFault& fault : aOutcome.faults) {
-    faults.push_back(ToJson(fault));
+  for (const declaration::Fault& fault : aOutcome.faults) {
+    faults.push_back(FaultToJson(fault));
   }
   return { { "outcome", NameOf(aOutcome.verdict) },
            { "generation", aOutcome.generation },
@@ -207,6 +214,23 @@
            { "reason", aOutcome.reason } };
 }
 
+std::optional<std::vector<declaration::ChangeRecord>>
+RecordsFromJson(const json& aJson)
+{
+  if (!aJson.is_array()) {
+    return std::nullopt;
+  }
+  try {
+    std::vector<declaration::ChangeRecord> records;
+    for (const json& record : aJson) {
+      records.push_back(RecordFromJson(record));
+    }
+    return records;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::optional<ChangeOutcome>
 ChangeOutcomeFromJson(const json& aJson)
 {
--- a/console/change_json.h
+++ b/console/change_json.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace skylarkwing::console {
 
@@ -48,6 +49,10 @@
 std::optional<ChangeOutcome>
 ChangeOutcomeFromJson(const nlohmann::json& aJson);
 
+/** @return the change records that an answer holds, or nothing when it holds none. */
+std::optional<std::vector<declaration::ChangeRecord>>
+RecordsFromJson(const nlohmann::json& aJson);
+
 /** @return a change record as the operators' API answers it. */
 nlohmann::json
 ToJson(const declaration::ChangeRecord& aRecord);
--- a/console/change_service.cpp
+++ b/console/change_service.cpp
@@ -1,13 +1,19 @@
 #include "console/change_service.h"
 
+#include "declaration/declaration_parser.h"
+#include "declaration/harm_check.h"
+
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace skylarkwing::console {
 
 namespace {
 
+/** The name of membership::MemberState::Alive. */
+constexpr std::string_view kAliveState = "alive";
 constexpr std::size_t kLongestAuthor = 128;
 constexpr std::size_t kLongestReason = 1024;
 
@@ -90,6 +96,27 @@
   return ConflictWith(aPresent, std::move(records), aExpected);
 }
 
+/** @return how many live VMs stand in failure domains that a declaration leaves in. */
+std::size_t
+CountEntryVms(const ClusterStatus& aStatus, const declaration::Declaration& aDeclaration)
+{
+  std::size_t count = 0;
+  for (const FailureDomainStatus& domain : aStatus.failureDomains) {
+    const bool isOut = std::any_of(aDeclaration.failureDomains.begin(),
+                                   aDeclaration.failureDomains.end(),
+                                   [&domain](const declaration::FailureDomainDeclaration& aOther) {
+                                     return aOther.name == domain.name && aOther.out;
+                                   });
+    if (!isOut) {
+      count += static_cast<std::size_t>(
+        std::count_if(domain.vms.begin(), domain.vms.end(), [](const VmStatus& aVm) {
+          return aVm.state == kAliveState;
+        }));
+    }
+  }
+  return count;
+}
+
 } // namespace
 
 ChangeService::ChangeService(const ConsoleHooks& aHooks)
@@ -106,7 +133,7 @@
     aCallback(*refusal);
     return;
   }
-  DeclarationReading reading = mHooks.readDeclaration(aText);
+  declaration::ParseResult reading = declaration::ParseDeclaration(aText);
   if (!reading.declaration || !reading.faults.empty()) {
     ChangeOutcome outcome = Refuse("the declaration has faults");
     outcome.faults = std::move(reading.faults);
@@ -157,14 +184,26 @@
   Submit(*present, std::move(wanted), std::move(aTerms), std::move(aCallback));
 }
 
+std::vector<std::string>
+ChangeService::FindHarms(const declaration::Declaration& aFrom,
+                         const declaration::Declaration& aTo) const
+{
+  std::vector<std::string> harms = declaration::FindHarms(aFrom, aTo);
+  const ClusterStatus status = mHooks.status();
+  if (CountEntryVms(status, aFrom) > 0 && CountEntryVms(status, aTo) == 0) {
+    harms.emplace_back("no live entry VM would be left for callers");
+  }
+  return harms;
+}
+
 void
 ChangeService::Submit(const declaration::Configuration& aPresent,
                       declaration::Declaration aDeclaration,
                       ChangeTerms aTerms,
                       ChangeCallback aCallback)
 {
-  if (!aTerms.force && mHooks.findHarms) {
-    std::vector<std::string> harms = mHooks.findHarms(aPresent.declaration, aDeclaration);
+  if (!aTerms.force) {
+    std::vector<std::string> harms = FindHarms(aPresent.declaration, aDeclaration);
     if (!harms.empty()) {
       ChangeOutcome outcome = Refuse("the change would do harm; force makes it nevertheless");
       outcome.harms = std::move(harms);
--- a/console/change_service.h
+++ b/console/change_service.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace skylarkwing::console {
 
@@ -50,6 +51,8 @@
 private:
   const ConsoleHooks& mHooks;
 
+  std::vector<std::string> FindHarms(const declaration::Declaration& aFrom,
+                                     const declaration::Declaration& aTo) const;
   void Submit(const declaration::Configuration& aPresent,
               declaration::Declaration aDeclaration,
               ChangeTerms aTerms,
--- a/console/console_hooks.h
+++ b/console/console_hooks.h
@@ -2,6 +2,7 @@
 
 #include "console/cluster_status.h"
 #include "declaration/declaration.h"
+#include "declaration/declaration_parser.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -14,23 +15,6 @@
 
 namespace skylarkwing::console {
 
-/** One fault of a declaration, with the place where it is. */
-struct DeclarationFault
-{
-  /** Path inside the document, such as "indexes[0].services[1].name". */
-  std::string path;
-  /** What is wrong there, with what was expected and what was found. */
-  std::string reason;
-};
-
-/** What came of reading a declaration. */
-struct DeclarationReading
-{
-  /** Absent when there is a fault. */
-  std::optional<declaration::Declaration> declaration;
-  std::vector<DeclarationFault> faults;
-};
-
 /** A change of the configuration that an operator asked for, already checked. */
 struct ChangeRequest
 {
@@ -70,7 +54,7 @@
   std::uint64_t generation = 0;
   /** Changes by others since the expected generation. */
   std::vector<declaration::ChangeRecord> conflicts;
-  std::vector<DeclarationFault> faults;
+  std::vector<declaration::Fault> faults;
   /** Harm that the change would do; "force" makes it nevertheless. */
   std::vector<std::string> harms;
   /** Why it was refused or is unknown, in one sentence. */
@@ -87,18 +71,6 @@
   std::function<ClusterStatus()> status;
   /** The newest configuration that this daemon knows, or nothing before the first. */
   std::function<std::optional<declaration::Configuration>()> configuration;
-  /** Reads and checks a declaration's text. */
-  std::function<DeclarationReading(std::string_view)> readDeclaration;
-  /** Writes a declaration as JSON text. */
-  std::function<std::string(const declaration::Declaration&)> writeDeclaration;
-  /** What changes from one declaration to another, in an operator's words. */
-  std::function<std::vector<std::string>(const declaration::Declaration& aFrom,
-                                         const declaration::Declaration& aTo)>
-    describeChanges;
-  /** Harm that a change would do, such as a shard without a replica; empty when it does none. */
-  std::function<std::vector<std::string>(const declaration::Declaration& aFrom,
-                                         const declaration::Declaration& aTo)>
-    findHarms;
   /** Writes a change to the store; the callback may come at once. */
   std::function<void(ChangeRequest, ChangeCallback)> applyChange;
   /** Collects the burn report of all daemons as JSON (console::ToJson(BurnReport)). */
--- a/console/operator_api.cpp
+++ b/console/operator_api.cpp
@@ -283,10 +283,9 @@
   if (!configuration) {
     return ErrorResponse(404, "no_configuration", "no configuration is known here yet");
   }
-  return JsonResponse(
-    200,
-    { { "generation", configuration->generation },
-      { "declaration", aState.hooks.writeDeclaration(configuration->declaration) } });
+  return JsonResponse(200,
+                      { { "generation", configuration->generation },
+                        { "declaration", declaration::ToJson(configuration->declaration) } });
 }
 
 HttpResponse
--- /dev/null
+++ b/console/operator_commands.cpp
@@ -0,0 +1,475 @@
+#include "console/operator_commands.h"
+
+#include "console/burn_report_page.h"
+#include "console/burn_report_text.h"
+#include "console/change_json.h"
+#include "console/operator_client.h"
+#include "console/operator_options.h"
+#include "console/status_text.h"
+#include "declaration/declaration_diff.h"
+#include "declaration/declaration_parser.h"
+#include "declaration/harm_check.h"
+
+#include <cctype>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+namespace skylarkwing::console {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnknown = 3;
+
+constexpr std::chrono::milliseconds kStatusInterval{ 250 };
+
+using CommandBody = std::function<int(const OperatorOptions&)>;
+
+int
+Run(int aCount, char** aArguments, const CommandUsage& aUsage, const CommandBody& aBody)
+{
+  const OptionsReading reading = ReadOptions(aCount, aArguments, aUsage);
+  if (!reading.options) {
+    std::cerr << "skylarkwing " << aArguments[0] << ": " << reading.fault << "; see --help\n";
+    return kExitUsage;
+  }
+  if (reading.options->help) {
+    std::cout << HelpOf(aUsage);
+    return kExitDone;
+  }
+  return aBody(*reading.options);
+}
+
+std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    std::cerr << "cannot read " << aPath << '\n';
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+std::optional<std::string>
+ReadToken(const OperatorOptions& aOptions)
+{
+  std::optional<std::string> token = ReadFile(aOptions.tokenFile);
+  if (token) {
+    token->erase(token->find_last_not_of(" \t\r\n") + 1);
+  }
+  return token;
+}
+
+/** Opens the operators' API that the options name, and runs something with it. */
+int
+WithClient(const OperatorOptions& aOptions, const std::function<int(OperatorClient&)>& aBody)
+{
+  const std::optional<std::string> token = ReadToken(aOptions);
+  if (!token) {
+    return kExitUsage;
+  }
+  OperatorClient client(aOptions.server, *token);
+  return aBody(client);
+}
+
+int
+ReportFailure(const OperatorReply& aReply, bool aMayHaveEffect)
+{
+  const bool isUnknown = aMayHaveEffect && aReply.error == OperatorClientError::Unknown;
+  std::cerr << (isUnknown ? "outcome unknown: " : "failed: ") << aReply.reason << '\n';
+  if (isUnknown) {
+    std::cerr << "look at `skylarkwing history` before you try again\n";
+  }
+  return isUnknown ? kExitUnknown : kExitFailed;
+}
+
+void
+PrintJson(const json& aJson)
+{
+  std::cout << aJson.dump(2, ' ', false, json::error_handler_t::replace) << '\n';
+}
+
+/** Reads a declaration from a file and prints its faults. */
+std::optional<declaration::Declaration>
+ReadDeclarationFile(const std::string& aPath, bool aWantsJson)
+{
+  const std::optional<std::string> text = ReadFile(aPath);
+  if (!text) {
+    return std::nullopt;
+  }
+  declaration::ParseResult result = declaration::ParseDeclaration(*text);
+  if (result.declaration && result.faults.empty()) {
+    return std::move(result.declaration);
+  }
+  if (aWantsJson) {
+    ChangeOutcome outcome;
+    outcome.verdict = ChangeVerdict::Refused;
+    outcome.faults = std::move(result.faults);
+    PrintJson(ToJson(outcome));
+    return std::nullopt;
+  }
+  for (const declaration::Fault& fault : result.faults) {
+    std::cerr << aPath << ": " << core::ToText(fault) << '\n';
+  }
+  return std::nullopt;
+}
+
+std::optional<ClusterStatus>
+FetchStatus(OperatorClient& aClient)
+{
+  const OperatorReply reply = aClient.Get("/v1/status");
+  if (reply.error != OperatorClientError::None) {
+    return std::nullopt;
+  }
+  return ClusterStatusFromJson(reply.body);
+}
+
+/** Waits until a generation is in force everywhere, and tells each step. */
+bool
+AwaitForce(OperatorClient& aClient, std::uint64_t aGeneration, const OperatorOptions& aOptions)
+{
+  const auto polls = aOptions.wait / kStatusInterval;
+  std::string shown;
+  for (std::int64_t n = 0; n <= polls; ++n) {
+    const std::optional<ClusterStatus> status = FetchStatus(aClient);
+    const bool isReached = status && status->generation >= aGeneration;
+    if (isReached && DescribeForce(*status) != shown) {
+      shown = DescribeForce(*status);
+      std::cerr << shown << '\n';
+    }
+    if (isReached && status->inForce >= status->members) {
+      return true;
+    }
+    if (n < polls) {
+      std::this_thread::sleep_for(kStatusInterval);
+    }
+  }
+  std::cerr << "it is accepted and reaches the missing VMs when they can be reached\n";
+  return false;
+}
+
+int
+ExitCodeOf(ChangeVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case ChangeVerdict::Accepted:
+      return kExitDone;
+    case ChangeVerdict::Conflict:
+    case ChangeVerdict::Refused:
+      return kExitFailed;
+    case ChangeVerdict::Unknown:
+      break;
+  }
+  return kExitUnknown;
+}
+
+/** Asks for a change and reports what came of it. */
+int
+SubmitChange(OperatorClient& aClient,
+             const std::string& aTarget,
+             json aBody,
+             const OperatorOptions& aOptions)
+{
+  aBody["author"] = aOptions.author;
+  aBody["reason"] = aOptions.reason;
+  aBody["force"] = aOptions.force;
+  if (aOptions.expectGeneration) {
+    aBody["expectedGeneration"] = *aOptions.expectGeneration;
+  }
+  const OperatorReply reply = aClient.Post(aTarget, aBody);
+  if (reply.error != OperatorClientError::None) {
+    return ReportFailure(reply, true);
+  }
+  const std::optional<ChangeOutcome> outcome = ChangeOutcomeFromJson(reply.body);
+  if (!outcome) {
+    std::cerr << "outcome unknown: the answer was not understood\n";
+    return kExitUnknown;
+  }
+  if (aOptions.json) {
+    PrintJson(reply.body);
+  } else {
+    (outcome->verdict == ChangeVerdict::Accepted ? std::cout : std::cerr) << ToText(*outcome);
+  }
+  if (outcome->verdict == ChangeVerdict::Accepted) {
+    AwaitForce(aClient, outcome->generation, aOptions);
+  }
+  return ExitCodeOf(outcome->verdict);
+}
+
+/** Fetches something to read and prints it. */
+int
+FetchAndPrint(const OperatorOptions& aOptions,
+              const std::string& aTarget,
+              const std::function<std::optional<std::string>(const json&)>& aToText)
+{
+  return WithClient(aOptions, [&](OperatorClient& aClient) {
+    const OperatorReply reply = aClient.Get(aTarget);
+    if (reply.error != OperatorClientError::None) {
+      return ReportFailure(reply, false);
+    }
+    if (aOptions.json) {
+      PrintJson(reply.body);
+      return kExitDone;
+    }
+    const std::optional<std::string> text = aToText(reply.body);
+    if (!text) {
+      std::cerr << "failed: the answer was not understood\n";
+      return kExitFailed;
+    }
+    std::cout << *text;
+    return kExitDone;
+  });
+}
+
+std::optional<std::string>
+HistoryText(const json& aBody)
+{
+  const auto records = RecordsFromJson(aBody.value("history", json()));
+  if (!records) {
+    return std::nullopt;
+  }
+  std::string text;
+  for (const declaration::ChangeRecord& record : *records) {
+    text += ToText(record);
+  }
+  return text.empty() ? "no change is recorded\n" : text;
+}
+
+int
+PrintDifference(const declaration::Declaration& aFrom,
+                const declaration::Declaration& aTo,
+                std::uint64_t aGeneration,
+                bool aWantsJson)
+{
+  const std::vector<declaration::Change> changes = declaration::DescribeChanges(aFrom, aTo);
+  const std::vector<std::string> harms = declaration::FindHarms(aFrom, aTo);
+  if (aWantsJson) {
+    json lines = json::array();
+    for (const declaration::Change& change : changes) {
+      lines.push_back({ { "what", change.what }, { "traffic", change.traffic } });
+    }
+    PrintJson({ { "generation", aGeneration }, { "changes", lines }, { "harms", harms } });
+    return kExitDone;
+  }
+  std::cout << "against generation " << aGeneration << (changes.empty() ? ": no change\n" : ":\n");
+  for (const std::string& line : declaration::ToLines(changes)) {
+    std::cout << "  " << line << '\n';
+  }
+  for (const std::string& harm : harms) {
+    std::cout << "  harm: " << harm << '\n';
+  }
+  return kExitDone;
+}
+
+int
+Diff(const OperatorOptions& aOptions)
+{
+  const auto wanted = ReadDeclarationFile(aOptions.arguments[0], aOptions.json);
+  if (!wanted) {
+    return kExitFailed;
+  }
+  return WithClient(aOptions, [&](OperatorClient& aClient) {
+    const OperatorReply reply = aClient.Get("/v1/configuration");
+    if (reply.status == 404) {
+      return PrintDifference({}, *wanted, 0, aOptions.json);
+    }
+    if (reply.error != OperatorClientError::None) {
+      return ReportFailure(reply, false);
+    }
+    const auto present = declaration::ReadDeclaration(reply.body.value("declaration", json()));
+    if (!present.declaration) {
+      std::cerr << "failed: the declaration in force was not understood\n";
+      return kExitFailed;
+    }
+    const std::uint64_t generation = reply.body.value("generation", std::uint64_t{ 0 });
+    return PrintDifference(*present.declaration, *wanted, generation, aOptions.json);
+  });
+}
+
+int
+Apply(const OperatorOptions& aOptions)
+{
+  const std::string& path = aOptions.arguments[0];
+  const std::optional<std::string> text = ReadFile(path);
+  if (!text || !ReadDeclarationFile(path, aOptions.json)) {
+    return kExitFailed;
+  }
+  return WithClient(aOptions, [&](OperatorClient& aClient) {
+    return SubmitChange(aClient, "/v1/configuration", { { "declaration", *text } }, aOptions);
+  });
+}
+
+std::string
+PercentEncode(const std::string& aText)
+{
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char symbol : aText) {
+    const auto byte = static_cast<unsigned char>(symbol);
+    if (std::isalnum(byte) != 0 || symbol == '-' || symbol == '_' || symbol == '.') {
+      encoded += symbol;
+      continue;
+    }
+    encoded += '%';
+    encoded += kDigits[byte >> 4U];
+    encoded += kDigits[byte & 15U];
+  }
+  return encoded;
+}
+
+int
+Domain(const OperatorOptions& aOptions)
+{
+  const std::string& direction = aOptions.arguments[0];
+  if (direction != "out" && direction != "in") {
+    std::cerr << "skylarkwing domain: say out or in; see --help\n";
+    return kExitUsage;
+  }
+  return WithClient(aOptions, [&](OperatorClient& aClient) {
+    const std::string target = "/v1/domains/" + PercentEncode(aOptions.arguments[1]);
+    return SubmitChange(aClient, target, { { "out", direction == "out" } }, aOptions);
+  });
+}
+
+int
+Report(const OperatorOptions& aOptions)
+{
+  if (aOptions.arguments[0] != "burn") {
+    std::cerr << "skylarkwing report: the only report is burn; see --help\n";
+    return kExitUsage;
+  }
+  return FetchAndPrint(aOptions, "/v1/burn", [&](const json& aBody) -> std::optional<std::string> {
+    const std::optional<BurnReport> report = BurnReportFromJson(aBody);
+    if (!report) {
+      return std::nullopt;
+    }
+    if (aOptions.htmlFile.empty()) {
+      return ToText(*report);
+    }
+    std::ofstream file(aOptions.htmlFile, std::ios::binary);
+    file << ToHtml(*report);
+    return file.flush() ? std::optional<std::string>("written to " + aOptions.htmlFile + "\n")
+                        : std::nullopt;
+  });
+}
+
+} // namespace
+
+int
+RunCheck(int aCount, char** aArguments)
+{
+  const CommandUsage usage{
+    "check FILE", "Reads a declaration and lists all of its faults.", { OperatorOption::Json }, 1
+  };
+  return Run(aCount, aArguments, usage, [](const OperatorOptions& aOptions) {
+    if (!ReadDeclarationFile(aOptions.arguments[0], aOptions.json)) {
+      return kExitFailed;
+    }
+    if (aOptions.json) {
+      PrintJson({ { "faults", json::array() } });
+    } else {
+      std::cout << aOptions.arguments[0] << ": no fault\n";
+    }
+    return kExitDone;
+  });
+}
+
+int
+RunDiff(int aCount, char** aArguments)
+{
+  const CommandUsage usage{
+    "diff FILE",
+    "Tells what a declaration would change against the one in force.",
+    { OperatorOption::Json, OperatorOption::Server, OperatorOption::TokenFile },
+    1
+  };
+  return Run(aCount, aArguments, usage, Diff);
+}
+
+int
+RunApply(int aCount, char** aArguments)
+{
+  const CommandUsage usage{ "apply FILE",
+                            "Puts a declaration in force and tells where it is in force.",
+                            { OperatorOption::Json,
+                              OperatorOption::Server,
+                              OperatorOption::TokenFile,
+                              OperatorOption::Author,
+                              OperatorOption::Reason,
+                              OperatorOption::Force,
+                              OperatorOption::ExpectGeneration,
+                              OperatorOption::Wait },
+                            1 };
+  return Run(aCount, aArguments, usage, Apply);
+}
+
+int
+RunStatus(int aCount, char** aArguments)
+{
+  const CommandUsage usage{
+    "status",
+    "Tells how the deployment is, as one daemon sees it.",
+    { OperatorOption::Json, OperatorOption::Server, OperatorOption::TokenFile },
+    0
+  };
+  return Run(aCount, aArguments, usage, [](const OperatorOptions& aOptions) {
+    return FetchAndPrint(aOptions, "/v1/status", [](const json& aBody) {
+      const std::optional<ClusterStatus> status = ClusterStatusFromJson(aBody);
+      return status ? std::optional<std::string>(ToText(*status)) : std::nullopt;
+    });
+  });
+}
+
+int
+RunDomain(int aCount, char** aArguments)
+{
+  const CommandUsage usage{ "domain out|in NAME",
+                            "Takes a failure domain out or back.",
+                            { OperatorOption::Json,
+                              OperatorOption::Server,
+                              OperatorOption::TokenFile,
+                              OperatorOption::Author,
+                              OperatorOption::Reason,
+                              OperatorOption::Force,
+                              OperatorOption::ExpectGeneration,
+                              OperatorOption::Wait },
+                            2 };
+  return Run(aCount, aArguments, usage, Domain);
+}
+
+int
+RunHistory(int aCount, char** aArguments)
+{
+  const CommandUsage usage{
+    "history",
+    "Tells who changed what, when and why, oldest first.",
+    { OperatorOption::Json, OperatorOption::Server, OperatorOption::TokenFile },
+    0
+  };
+  return Run(aCount, aArguments, usage, [](const OperatorOptions& aOptions) {
+    return FetchAndPrint(aOptions, "/v1/history", HistoryText);
+  });
+}
+
+int
+RunReport(int aCount, char** aArguments)
+{
+  const CommandUsage usage{ "report burn",
+                            "Reports on service-level burn, all daemons together.",
+                            { OperatorOption::Json,
+                              OperatorOption::Server,
+                              OperatorOption::TokenFile,
+                              OperatorOption::Html },
+                            1 };
+  return Run(aCount, aArguments, usage, Report);
+}
+
+} // namespace skylarkwing::console
