--- a/store/tests/fake_store.cpp
+++ b/store/tests/fake_store.cpp
@@ -95,6 +95,16 @@
   }
 }
 
+void
+FakeStore::Restore(Revision aRevision)
+{
+  CloseWatches(false);
+  mValues.clear();
+  mEvents.clear();
+  mCompacted = 0;
+  revision = aRevision;
+}
+
 int
 FakeStore::Calls() const
 {
@@ -125,6 +135,9 @@
   }
   const json body = json::parse(aRequest.body);
   reply.response.body = Handle(aRequest.target, body, reply.response.status).dump();
+  if (answerDelay > core::Duration::zero()) {
+    co_await core::Sleep(mTimers, answerDelay);
+  }
   if (IsWrite(aRequest.target) && answersToLose > 0) {
     --answersToLose;
     co_await core::Sleep(mTimers, aTimeout - delay);
@@ -159,7 +172,7 @@
       lines->Push(EventLine(Header(), it->second));
     }
   }
-  mWatchers.push_back({ key, lines });
+  mWatchers.push_back({ key, start, lines });
   result.readPiece = [this, lines](core::Duration aTimeout) {
     return ReadLine(lines, mTimers.Now() + aTimeout);
   };
@@ -303,7 +316,7 @@
 {
   mEvents.emplace(aValue.modRevision, aValue);
   for (const Watcher& watcher : mWatchers) {
-    if (watcher.key == aValue.key) {
+    if (watcher.key == aValue.key && aValue.modRevision >= watcher.start) {
       watcher.lines->Push(EventLine(Header(), aValue));
     }
   }
--- a/store/tests/fake_store.h
+++ b/store/tests/fake_store.h
@@ -28,6 +28,8 @@
   bool isDown = false;
   /** Time before a request takes effect. */
   core::Duration delay{};
+  /** Time from its effect to its answer. */
+  core::Duration answerDelay{};
   /** So many of the next writes take effect and their answers are lost. */
   int answersToLose = 0;
   /** So many of the next writes are lost before they take effect, with their answers. */
@@ -52,6 +54,9 @@
   /** Ends all watches; unless asked to keep them, forgets the events up to now. */
   void CloseWatches(bool aIsCompacting);
 
+  /** Begins again, empty, at a revision, as after a restore from a backup. */
+  void Restore(Revision aRevision);
+
   /** @return how many calls were made in all. */
   int Calls() const;
 
@@ -70,6 +75,7 @@
   struct Watcher
   {
     std::string key;
+    Revision start = 0;
     std::shared_ptr<Lines> lines;
   };
 
