--- a/bench/cluster_fixture.h
+++ b/bench/cluster_fixture.h
@@ -97,6 +97,15 @@
   /** Takes VMs off the list whose entry process has shut down. */
   void RemoveStoppedNodes();
 
+  /** @return the processor time that the stand-ins have used. */
+  std::chrono::nanoseconds StandinCpuTime();
+
+  /** @return the token that lets operators read and change. */
+  static std::string OperatorToken();
+
+  /** @return the lowest generation of the configuration that any entry process has in force. */
+  std::uint64_t LeastGeneration();
+
   /** @return the calls that the store took so far. */
   standin::StoreCalls StoreCalls();
 
@@ -133,6 +142,7 @@
   std::vector<Node> mNodes;
   std::vector<NodePlace> mPlaces;
   std::uint32_t mVmsMade = 0;
+  std::uint32_t mNextPort;
   std::string mTokenFile;
 
   bool StartUpstreams();
@@ -144,6 +154,7 @@
   bool WriteToken();
   void WriteConfiguration();
   NodePlace NewPlace();
+  std::string FreeAddress();
   void PublishVms();
   LoopThread& PlatformThread() { return *mThreads.front(); }
 };
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -9,18 +9,20 @@
 #include "daemon/index_view_cache.h"
 #include "declaration/configuration_keeper.h"
 #include "membership/configuration_spread.h"
+#include "membership/handover.h"
 #include "membership/isolation.h"
 #include "membership/membership_service.h"
-#include "membership/ownership.h"
 #include "net/http_server.h"
 #include "net/nng_peer_bus.h"
 #include "query/query_engine.h"
+#include "store/store_client.h"
 #include "upstream/part_dispatcher.h"
 #include "upstream/part_router.h"
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,12 +45,16 @@
   void OnMemberChange(const membership::Member& aMember);
 
   // store_wiring.cpp
+  void WireStore();
+  core::Task<void> ReadConfiguration();
   void WirePermits(upstream::DispatcherHooks& aHooks);
   std::optional<core::TimePoint> StoreConfirmedAt() const;
 
   // upstream_wiring.cpp
   void WireUpstream();
   void RefreshOwnership();
+  void RefreshHeld();
+  void ReportReleased();
   std::vector<nlohmann::json> OwnFacts();
 
   // caller_wiring.cpp
@@ -70,22 +76,29 @@
   declaration::ConfigurationKeeper keeper;
   IndexViewCache views;
   std::unique_ptr<net::NngPeerBus> bus;
+  std::unique_ptr<store::StoreClient> storeClient;
+  std::optional<core::TimePoint> storeConfirmedAt;
   std::unique_ptr<membership::MembershipService> membership;
   std::unique_ptr<membership::ConfigurationSpread> spread;
   std::unique_ptr<membership::Isolation> isolation;
+  std::unique_ptr<membership::Handover> handover;
   std::unique_ptr<upstream::PartDispatcher> dispatcher;
   std::unique_ptr<upstream::PartRouter> router;
   std::unique_ptr<query::QueryEngine> engine;
   std::unique_ptr<caller::CallerFront> front;
   std::unique_ptr<net::HttpServer> callerServer;
   std::unique_ptr<net::HttpServer> operatorServer;
-  membership::OwnerMap owners;
+  /** Replicas that this daemon may connect to now. */
+  std::set<std::string> held;
+  /** Replicas given up, until nothing of them is left here. */
+  std::set<std::string> releasing;
   /** The last known incarnation of each other VM. */
   std::map<std::string, std::string> memberIncarnations;
   /** The daemon stops and callers have been given time to go elsewhere. */
   bool isLeaving = false;
   /** Nothing new is taken any more. */
   bool isRefusing = false;
+  bool isCleanedUp = false;
 };
 
 } // namespace skylarkwing::daemon
