Admit callers' queries by load and run each identified request at most once

Admission: each index has a limit that grows while queries wait for it and go well, and falls when more than a tenth of them take over half of their objective; the most important go first, others leave them room; the queue is bounded and refuses at once what cannot make its deadline.

At most once: requests that are not idempotent run only at their home daemon, other daemons pass them on once. The run table keeps an entry for as long as its epoch is accepted; a repeat waits for, or gets, the first outcome. A home that is gone, restarted or silent leaves the outcome unknown. Refusals at the edge say "not run" only where the identity's home knows that it is so.

--- a/caller/caller_front.h
+++ b/caller/caller_front.h
@@ -3,6 +3,7 @@
 #include "caller/caller_query.h"
 #include "caller/caller_response.h"
 #include "caller/refusal.h"
+#include "caller/run_table.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
 #include "core/task.h"
@@ -41,6 +42,8 @@
   /** Sends a message to another daemon; false when it was certainly not sent. */
   std::function<bool(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody)>
     sendToPeer;
+  /** Optional: one-way time to another VM. */
+  std::function<core::Duration(const std::string& aVm)> wayTo;
   /** Starts a task that nobody waits for, on the daemon's loop. */
   std::function<void(core::Task<void>)> start;
 };
@@ -50,6 +53,7 @@
 {
   std::string vm;
   std::string incarnation;
+  RunTableSettings runTable;
   /** Kept back from a caller's deadline for the way of the answer through this process. */
   core::Duration answerReserve = std::chrono::milliseconds{ 2 };
 };
@@ -78,7 +82,7 @@
   /** Takes the messages of other daemons' caller fronts. */
   void ListenOn(net::PeerBus& aBus);
 
-  /** @return how many queries of callers are under way here. */
+  /** @return how many queries are under way here, waiting and forwarded ones included. */
   std::size_t Running() const;
 
 private:
--- /dev/null
+++ b/caller/concurrency_limit.cpp
@@ -0,0 +1,113 @@
+#include "caller/concurrency_limit.h"
+
+#include <algorithm>
+
+namespace skylarkwing::caller {
+
+namespace {
+
+constexpr std::uint32_t kFirstLimit = 16;
+constexpr std::uint32_t kLeastLimit = 4;
+constexpr std::uint32_t kMostLimit = 2048;
+
+constexpr core::Duration kWindow = std::chrono::milliseconds{ 200 };
+constexpr std::uint32_t kLeastFinished = 20;
+
+/** Share of slow or shed queries in a window above which the limit falls. */
+constexpr double kBadShare = 0.1;
+constexpr double kDecrease = 0.8;
+
+/** Share of slow or shed queries above which the limit falls faster. */
+constexpr double kMostlyBadShare = 0.5;
+constexpr double kFastDecrease = 0.5;
+constexpr double kIncreaseShare = 0.05;
+
+/** Growth in each window until the limit has fallen for the first time. */
+constexpr double kFirstIncreaseShare = 1.0;
+
+/** Share of the promised latency that running may take; the rest is for waiting. */
+constexpr double kRunningShare = 0.5;
+
+/** A query is not slow while it takes less than this multiple of an unloaded one. */
+constexpr int kSlowFactor = 2;
+
+/** The unloaded latency rises at most by this share in each window that held nobody back. */
+constexpr double kBaselineRise = 0.01;
+
+core::Duration
+Scaled(core::Duration aDuration, double aFactor)
+{
+  const auto count = static_cast<double>(aDuration.count()) * aFactor;
+  return core::Duration{ static_cast<core::Duration::rep>(count) };
+}
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(core::TimerService& aTimers)
+  : mTimers(aTimers)
+  , mLimit(kFirstLimit)
+  , mWindowEnd(aTimers.Now() + kWindow)
+{
+}
+
+void
+ConcurrencyLimit::Record(const LoadSample& aSample)
+{
+  ++mFinished;
+  if (aSample.isShed || IsSlow(aSample)) {
+    ++mBad;
+  }
+  if (!aSample.isShed) {
+    mLatencies.Record(aSample.latency);
+  }
+  if (mTimers.Now() >= mWindowEnd && mFinished >= kLeastFinished) {
+    CloseWindow();
+  }
+}
+
+void
+ConcurrencyLimit::NoteHeldBack()
+{
+  mHasHeldBack = true;
+}
+
+core::Duration
+ConcurrencyLimit::Median()
+{
+  return mLatencies.Quantile(0.5);
+}
+
+bool
+ConcurrencyLimit::IsSlow(const LoadSample& aSample) const
+{
+  const core::Duration bound =
+    std::max(Scaled(aSample.objective, kRunningShare), mBaseline * kSlowFactor);
+  return aSample.latency > bound;
+}
+
+void
+ConcurrencyLimit::CloseWindow()
+{
+  if (!mHasHeldBack) {
+    // A window in which some had to wait says nothing about the latency without load.
+    const core::Duration median = Median();
+    const bool isFirst = mBaseline == core::Duration::zero();
+    mBaseline = isFirst ? median : std::min(median, Scaled(mBaseline, 1.0 + kBaselineRise));
+  }
+  const double bad = static_cast<double>(mBad) / mFinished;
+  if (bad > kBadShare) {
+    const double factor = bad > kMostlyBadShare ? kFastDecrease : kDecrease;
+    mLimit = std::max(kLeastLimit, static_cast<std::uint32_t>(mLimit * factor));
+    mIsStarting = false;
+  } else if (mHasHeldBack) {
+    const double share = mIsStarting ? kFirstIncreaseShare : kIncreaseShare;
+    const auto step = std::max(1U, static_cast<std::uint32_t>(mLimit * share));
+    mLimit = std::min(kMostLimit, mLimit + step);
+  }
+  mFinished = 0;
+  mBad = 0;
+  mHasHeldBack = false;
+  mWindowEnd = mTimers.Now() + kWindow;
+}
+
+} // namespace skylarkwing::caller
--- /dev/null
+++ b/caller/front_state.cpp
@@ -0,0 +1,321 @@
+#include "caller/front_state.h"
+
+#include <algorithm>
+#include <utility>
+
+// GCC 12 reports a false positive about the frames of Asio's coroutines.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace skylarkwing::caller {
+
+namespace {
+
+/** Share of the remaining time kept for the way of a home's reply while that way is unknown. */
+constexpr int kReplyReserveDivisor = 10;
+
+constexpr core::Duration kClosedRetryAfter = std::chrono::milliseconds{ 500 };
+
+Refusal
+MakeRefusal(RefusalKind aKind, std::string aReason, query::Executed aExecuted)
+{
+  Refusal refusal;
+  refusal.kind = aKind;
+  refusal.reason = std::move(aReason);
+  refusal.executed = aExecuted;
+  return refusal;
+}
+
+prometheus::Counter&
+IdentityCounter(core::Metrics& aMetrics, const std::string& aOutcome)
+{
+  return aMetrics.Counter("skylarkwing_caller_identified_requests_total",
+                          "Requests with an identity that this daemon did not run itself.",
+                          { { "outcome", aOutcome } });
+}
+
+} // namespace
+
+CallerFront::State::State(core::TimerService& aTimers,
+                          core::RandomSource& aRandom,
+                          core::Metrics& aMetrics,
+                          CallerHooks aHooks,
+                          CallerSettings aSettings)
+  : timers(aTimers)
+  , random(aRandom)
+  , hooks(std::move(aHooks))
+  , settings(std::move(aSettings))
+  , admission(aTimers, aRandom, aMetrics, hooks.liveMembers)
+  , table(aTimers, settings.runTable)
+  , forwarder(aTimers, aRandom, hooks.sendToPeer)
+  , answers(aMetrics.Counter("skylarkwing_caller_answers_total", "Queries answered to callers."))
+  , forwarded(IdentityCounter(aMetrics, "forwarded"))
+  , repeated(IdentityCounter(aMetrics, "repeated"))
+{
+  for (std::size_t n = 0; n < RefusalKindCount(); ++n) {
+    const auto kind = static_cast<RefusalKind>(n);
+    refusals[kind] = &aMetrics.Counter("skylarkwing_caller_refusals_total",
+                                       "Requests of callers refused, by kind.",
+                                       { { "kind", std::string(NameOf(kind)) } });
+  }
+}
+
+net::HttpResponse
+CallerFront::State::EntryPoints(const net::HttpRequest& aRequest)
+{
+  if (aRequest.method != "GET") {
+    return Refuse(
+      MakeRefusal(RefusalKind::NotFound, "only GET is served here", query::Executed::No));
+  }
+  return RenderEntryPoints(hooks.entryPoints(aRequest.QueryValue("failure-domain")));
+}
+
+core::Task<net::HttpResponse>
+CallerFront::State::Query(net::HttpRequest aRequest, Arrival aArrival)
+{
+  const core::TimePoint arrival = timers.Now();
+  if (aRequest.method != "POST") {
+    co_return Refuse(
+      MakeRefusal(RefusalKind::NotFound, "only POST is served here", query::Executed::No));
+  }
+  const auto configuration = hooks.configuration();
+  if (!configuration) {
+    Refusal refusal =
+      MakeRefusal(RefusalKind::NotReady, "no configuration is in force yet", ExecutedOf(aRequest));
+    refusal.retryAfter = kClosedRetryAfter;
+    co_return Refuse(refusal);
+  }
+  ParsedQuery parsed = ParseQuery(aRequest, configuration);
+  if (!parsed.query) {
+    parsed.refusal.executed = ExecutedOf(aRequest);
+    co_return Refuse(parsed.refusal);
+  }
+  CallerQuery query = std::move(*parsed.query);
+  const core::Duration patience = aArrival.isForwarded ? aArrival.remaining : query.patience;
+  const core::TimePoint deadline = arrival + patience - settings.answerReserve;
+  if (!query.identity) {
+    const RunOutcome outcome = co_await RunAdmitted(std::move(query), deadline);
+    co_return outcome.response;
+  }
+  if (IsHome(*query.identity)) {
+    net::HttpResponse response = co_await RunOnce(std::move(query), deadline);
+    co_return response;
+  }
+  net::HttpResponse response = co_await PassOn(std::move(query), deadline, aArrival);
+  co_return response;
+}
+
+core::Task<void>
+CallerFront::State::ServeHomeRequest(std::string aVm, HomeRequest aRequest, core::Duration aAge)
+{
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/query/" + aRequest.index;
+  request.headers = { { "Skylarkwing-Profile", aRequest.profile },
+                      { "Skylarkwing-Request-Id", aRequest.identity } };
+  request.body = std::move(aRequest.search);
+  Arrival arrival;
+  arrival.isForwarded = true;
+  arrival.remaining = std::chrono::microseconds{ aRequest.remainingMicroseconds } - aAge;
+  ++running;
+  net::HttpResponse response = co_await Query(std::move(request), arrival);
+  --running;
+  forwarder.Reply(aVm, aRequest.forwardId, std::move(response));
+}
+
+core::Task<net::HttpResponse>
+CallerFront::State::RunOnce(CallerQuery aQuery, core::TimePoint aDeadline)
+{
+  const RequestIdentity identity = *aQuery.identity;
+  const RunTable::Place place = table.Begin(identity, aQuery.ContentHash(), hooks.identityEpoch());
+  if (place.state == RunState::Done) {
+    repeated.Increment();
+    co_return *place.outcome;
+  }
+  if (place.state == RunState::Running) {
+    repeated.Increment();
+    net::HttpResponse response = co_await AwaitOutcome(place.waiter, aDeadline);
+    co_return response;
+  }
+  if (place.state != RunState::Begun) {
+    co_return RefuseState(place.state);
+  }
+  const RunOutcome outcome = co_await RunAdmitted(std::move(aQuery), aDeadline);
+  table.Finish(identity, outcome.response, outcome.mayHaveRun);
+  co_return outcome.response;
+}
+
+core::Task<net::HttpResponse>
+CallerFront::State::PassOn(CallerQuery aQuery, core::TimePoint aDeadline, Arrival aArrival)
+{
+  const std::string home = aQuery.identity->vm;
+  const std::optional<std::string> incarnation = hooks.incarnationOf(home);
+  const bool isThere = home != settings.vm && incarnation == aQuery.identity->incarnation;
+  if (!isThere || aArrival.isForwarded) {
+    co_return Refuse(MakeRefusal(RefusalKind::HomeLost,
+                                 "the daemon that handed the identity out is gone",
+                                 query::Executed::Unknown));
+  }
+  forwarded.Increment();
+  const core::Duration remaining = aDeadline - timers.Now();
+  const core::Duration reserve = hooks.wayTo ? hooks.wayTo(home) : remaining / kReplyReserveDivisor;
+  const std::optional<net::HttpResponse> reply =
+    co_await forwarder.Forward(std::move(aQuery), aDeadline, reserve);
+  if (!reply) {
+    co_return Refuse(MakeRefusal(RefusalKind::HomeSilent,
+                                 "the daemon that handed the identity out did not answer",
+                                 query::Executed::Unknown));
+  }
+  co_return *reply;
+}
+
+core::Task<net::HttpResponse>
+CallerFront::State::AwaitOutcome(std::shared_ptr<RunTable::Waiter> aWaiter,
+                                 core::TimePoint aDeadline)
+{
+  const std::optional<net::HttpResponse> outcome = co_await aWaiter->Receive(aDeadline);
+  if (outcome) {
+    co_return *outcome;
+  }
+  co_return Refuse(MakeRefusal(
+    RefusalKind::OutcomeLost, "the request is still running", query::Executed::Unknown));
+}
+
+core::Task<RunOutcome>
+CallerFront::State::RunAdmitted(CallerQuery aQuery, core::TimePoint aDeadline)
+{
+  RunOutcome outcome;
+  const std::optional<Refusal> closed = ClosedReason();
+  if (closed) {
+    outcome.response = Refuse(*closed);
+    co_return outcome;
+  }
+  AdmissionRequest request;
+  request.index = aQuery.index;
+  request.profile = aQuery.profile;
+  request.deadline = aDeadline;
+  const AdmissionVerdict verdict = co_await admission.Enter(std::move(request));
+  if (!verdict.isAdmitted) {
+    Refusal refusal = MakeRefusal(RefusalKind::Overloaded, verdict.reason, query::Executed::No);
+    refusal.retryAfter = verdict.retryAfter;
+    outcome.response = Refuse(refusal);
+    co_return outcome;
+  }
+  const query::QueryResult result = co_await Run(std::move(aQuery), aDeadline);
+  if (result.status == query::QueryStatus::Refused) {
+    outcome.response = Refuse(RefusalOf(result));
+    outcome.mayHaveRun = result.executed != query::Executed::No;
+    co_return outcome;
+  }
+  answers.Increment();
+  outcome.response = RenderAnswer(result);
+  outcome.mayHaveRun = true;
+  co_return outcome;
+}
+
+core::Task<query::QueryResult>
+CallerFront::State::Run(CallerQuery aQuery, core::TimePoint aDeadline)
+{
+  const core::TimePoint start = timers.Now();
+  const std::string index = aQuery.index;
+  const auto profile = aQuery.profile;
+  query::QueryRequest request;
+  request.requestId = aQuery.identity ? aQuery.identity->Text() : std::string();
+  request.index = aQuery.index;
+  request.profile = profile;
+  request.search = std::move(aQuery.search);
+  request.size = aQuery.size;
+  request.deadline = aDeadline;
+  query::QueryResult result = co_await hooks.runQuery(std::move(request));
+  LoadSample sample;
+  sample.latency = timers.Now() - start;
+  sample.objective = profile->objective.latency;
+  sample.isShed = result.refusal == query::QueryRefusal::Overloaded;
+  admission.Leave(index, profile->name, sample);
+  co_return result;
+}
+
+std::optional<Refusal>
+CallerFront::State::ClosedReason() const
+{
+  std::optional<Refusal> refusal;
+  if (hooks.isLeaving()) {
+    refusal = MakeRefusal(RefusalKind::Leaving, "the daemon is stopping", query::Executed::No);
+  } else if (!hooks.mayTakeNewWork()) {
+    refusal = MakeRefusal(
+      RefusalKind::NotReady, "the daemon is cut off from the others", query::Executed::No);
+    refusal->retryAfter = kClosedRetryAfter;
+  }
+  return refusal;
+}
+
+net::HttpResponse
+CallerFront::State::RefuseState(RunState aState)
+{
+  switch (aState) {
+    case RunState::Reused:
+      return Refuse(MakeRefusal(RefusalKind::IdentityReused,
+                                "the identity belongs to a request that asked something else",
+                                query::Executed::Unknown));
+    case RunState::Expired:
+      return Refuse(MakeRefusal(RefusalKind::IdentityExpired,
+                                "the identity is too old for its outcome to be known",
+                                query::Executed::Unknown));
+    case RunState::NeverIssued:
+      return Refuse(MakeRefusal(
+        RefusalKind::BadIdentity, "the identity was never handed out", query::Executed::No));
+    case RunState::Full: {
+      Refusal refusal = MakeRefusal(RefusalKind::RunTableFull,
+                                    "no room for another request that must not run twice",
+                                    query::Executed::No);
+      refusal.retryAfter = kClosedRetryAfter;
+      return Refuse(refusal);
+    }
+    default:
+      return Refuse(MakeRefusal(RefusalKind::OutcomeLost,
+                                "the request has run, and its outcome is no longer kept",
+                                query::Executed::Unknown));
+  }
+}
+
+query::Executed
+CallerFront::State::ExecutedOf(const net::HttpRequest& aRequest) const
+{
+  const std::optional<std::string> text = aRequest.Header("Skylarkwing-Request-Id");
+  const auto identity = text ? ParseRequestIdentity(*text) : std::nullopt;
+  // Nothing runs under a missing or unreadable identity, and idempotent work has no identity.
+  if (!identity || IsIdempotent(aRequest)) {
+    return query::Executed::No;
+  }
+  const bool hasNotRun =
+    IsHome(*identity) && table.HasCertainlyNotRun(*identity, hooks.identityEpoch());
+  return hasNotRun ? query::Executed::No : query::Executed::Unknown;
+}
+
+bool
+CallerFront::State::IsIdempotent(const net::HttpRequest& aRequest) const
+{
+  const auto configuration = hooks.configuration();
+  const std::optional<std::string> name = aRequest.Header("Skylarkwing-Profile");
+  if (!configuration || !name) {
+    return false;
+  }
+  const auto& profiles = configuration->declaration.profiles;
+  return std::any_of(profiles.begin(), profiles.end(), [&name](const auto& aProfile) {
+    return aProfile.name == *name && aProfile.idempotent;
+  });
+}
+
+bool
+CallerFront::State::IsHome(const RequestIdentity& aIdentity) const
+{
+  return aIdentity.vm == settings.vm && aIdentity.incarnation == settings.incarnation;
+}
+
+net::HttpResponse
+CallerFront::State::Refuse(const Refusal& aRefusal)
+{
+  refusals.at(aRefusal.kind)->Increment();
+  return RenderRefusal(aRefusal);
+}
+
+} // namespace skylarkwing::caller
