Keep a slot taken while its search may still run

Cause: random schedules of faults found three ways to overfill a cold replica. A search whose connection had broken went on at the replica while its owner counted the slot as free. A replica that was lost and owned again got a second worker, which sent on the permit of the first, still running one, because a permit names the daemon; and it could also acquire that permit a second time.

A worker sends only on a permit that it acquired itself, and acquires none while a former worker of the replica is still busy.

--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -81,6 +81,7 @@
   }
 
   void MakeGate();
+  static core::Task<bool> AcquirePermit(std::weak_ptr<State> aSelf, std::string aName);
   WorkerPtr MakeWorker(const OwnedReplica& aReplica);
   void Own(const OwnedReplica& aReplica);
   void Retire(WorkerPtr aWorker);
@@ -95,6 +96,7 @@
   void CancelQuarantined(std::uint64_t aFingerprint);
   void Cancel(const PendingPartPtr& aPart);
   void OnWorkerChange(const std::string& aReplica);
+  bool IsRetiring(const std::string& aReplica) const;
   bool IsIdle() const;
 };
 
@@ -124,6 +126,18 @@
   gate = std::make_shared<CanaryGate>(executor, timers, std::move(gateHooks));
 }
 
+core::Task<bool>
+PartDispatcher::State::AcquirePermit(std::weak_ptr<State> aSelf, std::string aName)
+{
+  const std::shared_ptr<State> self = aSelf.lock();
+  // A permit names the daemon, so a former worker of the same replica could send on it as well.
+  if (!self || self->IsRetiring(aName)) {
+    co_return false;
+  }
+  const bool isGranted = co_await self->hooks.acquirePermit(std::move(aName));
+  co_return isGranted;
+}
+
 PartDispatcher::State::WorkerPtr
 PartDispatcher::State::MakeWorker(const OwnedReplica& aReplica)
 {
@@ -131,7 +145,9 @@
   const std::string name = aReplica.declaration.name;
   ReplicaWorkerHooks workerHooks;
   workerHooks.connect = hooks.connect;
-  workerHooks.acquirePermit = hooks.acquirePermit;
+  workerHooks.acquirePermit = [weak](std::string aName) {
+    return AcquirePermit(weak, std::move(aName));
+  };
   workerHooks.isPermitHeld = hooks.isPermitHeld;
   workerHooks.releasePermit = hooks.releasePermit;
   workerHooks.refuseBeforeSend = [weak](const PartRequest& aRequest) {
@@ -380,6 +396,14 @@
   }
 }
 
+bool
+PartDispatcher::State::IsRetiring(const std::string& aReplica) const
+{
+  return std::any_of(retiring.begin(), retiring.end(), [&aReplica](const WorkerPtr& aWorker) {
+    return !aWorker->IsDone() && aWorker->Replica().declaration.name == aReplica;
+  });
+}
+
 bool
 PartDispatcher::State::IsIdle() const
 {
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -440,7 +440,7 @@
 void
 ReplicaWorker::Assign()
 {
-  while (!mQueue.IsEmpty() && mInFlight < Allowance()) {
+  while (!mQueue.IsEmpty() && BusySlots() < Allowance()) {
     if (!MaySend()) {
       RequestPermit();
       return;
@@ -503,7 +503,7 @@
 bool
 ReplicaWorker::WantsControl() const
 {
-  return !mIsAborted && !(mIsRetired && mInFlight == 0);
+  return !mIsAborted && !(mIsRetired && BusySlots() == 0);
 }
 
 bool
@@ -518,6 +518,15 @@
   return IsServing() ? mRamp.Allowance() : 0;
 }
 
+std::uint32_t
+ReplicaWorker::BusySlots() const
+{
+  const core::TimePoint now = mTimers.Now();
+  const auto n = std::count_if(
+    mOrphans.begin(), mOrphans.end(), [now](core::TimePoint aUntil) { return now < aUntil; });
+  return mInFlight + static_cast<std::uint32_t>(n);
+}
+
 bool
 ReplicaWorker::IsServing() const
 {
@@ -536,7 +545,7 @@
 bool
 ReplicaWorker::MaySend() const
 {
-  return !NeedsPermit() || mHooks.isPermitHeld(mReplica.declaration.name);
+  return !NeedsPermit() || (mHoldsPermit && mHooks.isPermitHeld(mReplica.declaration.name));
 }
 
 bool
@@ -596,7 +605,7 @@
   if (IsPermitRefused()) {
     return PartRefusal::Cold;
   }
-  const std::size_t before = mInFlight + mQueue.Ahead(aRequest);
+  const std::size_t before = BusySlots() + mQueue.Ahead(aRequest);
   const auto rounds = static_cast<int>(before / std::max(1U, Allowance())) + 1;
   if (mTimers.Now() + RunTime() * rounds > aRequest.deadline) {
     return PartRefusal::DeadlineTooClose;
@@ -665,7 +674,7 @@
   } else if (mTimers.Now() + RunTime() > aPart->request.deadline) {
     refusal = PartRefusal::DeadlineTooClose;
   }
-  if (!refused && refusal == PartRefusal::None && MaySend() && mInFlight <= Allowance()) {
+  if (!refused && refusal == PartRefusal::None && MaySend() && BusySlots() <= Allowance()) {
     return false;
   }
   --mInFlight;
@@ -721,7 +730,7 @@
       return;
     }
     self->mPermitTimer = 0;
-    if (self->mInFlight == 0 && self->mQueue.IsEmpty() && !self->HasRecentAnswer()) {
+    if (self->BusySlots() == 0 && self->mQueue.IsEmpty() && !self->HasRecentAnswer()) {
       self->ReleasePermit();
     }
     self->SchedulePermitRelease();
@@ -817,6 +826,8 @@
   mIncarnation = aIncarnation;
   mLatency.Reset();
   mDeniedSnapshots.clear();
+  // Nothing of the former process runs on.
+  mOrphans.clear();
   mDrainNotice = {};
   mLastAnswer = {};
   if (!isFirst && !mIsRetired) {
@@ -843,6 +854,7 @@
     OnBroken(aLane, aPart);
     return;
   }
+  AddOrphan(aPart);
   mLife.Process(RequestFailed{});
   const PartRefusal refusal =
     aPart->isCancelled ? PartRefusal::Cancelled : PartRefusal::ConnectionLost;
@@ -853,6 +865,7 @@
 ReplicaWorker::OnBroken(const Lane& aLane, const PendingPartPtr& aPart)
 {
   const bool isPlanned = mIsAborted || mLife.State() == ReplicaState::Draining;
+  AddOrphan(aPart);
   mLife.Process(ConnectionReset{});
   mLastAnswer = {};
   if (isPlanned) {
@@ -1000,6 +1013,21 @@
   Answer(aPart, PartStatus::NotRun, aPart->isCancelled ? PartRefusal::Cancelled : refusal);
 }
 
+void
+ReplicaWorker::AddOrphan(const PendingPartPtr& aPart)
+{
+  const core::TimePoint now = mTimers.Now();
+  std::erase_if(mOrphans, [now](core::TimePoint aUntil) { return aUntil <= now; });
+  const core::TimePoint until = std::max(now, aPart->request.deadline) + kAnswerGrace;
+  mOrphans.push_back(until);
+  mControlOrders.Push({ aPart->request.partId });
+  mTimers.Schedule(until - now, [weak = weak_from_this()] {
+    if (const Self self = weak.lock()) {
+      self->Pump();
+    }
+  });
+}
+
 void
 ReplicaWorker::DenySnapshot(std::uint64_t aSnapshot)
 {
--- a/upstream/replica_worker.h
+++ b/upstream/replica_worker.h
@@ -128,6 +128,8 @@
   /** Snapshots that answers deny although the load endpoint names them, and until when. */
   std::unordered_map<std::uint64_t, core::TimePoint> mDeniedSnapshots;
   std::uint32_t mInFlight = 0;
+  /** Searches that lost their connection and may still run, each until its deadline. */
+  std::vector<core::TimePoint> mOrphans;
   std::size_t mTasks = 0;
   bool mIsRetired = false;
   bool mIsAborted = false;
@@ -164,6 +166,7 @@
   bool IsUsable(const Lane& aLane) const;
 
   std::uint32_t Allowance() const;
+  std::uint32_t BusySlots() const;
   bool IsServing() const;
   bool NeedsPermit() const;
   bool MaySend() const;
@@ -200,6 +203,7 @@
   void OnCalmOrSlow(core::Duration aTook);
   void OnHits(const PendingPartPtr& aPart, SearchReply& aReply);
   void OnShed(const PendingPartPtr& aPart, ShedReason aReason);
+  void AddOrphan(const PendingPartPtr& aPart);
   void DenySnapshot(std::uint64_t aSnapshot);
   void NotifyChange();
 };
--- a/upstream/tests/dispatcher_fixture.h
+++ b/upstream/tests/dispatcher_fixture.h
@@ -21,6 +21,8 @@
 {
   std::map<std::string, std::string> holders;
   std::map<std::string, std::uint32_t> grants;
+  /** A successor waits until what the former holder sent has ended. */
+  std::map<std::string, core::TimePoint> barredUntil;
   bool isDown = false;
 };
 
@@ -36,7 +38,14 @@
 {
 public:
   DispatcherFixture() = default;
-  ~DispatcherFixture() { dispatchers.clear(); }
+  ~DispatcherFixture() { ShutDown(); }
+
+  /** Lets every task end; derived fixtures with callbacks of their own call it first. */
+  void ShutDown()
+  {
+    dispatchers.clear();
+    RunFor(std::chrono::seconds{ 10 });
+  }
 
   core::VirtualTimerService timers;
   core::RandomSource random{ 20261204 };
@@ -108,6 +117,15 @@
     return Send(aVm, Request(aReplica, aDeadline));
   }
 
+  /** Every lease runs out, as when its holder is paused. */
+  void LapsePermits(core::Duration aLongestRun)
+  {
+    for (const auto& [name, holder] : permits.holders) {
+      permits.barredUntil[name] = timers.Now() + aLongestRun;
+    }
+    permits.holders.clear();
+  }
+
   void RunFor(core::Duration aSpan)
   {
     const core::TimePoint end = timers.Now() + aSpan;
@@ -172,7 +190,8 @@
   {
     co_await core::Sleep(timers, std::chrono::milliseconds{ 2 });
     std::string& holder = permits.holders[aName];
-    if (!permits.isDown && holder.empty()) {
+    const bool isBarred = timers.Now() < permits.barredUntil[aName];
+    if (!permits.isDown && !isBarred && holder.empty()) {
       holder = aVm;
       ++permits.grants[aName];
     }
--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -332,6 +332,62 @@
   BOOST_TEST(upstream.Connections() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_search_that_lost_its_connection_keeps_its_slot)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1");
+  RunFor(milliseconds{ 10 });
+  BOOST_REQUIRE(upstream.Running() == 1U);
+  upstream.BreakConnections();
+  Send("vm-1", "r1");
+  RunFor(milliseconds{ 40 });
+  BOOST_TEST(upstream.overfullWhileCold == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_process_frees_the_slots_of_the_former_one)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1", seconds{ 5 });
+  RunFor(milliseconds{ 10 });
+  upstream.Restart();
+  RunFor(seconds{ 1 });
+  const std::string id = Send("vm-1", "r1", seconds{ 5 });
+  RunFor(milliseconds{ 200 });
+  BOOST_TEST((StatusOf(id) == PartStatus::Answered));
+}
+
+BOOST_AUTO_TEST_CASE(owners_that_overlap_stay_within_the_connection_limit)
+{
+  upstream.connectionLimit = 8;
+  for (const char* vm : { "vm-1", "vm-2", "vm-3", "vm-4" }) {
+    AddDispatcher(vm).SetOwned({ Declare("r1") });
+    RunFor(milliseconds{ 50 });
+    MakeWarm(vm, "r1");
+    RunFor(milliseconds{ 500 });
+  }
+  BOOST_TEST((Fact("vm-4", "r1").state == ReplicaState::Warm));
+  BOOST_TEST(upstream.mostConnections <= upstream.connectionLimit);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_owned_again_waits_for_its_former_worker)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1");
+  RunFor(milliseconds{ 10 });
+  BOOST_REQUIRE(upstream.Running() == 1U);
+  dispatchers["vm-1"]->SetOwned({});
+  dispatchers["vm-1"]->SetOwned({ Declare("r1") });
+  for (int n = 0; n < 40; ++n) {
+    Send("vm-1", "r1");
+    RunFor(milliseconds{ 1 });
+  }
+  BOOST_TEST(upstream.overfullWhileCold == 0U);
+  RunFor(milliseconds{ 500 });
+  const std::string id = Send("vm-1", "r1");
+  RunFor(milliseconds{ 100 });
+  BOOST_TEST((StatusOf(id) == PartStatus::Answered));
+}
+
 BOOST_AUTO_TEST_CASE(a_wrong_snapshot_is_withdrawn_from_the_fact)
 {
   MakeWarm("vm-1", "r1");
