--- a/query/query_run.h
+++ b/query/query_run.h
@@ -47,6 +47,7 @@
     bool isOpen = false;
     bool isAnswered = false;
     bool isHedged = false;
+    bool mayHaveRun = false;
     bool sawWrongSnapshot = false;
     std::uint32_t running = 0;
     std::uint32_t reroutes = 0;
@@ -59,7 +60,10 @@
   using HedgeQueue = std::priority_queue<HedgeDue, std::vector<HedgeDue>, std::greater<HedgeDue>>;
 
   bool Begin();
+  core::Task<bool> PassCanary();
+  core::Task<bool> AwaitPlace();
   core::Task<bool> RunCanary();
+  bool IsKnownSafe();
   core::Task<void> Gather();
 
   void OpenShard(std::uint32_t aShard);
@@ -69,6 +73,7 @@
   void RefreshView();
   bool IsGuarded() const;
   std::size_t Exposure() const;
+  bool HasFallen(const std::string& aReplica) const;
   upstream::PartRequest PartFor(std::uint32_t aShard, const ReplicaView& aReplica) const;
   core::TimePoint PartDeadline(const std::string& aOwner) const;
 
@@ -119,7 +124,7 @@
   bool mIsVersionFailing = false;
   bool mMayHaveRun = false;
   std::map<upstream::PartRefusal, std::uint32_t> mFailures;
-  /** Replicas that crashed while running this fingerprint. */
+  /** Processes that went away while they ran this fingerprint, as "name@incarnation". */
   std::set<std::string> mCrashed;
   /** Replicas that run it under guard now, or from which no answer came. */
   std::set<std::string> mSuspects;
