--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -344,6 +344,31 @@
   BOOST_TEST(upstream.overfullWhileCold == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_process_frees_the_slots_of_the_former_one)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1", seconds{ 5 });
+  RunFor(milliseconds{ 10 });
+  upstream.Restart();
+  RunFor(seconds{ 1 });
+  const std::string id = Send("vm-1", "r1", seconds{ 5 });
+  RunFor(milliseconds{ 200 });
+  BOOST_TEST((StatusOf(id) == PartStatus::Answered));
+}
+
+BOOST_AUTO_TEST_CASE(owners_that_overlap_stay_within_the_connection_limit)
+{
+  upstream.connectionLimit = 8;
+  for (const char* vm : { "vm-1", "vm-2", "vm-3", "vm-4" }) {
+    AddDispatcher(vm).SetOwned({ Declare("r1") });
+    RunFor(milliseconds{ 50 });
+    MakeWarm(vm, "r1");
+    RunFor(milliseconds{ 500 });
+  }
+  BOOST_TEST((Fact("vm-4", "r1").state == ReplicaState::Warm));
+  BOOST_TEST(upstream.mostConnections <= upstream.connectionLimit);
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_owned_again_waits_for_its_former_worker)
 {
   upstream.serviceTime = milliseconds{ 60 };
