Bound what news of members costs and take the growth out of the judgement

Two causes: the time without signs of life after which an unwatched member is doubted was too short for a fleet in which such signs come from samples, so false doubts never ended; and every judgement copied all members. The time now grows with the fleet, news has a budget of bytes, and the judgement works on cached hashes.

--- a/membership/fact_spread.cpp
+++ b/membership/fact_spread.cpp
@@ -1,7 +1,5 @@
 #include "membership/fact_spread.h"
 
-#include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace skylarkwing::membership {
@@ -22,11 +20,9 @@
                        core::Metrics& aMetrics,
                        std::string aSelf,
                        FactSpreadHooks aHooks)
-  : mTimers(aTimers)
-  , mHooks(std::move(aHooks))
+  : mHooks(std::move(aHooks))
   , mTable(std::move(aSelf))
-  , mBytesLeft(kBurstBytes)
-  , mEarnedAt(aTimers.Now())
+  , mBudget(aTimers, kBytesPerSecond, kBurstBytes)
   , mStated(aMetrics.Counter("skylarkwing_membership_facts_stated_total",
                              "Changes of this daemon's own replica facts."))
   , mHeard(aMetrics.Counter("skylarkwing_membership_facts_heard_total",
@@ -40,7 +36,6 @@
 FactSpread::Run()
 {
   StateOwn();
-  Earn();
   SendFrom(mUrgent);
   if (mUrgent.IsEmpty()) {
     SendFrom(mPatient);
@@ -99,18 +94,10 @@
   }
 }
 
-void
-FactSpread::Earn()
-{
-  const std::chrono::duration<double> span = mTimers.Now() - mEarnedAt;
-  mEarnedAt = mTimers.Now();
-  mBytesLeft = std::min(mBytesLeft + span.count() * kBytesPerSecond, kBurstBytes);
-}
-
 void
 FactSpread::SendFrom(SpreadQueue& aQueue)
 {
-  while (!aQueue.IsEmpty() && mBytesLeft > 0.0) {
+  while (!aQueue.IsEmpty() && mBudget.HasAny()) {
     const auto receivers = mHooks.receivers();
     if (receivers.empty()) {
       return;
@@ -126,7 +113,7 @@
     for (const auto& vm : receivers) {
       mHooks.send(vm, message);
     }
-    mBytesLeft -= static_cast<double>(bytes * receivers.size());
+    mBudget.Spend(static_cast<double>(bytes * receivers.size()));
     if (!mHooks.isFullMesh()) {
       // The next round of the same facts goes to other peers, a little later.
       return;
--- a/membership/fact_spread.h
+++ b/membership/fact_spread.h
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "core/timer_service.h"
+#include "membership/byte_budget.h"
 #include "membership/fact_table.h"
 #include "membership/spread_queue.h"
 
@@ -59,17 +60,14 @@
 
 private:
   void StateOwn();
-  void Earn();
   void SendFrom(SpreadQueue& aQueue);
   bool Take(NamedFact aFact);
 
-  core::TimerService& mTimers;
   FactSpreadHooks mHooks;
   FactTable mTable;
   SpreadQueue mUrgent;
   SpreadQueue mPatient;
-  double mBytesLeft;
-  core::TimePoint mEarnedAt;
+  ByteBudget mBudget;
   prometheus::Counter& mStated;
   prometheus::Counter& mHeard;
   prometheus::Gauge& mWaiting;
--- a/membership/member_table.cpp
+++ b/membership/member_table.cpp
@@ -1,6 +1,7 @@
 #include "membership/member_table.h"
 
 #include "core/name_table.h"
+#include "membership/hash.h"
 
 #include <algorithm>
 #include <set>
@@ -12,6 +13,12 @@
 
 constexpr core::NameTable<ReportOutcome, 3> kOutcomeNames{ { "known", "changed", "outdated" } };
 
+std::uint64_t
+IdentityHashOf(const Member& aMember)
+{
+  return CombineHashes(HashOf(aMember.vm), HashOf(aMember.incarnation));
+}
+
 bool
 MayOwn(const MemberEntry& aEntry, core::TimePoint aNow)
 {
@@ -34,6 +41,7 @@
 {
   mSelf.member = std::move(aSelf);
   mSelf.member.state = MemberState::Alive;
+  mSelf.identityHash = IdentityHashOf(mSelf.member);
   mSelf.aliveSince = mTimers.Now();
   mSelf.settledAt = mSelf.aliveSince + mLimits.newSettling;
 }
@@ -209,6 +217,18 @@
   return members;
 }
 
+std::uint64_t
+MemberTable::OwnersHash() const
+{
+  const core::TimePoint now = mTimers.Now();
+  // A sum does not depend on the order, and no member is in it twice.
+  std::uint64_t hash = MayOwn(mSelf, now) ? mSelf.identityHash : 0;
+  for (const auto& [vm, entry] : mEntries) {
+    hash += MayOwn(entry, now) ? entry.identityHash : 0;
+  }
+  return hash;
+}
+
 std::size_t
 MemberTable::KnownCount() const
 {
@@ -276,6 +296,7 @@
   const std::uint32_t returns = aEntry.returns;
   aEntry = MemberEntry{};
   aEntry.member = aMember;
+  aEntry.identityHash = IdentityHashOf(aMember);
   aEntry.isInVmList = isInVmList;
   aEntry.toleratedSilence = mLimits.suspectAfter;
   aEntry.aliveSince = mTimers.Now();
--- a/membership/member_table.h
+++ b/membership/member_table.h
@@ -38,7 +38,7 @@
    * others: so much, and so much more for each member, because signs of each come more seldom.
    */
   core::Duration unwatchedSilence = std::chrono::milliseconds{ 3000 };
-  core::Duration unwatchedSilencePerMember = std::chrono::milliseconds{ 100 };
+  core::Duration unwatchedSilencePerMember = std::chrono::milliseconds{ 250 };
   /** Longest silence that a member may have after its suspicion was refuted again and again. */
   core::Duration longestSilence = std::chrono::seconds{ 8 };
 };
@@ -77,6 +77,8 @@
   /** From then on it may own replicas. */
   core::TimePoint settledAt;
   std::uint32_t returns = 0;
+  /** Hash of the VM and incarnation. */
+  std::uint64_t identityHash = 0;
   /** It announced that it leaves, and then went. */
   bool isDeparted = false;
   bool isInVmList = false;
@@ -154,6 +156,9 @@
    */
   std::vector<Member> Owners() const;
 
+  /** @return a hash that changes when Owners() does, for less than the price of the list. */
+  std::uint64_t OwnersHash() const;
+
   /** @return how many members should be there: with self, without departed and forgotten ones. */
   std::size_t KnownCount() const;
 
--- a/membership/membership_service.cpp
+++ b/membership/membership_service.cpp
@@ -36,6 +36,10 @@
 constexpr std::size_t kProbesAtATime = 16;
 constexpr std::size_t kVitalsPerHeartbeat = 4;
 constexpr std::size_t kNewsPerMessage = 32;
+/** What news may cost in sent bytes; what does not fit waits, and comparisons bring it too. */
+constexpr double kNewsBytesPerSecond = 6.0 * 1024;
+constexpr double kNewsBurstBytes = 64.0 * 1024;
+constexpr std::size_t kMemberBytes = 120;
 constexpr std::size_t kNewsReceivers = 3;
 /** Three receivers in each of two rounds leave about one daemon in four hundred out. */
 constexpr std::uint32_t kNewsRounds = 2;
@@ -83,6 +87,7 @@
         .isFullMesh = [this] { return mRing.IsFullMesh(); },
         .send = [this](const std::string& aVm,
                        const nlohmann::json& aFacts) { Send(aVm, kFactsKind, aFacts); } })
+  , mNewsBudget(aTimers, kNewsBytesPerSecond, kNewsBurstBytes)
   , mHeartbeatTimer(aTimers, aRandom)
   , mJudgementTimer(aTimers, aRandom)
   , mFactTimer(aTimers, aRandom)
@@ -203,12 +208,17 @@
 MembershipService::RandomPeers(std::size_t aMost)
 {
   RefreshRing();
-  std::vector<std::string> peers = mRing.Peers();
-  const std::size_t n = std::min(aMost, peers.size());
-  for (std::size_t i = 0; i < n; ++i) {
-    std::swap(peers[i], peers[i + mRandom.Below(peers.size() - i)]);
+  const auto& all = mRing.Peers();
+  const std::size_t n = std::min(aMost, all.size());
+  std::vector<std::string> peers;
+  // The few that are drawn are kept apart by a draw without replacement over indices.
+  std::set<std::size_t> drawn;
+  for (std::size_t last = all.size() - n; last < all.size(); ++last) {
+    const std::size_t draw = mRandom.Below(last + 1);
+    const std::size_t index = drawn.count(draw) > 0 ? last : draw;
+    drawn.insert(index);
+    peers.push_back(all[index]);
   }
-  peers.resize(n);
   return peers;
 }
 
@@ -291,14 +301,6 @@
   mJudgedAt = mTimers.Now();
   mTable.Judge();
   CheckOwners();
-  std::map<MemberState, std::size_t> counts;
-  ++counts[mTable.Self().state];
-  for (const auto& [vm, entry] : mTable.Entries()) {
-    counts[entry.member.state] += entry.isForgotten ? 0 : 1;
-  }
-  for (const MemberState state : kAllStates) {
-    mStates.find(NameOf(state))->second->Set(static_cast<double>(counts[state]));
-  }
   for (const auto& listener : mJudgedListeners) {
     listener();
   }
@@ -318,9 +320,23 @@
   }
 }
 
+void
+MembershipService::CountStates()
+{
+  std::map<MemberState, std::size_t> counts;
+  ++counts[mTable.Self().state];
+  for (const auto& [vm, entry] : mTable.Entries()) {
+    counts[entry.member.state] += entry.isForgotten ? 0 : 1;
+  }
+  for (const MemberState state : kAllStates) {
+    mStates.find(NameOf(state))->second->Set(static_cast<double>(counts[state]));
+  }
+}
+
 void
 MembershipService::RunProbes()
 {
+  CountStates();
   std::vector<const Member*> silent;
   for (const auto& [vm, entry] : mTable.Entries()) {
     const bool mayReturn = !IsThere(entry.member) && !entry.isForgotten && !entry.isDeparted;
@@ -404,6 +420,10 @@
 void
 MembershipService::SendNews()
 {
+  if (!mNewsBudget.HasAny()) {
+    ScheduleNews();
+    return;
+  }
   MembersReport report;
   for (const auto& vm : mNews.Take(kNewsPerMessage)) {
     const MemberEntry* entry = mTable.Find(vm);
@@ -418,6 +438,8 @@
   for (const auto& vm : receivers) {
     Send(vm, kMembersKind, body);
   }
+  const std::size_t sent = report.members.size() * receivers.size() * kMemberBytes;
+  mNewsBudget.Spend(static_cast<double>(sent));
   ScheduleNews();
 }
 
@@ -746,10 +768,7 @@
 void
 MembershipService::CheckOwners()
 {
-  std::uint64_t hash = 0;
-  for (const auto& member : mTable.Owners()) {
-    hash = CombineHashes(hash, CombineHashes(HashOf(member.vm), HashOf(member.incarnation)));
-  }
+  const std::uint64_t hash = mTable.OwnersHash();
   if (hash == mOwnersHash) {
     return;
   }
--- a/membership/membership_service.h
+++ b/membership/membership_service.h
@@ -4,6 +4,7 @@
 #include "core/random_source.h"
 #include "core/task.h"
 #include "core/timer_service.h"
+#include "membership/byte_budget.h"
 #include "membership/fact_spread.h"
 #include "membership/member_table.h"
 #include "membership/messages.h"
@@ -157,6 +158,7 @@
   void RunJudgement(core::Duration aLateness);
   void RunComparison();
   void RunProbes();
+  void CountStates();
   void SendHeartbeat(const std::string& aVm, std::optional<bool> aWatched);
   void StopWatchers(const std::vector<std::string>& aBefore);
   bool NeedsIntroduction(const std::string& aVm);
@@ -197,6 +199,7 @@
   PeerRing mRing;
   FactSpread mFacts;
   SpreadQueue mNews;
+  ByteBudget mNewsBudget;
   core::TimerId mNewsTimer = 0;
   core::TimerId mOwnersTimer = 0;
   PeriodicTimer mHeartbeatTimer;
