--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -4,6 +4,8 @@
 #include "upstream/canary_gate.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -12,6 +14,10 @@
 
 namespace {
 
+// Messages between daemons may be lost; the claim on a suspected fingerprint outlasts the repeats.
+constexpr std::array<std::chrono::seconds, 2> kEvidenceRepeats{ std::chrono::seconds{ 1 },
+                                                                std::chrono::seconds{ 3 } };
+
 bool
 IsSamePlace(const OwnedReplica& aLeft, const OwnedReplica& aRight)
 {
@@ -75,6 +81,7 @@
   }
 
   void MakeGate();
+  static core::Task<bool> AcquirePermit(std::weak_ptr<State> aSelf, std::string aName);
   WorkerPtr MakeWorker(const OwnedReplica& aReplica);
   void Own(const OwnedReplica& aReplica);
   void Retire(WorkerPtr aWorker);
@@ -84,10 +91,12 @@
   std::optional<PartAnswer> RefuseBeforeSend(const PartRequest& aRequest);
   void Finish(const PendingPartPtr& aPart, PartAnswer aAnswer, const PartCallback& aCallback);
   void RecordCrash(const PartRequest& aRequest, const std::string& aIncarnation);
+  void RepeatLater(const CrashEvidence& aEvidence, core::Duration aDelay);
   void RecordAlive(const std::string& aReplica, const std::string& aIncarnation);
   void CancelQuarantined(std::uint64_t aFingerprint);
   void Cancel(const PendingPartPtr& aPart);
   void OnWorkerChange(const std::string& aReplica);
+  bool IsRetiring(const std::string& aReplica) const;
   bool IsIdle() const;
 };
 
@@ -117,6 +126,18 @@
   gate = std::make_shared<CanaryGate>(executor, timers, std::move(gateHooks));
 }
 
+core::Task<bool>
+PartDispatcher::State::AcquirePermit(std::weak_ptr<State> aSelf, std::string aName)
+{
+  const std::shared_ptr<State> self = aSelf.lock();
+  // A permit names the daemon, so a former worker of the same replica could send on it as well.
+  if (!self || self->IsRetiring(aName)) {
+    co_return false;
+  }
+  const bool isGranted = co_await self->hooks.acquirePermit(std::move(aName));
+  co_return isGranted;
+}
+
 PartDispatcher::State::WorkerPtr
 PartDispatcher::State::MakeWorker(const OwnedReplica& aReplica)
 {
@@ -124,7 +145,9 @@
   const std::string name = aReplica.declaration.name;
   ReplicaWorkerHooks workerHooks;
   workerHooks.connect = hooks.connect;
-  workerHooks.acquirePermit = hooks.acquirePermit;
+  workerHooks.acquirePermit = [weak](std::string aName) {
+    return AcquirePermit(weak, std::move(aName));
+  };
   workerHooks.isPermitHeld = hooks.isPermitHeld;
   workerHooks.releasePermit = hooks.releasePermit;
   workerHooks.refuseBeforeSend = [weak](const PartRequest& aRequest) {
@@ -268,8 +291,9 @@
     aAnswer.status = PartStatus::Quarantined;
     aAnswer.refusal = PartRefusal::Unavailable;
   }
-  if (aAnswer.status == PartStatus::Answered && ledger.RecordAnswer(fingerprint)) {
-    hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {} });
+  if (aAnswer.status == PartStatus::Answered &&
+      ledger.RecordAnswer(fingerprint, aPart->request.shard)) {
+    hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {}, aPart->request.shard });
   }
   endedParts[static_cast<std::size_t>(aAnswer.status)]->Increment();
   aAnswer.crashedReplicas = ledger.CrashedReplicas(fingerprint);
@@ -282,7 +306,7 @@
 PartDispatcher::State::RecordCrash(const PartRequest& aRequest, const std::string& aIncarnation)
 {
   const CrashEvidence evidence{
-    aRequest.fingerprint, EvidenceKind::Crash, aRequest.replica, aIncarnation
+    aRequest.fingerprint, EvidenceKind::Crash, aRequest.replica, aIncarnation, aRequest.shard
   };
   ledger.Merge(evidence);
   crashes.Increment();
@@ -293,14 +317,28 @@
                     { "incarnation", aIncarnation },
                     { "fingerprint", std::to_string(aRequest.fingerprint) } });
   hooks.broadcastCrash(evidence);
+  for (const std::chrono::seconds delay : kEvidenceRepeats) {
+    RepeatLater(evidence, delay);
+  }
   CancelQuarantined(aRequest.fingerprint);
 }
 
+void
+PartDispatcher::State::RepeatLater(const CrashEvidence& aEvidence, core::Duration aDelay)
+{
+  timers.Schedule(aDelay, [weak = weak_from_this(), aEvidence] {
+    const auto self = weak.lock();
+    if (self && self->ledger.HasFallen(aEvidence.fingerprint, aEvidence.replica)) {
+      self->hooks.broadcastCrash(aEvidence);
+    }
+  });
+}
+
 void
 PartDispatcher::State::RecordAlive(const std::string& aReplica, const std::string& aIncarnation)
 {
   for (const std::uint64_t fingerprint : ledger.SuspectedOf(aReplica, aIncarnation)) {
-    const CrashEvidence evidence{ fingerprint, EvidenceKind::Alive, aReplica, aIncarnation };
+    const CrashEvidence evidence{ fingerprint, EvidenceKind::Alive, aReplica, aIncarnation, 0 };
     ledger.Merge(evidence);
     hooks.broadcastCrash(evidence);
   }
@@ -358,6 +396,14 @@
   }
 }
 
+bool
+PartDispatcher::State::IsRetiring(const std::string& aReplica) const
+{
+  return std::any_of(retiring.begin(), retiring.end(), [&aReplica](const WorkerPtr& aWorker) {
+    return !aWorker->IsDone() && aWorker->Replica().declaration.name == aReplica;
+  });
+}
+
 bool
 PartDispatcher::State::IsIdle() const
 {
@@ -466,14 +512,26 @@
   mState->CancelQuarantined(aEvidence.fingerprint);
 }
 
+std::vector<CrashEvidence>
+PartDispatcher::Evidence() const
+{
+  return mState->ledger.Evidence();
+}
+
 void
 PartDispatcher::Lift(std::uint64_t aFingerprint)
 {
-  const CrashEvidence evidence{ aFingerprint, EvidenceKind::Lifted, {}, {} };
+  const CrashEvidence evidence{ aFingerprint, EvidenceKind::Lifted, {}, {}, 0 };
   mState->ledger.Merge(evidence);
   mState->hooks.broadcastCrash(evidence);
 }
 
+std::vector<std::string>
+PartDispatcher::CrashedReplicas(std::uint64_t aFingerprint) const
+{
+  return mState->ledger.CrashedReplicas(aFingerprint);
+}
+
 std::vector<QuarantinedFingerprint>
 PartDispatcher::Quarantined() const
 {
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -79,7 +79,8 @@
   std::shared_ptr<UpstreamConnection> connection;
   /** The process at the other end. */
   std::string incarnation;
-  core::TimePoint connectedFrom;
+  /** How many crashes had been seen when it was opened. */
+  std::uint64_t crashesBefore = 0;
   bool isReady = false;
   /** The next part; none only wakes the task. */
   core::Mailbox<PendingPartPtr> parts;
@@ -333,7 +334,7 @@
     aLane->connection->Close();
   }
   aLane->incarnation.clear();
-  aLane->connectedFrom = mTimers.Now();
+  aLane->crashesBefore = mCrashes;
   aLane->connection = mHooks.connect(mReplica.declaration.address);
   const std::shared_ptr<UpstreamConnection> connection = aLane->connection;
   const bool isConnected = co_await connection->Connect(kConnectTimeout);
@@ -351,7 +352,8 @@
   aLane->incarnation = reply.incarnation;
   OnProcess(reply.incarnation);
   OnHoldings(reply.holdings);
-  if (aLane->connectedFrom > mLastCrash) {
+  // A connection opened before the last crash may have been answered by the process that died.
+  if (aLane->crashesBefore == mCrashes) {
     mHooks.onAlive(mReplica.declaration.name, reply.incarnation);
   }
   co_return true;
@@ -438,7 +440,7 @@
 void
 ReplicaWorker::Assign()
 {
-  while (!mQueue.IsEmpty() && mInFlight < Allowance()) {
+  while (!mQueue.IsEmpty() && BusySlots() < Allowance()) {
     if (!MaySend()) {
       RequestPermit();
       return;
@@ -501,7 +503,7 @@
 bool
 ReplicaWorker::WantsControl() const
 {
-  return !mIsAborted && !(mIsRetired && mInFlight == 0);
+  return !mIsAborted && !(mIsRetired && BusySlots() == 0);
 }
 
 bool
@@ -516,6 +518,15 @@
   return IsServing() ? mRamp.Allowance() : 0;
 }
 
+std::uint32_t
+ReplicaWorker::BusySlots() const
+{
+  const core::TimePoint now = mTimers.Now();
+  const auto n = std::count_if(
+    mOrphans.begin(), mOrphans.end(), [now](core::TimePoint aUntil) { return now < aUntil; });
+  return mInFlight + static_cast<std::uint32_t>(n);
+}
+
 bool
 ReplicaWorker::IsServing() const
 {
@@ -534,7 +545,7 @@
 bool
 ReplicaWorker::MaySend() const
 {
-  return !NeedsPermit() || mHooks.isPermitHeld(mReplica.declaration.name);
+  return !NeedsPermit() || (mHoldsPermit && mHooks.isPermitHeld(mReplica.declaration.name));
 }
 
 bool
@@ -594,7 +605,7 @@
   if (IsPermitRefused()) {
     return PartRefusal::Cold;
   }
-  const std::size_t before = mInFlight + mQueue.Ahead(aRequest);
+  const std::size_t before = BusySlots() + mQueue.Ahead(aRequest);
   const auto rounds = static_cast<int>(before / std::max(1U, Allowance())) + 1;
   if (mTimers.Now() + RunTime() * rounds > aRequest.deadline) {
     return PartRefusal::DeadlineTooClose;
@@ -663,7 +674,7 @@
   } else if (mTimers.Now() + RunTime() > aPart->request.deadline) {
     refusal = PartRefusal::DeadlineTooClose;
   }
-  if (!refused && refusal == PartRefusal::None && MaySend() && mInFlight <= Allowance()) {
+  if (!refused && refusal == PartRefusal::None && MaySend() && BusySlots() <= Allowance()) {
     return false;
   }
   --mInFlight;
@@ -719,7 +730,7 @@
       return;
     }
     self->mPermitTimer = 0;
-    if (self->mInFlight == 0 && self->mQueue.IsEmpty() && !self->HasRecentAnswer()) {
+    if (self->BusySlots() == 0 && self->mQueue.IsEmpty() && !self->HasRecentAnswer()) {
       self->ReleasePermit();
     }
     self->SchedulePermitRelease();
@@ -815,6 +826,8 @@
   mIncarnation = aIncarnation;
   mLatency.Reset();
   mDeniedSnapshots.clear();
+  // Nothing of the former process runs on.
+  mOrphans.clear();
   mDrainNotice = {};
   mLastAnswer = {};
   if (!isFirst && !mIsRetired) {
@@ -841,6 +854,7 @@
     OnBroken(aLane, aPart);
     return;
   }
+  AddOrphan(aPart);
   mLife.Process(RequestFailed{});
   const PartRefusal refusal =
     aPart->isCancelled ? PartRefusal::Cancelled : PartRefusal::ConnectionLost;
@@ -851,13 +865,14 @@
 ReplicaWorker::OnBroken(const Lane& aLane, const PendingPartPtr& aPart)
 {
   const bool isPlanned = mIsAborted || mLife.State() == ReplicaState::Draining;
+  AddOrphan(aPart);
   mLife.Process(ConnectionReset{});
   mLastAnswer = {};
   if (isPlanned) {
     Answer(aPart, PartStatus::Unknown, PartRefusal::ConnectionLost);
     return;
   }
-  mLastCrash = mTimers.Now();
+  ++mCrashes;
   // The evidence leaves first: whoever hears of the crash must not be able to send it on before.
   mHooks.onCrash(aPart->request, aLane.incarnation);
   Answer(aPart, PartStatus::Crashed, PartRefusal::ConnectionLost);
@@ -998,6 +1013,21 @@
   Answer(aPart, PartStatus::NotRun, aPart->isCancelled ? PartRefusal::Cancelled : refusal);
 }
 
+void
+ReplicaWorker::AddOrphan(const PendingPartPtr& aPart)
+{
+  const core::TimePoint now = mTimers.Now();
+  std::erase_if(mOrphans, [now](core::TimePoint aUntil) { return aUntil <= now; });
+  const core::TimePoint until = std::max(now, aPart->request.deadline) + kAnswerGrace;
+  mOrphans.push_back(until);
+  mControlOrders.Push({ aPart->request.partId });
+  mTimers.Schedule(until - now, [weak = weak_from_this()] {
+    if (const Self self = weak.lock()) {
+      self->Pump();
+    }
+  });
+}
+
 void
 ReplicaWorker::DenySnapshot(std::uint64_t aSnapshot)
 {
