Tell facts again when their owner was not gone after all

A listener that forgets the facts of a member that went never got them back when it returned with the same facts, because nothing about them was new. They are now told again to the listeners, and a process states its facts anew even when an earlier process of its VM had stated the same.

--- a/membership/fact_spread.cpp
+++ b/membership/fact_spread.cpp
@@ -74,6 +74,17 @@
   return n;
 }
 
+void
+FactSpread::TellAgain(const std::string& aVm) const
+{
+  if (!mHooks.onFact) {
+    return;
+  }
+  for (const auto& fact : mTable.FactsOf(aVm)) {
+    mHooks.onFact(aVm, fact);
+  }
+}
+
 void
 FactSpread::StateOwn()
 {
--- a/membership/fact_spread.h
+++ b/membership/fact_spread.h
@@ -56,6 +56,9 @@
   /** Takes facts from a comparison; they are not passed on. @return how many were new. */
   std::size_t HearComparison(const nlohmann::json& aFacts);
 
+  /** Calls the hook again with all facts of a VM that was thought gone and is not. */
+  void TellAgain(const std::string& aVm) const;
+
   const FactTable& Table() const { return mTable; }
 
 private:
--- a/membership/fact_table.cpp
+++ b/membership/fact_table.cpp
@@ -45,11 +45,12 @@
     return std::nullopt;
   }
   FactEntry& entry = mEntries[*replica];
-  if (entry.owner == mSelf && entry.fact == aFact) {
+  if (entry.isOwn && entry.fact == aFact) {
     return std::nullopt;
   }
   nlohmann::json before = std::move(entry.fact);
   entry.owner = mSelf;
+  entry.isOwn = true;
   ++entry.version;
   entry.fact = aFact;
   entry.bytes = SizeOf(aFact);
@@ -68,6 +69,7 @@
     }
   }
   aFact.entry.bytes = SizeOf(aFact.entry.fact);
+  aFact.entry.isOwn = false;
   mEntries[aFact.replica] = std::move(aFact.entry);
   return true;
 }
@@ -108,6 +110,18 @@
   return facts;
 }
 
+std::vector<nlohmann::json>
+FactTable::FactsOf(const std::string& aOwner) const
+{
+  std::vector<nlohmann::json> facts;
+  for (const auto& [replica, entry] : mEntries) {
+    if (entry.owner == aOwner) {
+      facts.push_back(entry.fact);
+    }
+  }
+  return facts;
+}
+
 nlohmann::json
 FactsToJson(const std::vector<NamedFact>& aFacts)
 {
--- a/membership/fact_table.h
+++ b/membership/fact_table.h
@@ -23,6 +23,8 @@
   nlohmann::json fact;
   /** Size as a message carries it. */
   std::size_t bytes = 0;
+  /** Stated by this process; what an earlier one of the same VM stated has to be said again. */
+  bool isOwn = false;
 };
 
 /** One fact with its replica's name, as in a message. */
@@ -65,6 +67,9 @@
   std::vector<NamedFact> EntriesIn(const std::vector<std::size_t>& aBuckets,
                                    std::size_t aMostBytes) const;
 
+  /** @return the facts that a VM stated last. */
+  std::vector<nlohmann::json> FactsOf(const std::string& aOwner) const;
+
   std::size_t Size() const { return mEntries.size(); }
 
 private:
--- a/membership/membership_service.cpp
+++ b/membership/membership_service.cpp
@@ -682,16 +682,7 @@
 MembershipService::HearChange(const Member& aMember)
 {
   mIsRingStale = true;
-  if (aMember.state == MemberState::Gone) {
-    mBus.Disconnect(aMember.vm);
-    mHeartbeatsSent.erase(aMember.vm);
-  } else {
-    mBus.Connect(aMember.vm, aMember.peerAddress);
-  }
-  if (aMember.state == MemberState::Alive && mRing.IsFullMesh() && mIsStarted) {
-    // In a full mesh facts are sent once, and this member may have missed some.
-    SendComparison(aMember.vm, false);
-  }
+  FollowConnection(aMember);
   if (aMember.state == MemberState::Suspect) {
     mSuspicions->Increment();
   }
@@ -707,9 +698,44 @@
   for (const auto& listener : mListeners) {
     listener(aMember);
   }
+  TellFactsAgain(aMember);
   ScheduleOwnersCheck();
 }
 
+void
+MembershipService::FollowConnection(const Member& aMember)
+{
+  if (aMember.state == MemberState::Gone) {
+    mBus.Disconnect(aMember.vm);
+    mHeartbeatsSent.erase(aMember.vm);
+  } else {
+    mBus.Connect(aMember.vm, aMember.peerAddress);
+  }
+  if (aMember.state == MemberState::Alive && mRing.IsFullMesh() && mIsStarted) {
+    // In a full mesh facts are sent once, and this member may have missed some.
+    SendComparison(aMember.vm, false);
+  }
+}
+
+void
+MembershipService::TellFactsAgain(const Member& aMember)
+{
+  if (aMember.state == MemberState::Gone) {
+    mGone[aMember.vm] = aMember.incarnation;
+    return;
+  }
+  // Listeners forgot the facts of a member that went, and it has no reason to repeat them.
+  const auto gone = mGone.find(aMember.vm);
+  if (aMember.state != MemberState::Alive || gone == mGone.end()) {
+    return;
+  }
+  const bool isSame = gone->second == aMember.incarnation;
+  mGone.erase(gone);
+  if (isSame) {
+    mFacts.TellAgain(aMember.vm);
+  }
+}
+
 void
 MembershipService::RefreshRing()
 {
--- a/membership/membership_service.h
+++ b/membership/membership_service.h
@@ -32,7 +32,7 @@
 {
   /** Fetches the platform's VM list; nothing when it could not be had. */
   std::function<core::Task<std::optional<std::vector<VmRecord>>>()> fetchVmList;
-  /** See FactSpreadHooks. */
+  /** See FactSpreadHooks. The facts of a member that was gone and came back are told again. */
   std::function<std::vector<nlohmann::json>()> ownFacts;
   std::function<bool(const nlohmann::json& aBefore, const nlohmann::json& aAfter)> isUrgentFact;
   std::function<void(const std::string& aVm, const nlohmann::json& aFact)> onFact;
@@ -180,6 +180,8 @@
   void BeginRelearning(core::Duration aPause);
   void CountStanding(const std::string& aVm, bool aWasGone);
   void HearChange(const Member& aMember);
+  void FollowConnection(const Member& aMember);
+  void TellFactsAgain(const Member& aMember);
   void RefreshRing();
   void CheckOwners();
   void ScheduleOwnersCheck();
@@ -211,6 +213,8 @@
   core::Duration mComparisonPeriod{};
   std::size_t mNewByComparison = 0;
   std::map<std::string, HeartbeatCount> mHeartbeatsSent;
+  /** The incarnations that went, by VM. */
+  std::map<std::string, std::string> mGone;
   std::vector<MemberListener> mListeners;
   std::vector<OwnersListener> mOwnersListeners;
   std::vector<JudgedListener> mJudgedListeners;
--- a/membership/tests/failures_test.cpp
+++ b/membership/tests/failures_test.cpp
@@ -297,6 +297,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(facts_are_told_again_when_their_owner_was_not_gone_after_all)
+{
+  Start(8);
+  cluster.At(3).ownFacts = { { { "replica", "r-1" }, { "state", 1 } } };
+  cluster.Advance(seconds{ 1 });
+  cluster.network.isCut = [](const std::string& aFrom, const std::string&) {
+    return aFrom == VmOf(3);
+  };
+  cluster.Advance(seconds{ 3 });
+  for (const auto& [n, daemon] : cluster.daemons) {
+    daemon->facts.clear();
+  }
+  cluster.network.isCut = nullptr;
+  cluster.Advance(seconds{ 2 });
+  for (const auto& [n, daemon] : cluster.daemons) {
+    BOOST_TEST((n == 3 || daemon->facts.count("r-1") == 1U));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::membership::tests
