--- a/bench/daemon_node.cpp
+++ b/bench/daemon_node.cpp
@@ -1,5 +1,6 @@
 #include "bench/daemon_node.h"
 
+#include "bench/kept_objects.h"
 #include "bench/loop_thread.h"
 #include "core/log.h"
 #include "core/task.h"
@@ -112,7 +113,7 @@
   state.thread.Run([&state] { state.daemon->Cleanup(); });
   state.thread.Abandon();
   // The tasks that were cut off hold on to the daemon and to the loop, so neither can go.
-  static_cast<void>(state.daemon.release());
+  KeepUntilExit(std::shared_ptr<daemon::Daemon>(std::move(state.daemon)));
 }
 
 } // namespace skylarkwing::bench
--- a/bench/loop_thread.cpp
+++ b/bench/loop_thread.cpp
@@ -1,5 +1,7 @@
 #include "bench/loop_thread.h"
 
+#include "bench/kept_objects.h"
+
 #include <ctime>
 
 #include <pthread.h>
@@ -58,7 +60,7 @@
   if (isCutShort) {
     // Tasks that still wait hold on to the timer service, which has to go before the loop, so
     // neither can go.
-    static_cast<void>(mParts.release());
+    KeepUntilExit(std::shared_ptr<Parts>(std::move(mParts)));
   }
 }
 
@@ -71,7 +73,7 @@
   mParts->loop.stop();
   mThread.join();
   mGuard.reset();
-  static_cast<void>(mParts.release());
+  KeepUntilExit(std::shared_ptr<Parts>(std::move(mParts)));
 }
 
 } // namespace skylarkwing::bench
