--- a/bench/tests/cluster_test.cpp
+++ b/bench/tests/cluster_test.cpp
@@ -3,6 +3,7 @@
 #include "bench/experiment.h"
 #include "bench/load_run.h"
 #include "bench/naive_node.h"
+#include "core/log.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +11,14 @@
 
 namespace {
 
+/** Keeps lines about ordinary changes of state out of the test's output. */
+struct QuietLog
+{
+  QuietLog() { core::InitializeLog(core::LogLevel::Error, core::LogFormat::Plain); }
+};
+
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
 /** One index of two services with a replica in each of two failure domains. */
 declaration::Declaration
 SmallDeclaration()
