Watch the configuration, serve operators, and wire their commands

Cause: the store was polled by every daemon and the operators' address served metrics only. Change: the configuration watch with a few watchers in each failure domain; the operators' API, status and burn of all daemons; the commands check, diff, apply, status, domain, history, report. Before: a daemon read the store every 500 ms.

--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -380,6 +380,7 @@
   record.generation = next.generation;
   record.author = "experiment";
   record.reason = "step of the scenario";
+  record.writeId = next.writeId;
   next.history = { std::move(record) };
   const std::string value = declaration::ConfigurationToText(next);
   PlatformThread().Run([this, &value] { mStore->Put(kConfigurationKey, value); });
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -53,21 +53,6 @@
   return true;
 }
 
-core::Task<net::HttpResponse>
-Daemon::Parts::ServeOperator(net::HttpRequest aRequest)
-{
-  net::HttpResponse response;
-  if (aRequest.Path() == "/metrics") {
-    response.contentType = "text/plain; version=0.0.4";
-    response.body = metrics.Render();
-    co_return response;
-  }
-  constexpr unsigned kNotFound = 404;
-  response.status = kNotFound;
-  response.body = R"({"error":"not_found"})";
-  co_return response;
-}
-
 Daemon::Daemon(boost::asio::io_context& aLoop, settings::Settings aSettings, DaemonOptions aOptions)
   : mParts(std::make_unique<Parts>(aLoop, std::move(aSettings), std::move(aOptions)))
 {
@@ -93,13 +78,14 @@
   parts.WireMembership();
   parts.WireUpstream();
   parts.WireCaller();
+  parts.WireConsole();
   parts.callerServer = std::make_unique<net::HttpServer>(
     parts.loop, net::HttpServerLimits{}, [&parts](net::HttpRequest aRequest) {
       return parts.front->Handle(std::move(aRequest));
     });
   parts.operatorServer = std::make_unique<net::HttpServer>(
     parts.loop, net::HttpServerLimits{}, [&parts](net::HttpRequest aRequest) {
-      return parts.ServeOperator(std::move(aRequest));
+      return parts.operators->Handle(std::move(aRequest));
     });
   return parts.Listen();
 }
@@ -115,7 +101,7 @@
                     { "callers", CallerAddress() },
                     { "operators", OperatorAddress() } });
   mParts->membership->Start();
-  core::Start(mParts->loop.get_executor(), mParts->ReadConfiguration());
+  mParts->configurationWatch->Start(mParts->loop.get_executor());
 }
 
 core::Task<void>
@@ -140,6 +126,7 @@
   }
   parts.isRefusing = true;
   co_await parts.dispatcher->Stop();
+  parts.operators->Stop();
   core::LogChange(core::LogLevel::Info, "daemon", "stopped", { { "vm", parts.settings.vm } });
 }
 
@@ -147,7 +134,9 @@
 Daemon::Cleanup()
 {
   Parts& parts = *mParts;
-  parts.isCleanedUp = true;
+  if (parts.configurationWatch) {
+    parts.configurationWatch->Stop();
+  }
   if (parts.membership) {
     parts.membership->Stop();
   }
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -2,9 +2,11 @@
 
 #include "caller/caller_front.h"
 #include "console/burn_tracker.h"
+#include "console/operator_api.h"
 #include "core/asio_timer_service.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
+#include "daemon/burn_exchange.h"
 #include "daemon/daemon.h"
 #include "daemon/index_view_cache.h"
 #include "declaration/configuration_keeper.h"
@@ -15,6 +17,8 @@
 #include "net/http_server.h"
 #include "net/nng_peer_bus.h"
 #include "query/query_engine.h"
+#include "store/configuration_store.h"
+#include "store/configuration_watch.h"
 #include "store/store_client.h"
 #include "upstream/part_dispatcher.h"
 #include "upstream/part_router.h"
@@ -38,7 +42,6 @@
 
   // daemon.cpp
   bool Listen();
-  core::Task<net::HttpResponse> ServeOperator(net::HttpRequest aRequest);
 
   // membership_wiring.cpp
   void WireMembership();
@@ -46,9 +49,7 @@
 
   // store_wiring.cpp
   void WireStore();
-  core::Task<void> ReadConfiguration();
   void WirePermits(upstream::DispatcherHooks& aHooks);
-  std::optional<core::TimePoint> StoreConfirmedAt() const;
 
   // upstream_wiring.cpp
   void WireUpstream();
@@ -64,6 +65,13 @@
   std::optional<std::string> IncarnationOf(const std::string& aVm) const;
   caller::EntryPointList ChooseEntryPoints(const std::optional<std::string>& aFailureDomain);
 
+  // console_wiring.cpp
+  void WireConsole();
+  core::Task<void> ApplyChange(console::ChangeRequest aRequest, console::ChangeCallback aCallback);
+  console::ClusterStatus ReadStatus();
+  std::vector<console::QuarantineStatus> ReadQuarantine() const;
+  bool ReleaseQuarantine(const std::string& aFingerprint);
+
   boost::asio::io_context& loop;
   settings::Settings settings;
   DaemonOptions options;
@@ -77,7 +85,8 @@
   IndexViewCache views;
   std::unique_ptr<net::NngPeerBus> bus;
   std::unique_ptr<store::StoreClient> storeClient;
-  std::optional<core::TimePoint> storeConfirmedAt;
+  std::unique_ptr<store::ConfigurationStore> configurationStore;
+  std::unique_ptr<store::ConfigurationWatch> configurationWatch;
   std::unique_ptr<membership::MembershipService> membership;
   std::unique_ptr<membership::ConfigurationSpread> spread;
   std::unique_ptr<membership::Isolation> isolation;
@@ -86,6 +95,9 @@
   std::unique_ptr<upstream::PartRouter> router;
   std::unique_ptr<query::QueryEngine> engine;
   std::unique_ptr<caller::CallerFront> front;
+  std::unique_ptr<console::BurnTracker> burn;
+  std::unique_ptr<BurnExchange> burnExchange;
+  std::unique_ptr<console::OperatorApi> operators;
   std::unique_ptr<net::HttpServer> callerServer;
   std::unique_ptr<net::HttpServer> operatorServer;
   /** Replicas that this daemon may connect to now. */
@@ -98,7 +110,6 @@
   bool isLeaving = false;
   /** Nothing new is taken any more. */
   bool isRefusing = false;
-  bool isCleanedUp = false;
 };
 
 } // namespace skylarkwing::daemon
--- a/daemon/membership_wiring.cpp
+++ b/daemon/membership_wiring.cpp
@@ -71,7 +71,7 @@
     timers, random, metrics, *membership, keeper, std::move(spreadHooks));
 
   membership::IsolationHooks isolationHooks;
-  isolationHooks.storeConfirmedAt = [this] { return StoreConfirmedAt(); };
+  isolationHooks.storeConfirmedAt = [this] { return configurationWatch->LastConfirmed(); };
   isolation = std::make_unique<membership::Isolation>(
     timers, metrics, *membership, std::move(isolationHooks));
 
--- a/daemon/store_wiring.cpp
+++ b/daemon/store_wiring.cpp
@@ -1,20 +1,12 @@
 #include "daemon/daemon_parts.h"
 
-#include "declaration/configuration_codec.h"
+#include "membership/store_watchers.h"
 #include "store/store_endpoint.h"
 
 #include <utility>
 
 namespace skylarkwing::daemon {
 
-namespace {
-
-constexpr const char* kConfigurationKey = "skylarkwing/configuration";
-constexpr core::Duration kReadPeriod = std::chrono::milliseconds{ 500 };
-constexpr core::Duration kReadTimeLimit = std::chrono::seconds{ 2 };
-
-} // namespace
-
 void
 Daemon::Parts::WireStore()
 {
@@ -23,26 +15,18 @@
     endpoints.push_back(store::MakeHttpEndpoint(loop.get_executor(), address));
   }
   storeClient = std::make_unique<store::StoreClient>(timers, random, metrics, std::move(endpoints));
-}
-
-core::Task<void>
-Daemon::Parts::ReadConfiguration()
-{
-  while (!isCleanedUp) {
-    const core::TimePoint start = timers.Now();
-    store::RangeRequest request;
-    request.key = kConfigurationKey;
-    const store::RangeResult result =
-      co_await storeClient->Range(std::move(request), kReadTimeLimit);
-    if (result.error == store::StoreError::None && !result.values.empty()) {
-      auto parsed = declaration::ParseConfiguration(result.values.front().value);
-      if (parsed.configuration) {
-        storeConfirmedAt = start;
-        keeper.Offer(std::move(*parsed.configuration), "store");
-      }
-    }
-    co_await core::Sleep(timers, kReadPeriod);
-  }
+  configurationStore = std::make_unique<store::ConfigurationStore>(
+    timers, random, *storeClient, [this] { return keeper.InForce(); });
+
+  store::ConfigurationWatchHooks hooks;
+  hooks.isWatcher = [this] { return membership::IsStoreWatcher(membership->Table()); };
+  hooks.isConfirmationNeeded = [this] {
+    const membership::Contact contact = isolation->Present();
+    return contact == membership::Contact::Minority || contact == membership::Contact::Nobody;
+  };
+  hooks.members = [this] { return LiveMembers(); };
+  configurationWatch = std::make_unique<store::ConfigurationWatch>(
+    timers, random, metrics, *storeClient, *configurationStore, keeper, std::move(hooks));
 }
 
 void
@@ -53,10 +37,4 @@
   aHooks.releasePermit = [](const std::string&) {};
 }
 
-std::optional<core::TimePoint>
-Daemon::Parts::StoreConfirmedAt() const
-{
-  return storeConfirmedAt;
-}
-
 } // namespace skylarkwing::daemon
--- a/main/command_table.cpp
+++ b/main/command_table.cpp
@@ -2,6 +2,7 @@
 
 #include "bench/bench_command.h"
 #include "bench/demo_command.h"
+#include "console/operator_commands.h"
 #include "main/serve_command.h"
 
 namespace skylarkwing {
@@ -11,6 +12,13 @@
 {
   static const std::vector<Command> commands{
     { "serve", "run the daemon of one entry VM", RunServe },
+    { "check", "check a declaration and name every fault", console::RunCheck },
+    { "diff", "compare a declaration with what is in force", console::RunDiff },
+    { "apply", "put a declaration in force", console::RunApply },
+    { "status", "show the state of the deployment", console::RunStatus },
+    { "domain", "take a failure domain out, or back in", console::RunDomain },
+    { "history", "show who changed what, when and why", console::RunHistory },
+    { "report", "report on service-level burn", console::RunReport },
     { "demo", "run daemons, stand-ins and callers in one process", bench::RunDemo },
     { "bench", "run scenarios under two policies and compare them", bench::RunBench },
   };
