--- a/console/change_service.cpp
+++ b/console/change_service.cpp
@@ -1,5 +1,6 @@
 #include "console/change_service.h"
 
+#include "declaration/declaration_diff.h"
 #include "declaration/declaration_parser.h"
 #include "declaration/harm_check.h"
 
@@ -212,6 +213,8 @@
     }
   }
   ChangeRequest request;
+  request.changes =
+    declaration::ToLines(declaration::DescribeChanges(aPresent.declaration, aDeclaration));
   request.declaration = std::move(aDeclaration);
   request.expectedGeneration = aPresent.generation;
   request.author = std::move(aTerms.author);
--- a/console/console_hooks.h
+++ b/console/console_hooks.h
@@ -23,6 +23,8 @@
   std::uint64_t expectedGeneration = 0;
   std::string author;
   std::string reason;
+  /** What changes, a line for each change, for the history. */
+  std::vector<std::string> changes;
 };
 
 /** How a change ended. */
--- /dev/null
+++ b/console/tests/change_service_test.cpp
@@ -0,0 +1,133 @@
+#include "console/change_service.h"
+#include "console/tests/fake_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace skylarkwing::console {
+
+namespace {
+
+struct ChangeFixture
+{
+  ChangeOutcome Take(const std::string& aDomain, bool aOut, std::uint64_t aExpected, bool aForce)
+  {
+    ChangeOutcome outcome;
+    const ChangeTerms terms{ aExpected, "Ngozi", "cooling work", aForce };
+    service.ApplyDomain(
+      { aDomain, aOut }, terms, [&](ChangeOutcome aOutcome) { outcome = std::move(aOutcome); });
+    return outcome;
+  }
+
+  FakeCluster cluster;
+  ConsoleHooks hooks = cluster.Hooks();
+  ChangeService service{ hooks };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(change_service, ChangeFixture)
+
+BOOST_AUTO_TEST_CASE(takes_a_failure_domain_out_and_back)
+{
+  BOOST_TEST((Take("Nassarawa", true, 1, false).verdict == ChangeVerdict::Accepted));
+  BOOST_TEST(cluster.Domain("Nassarawa").out);
+  BOOST_TEST(cluster.Domain("Nassarawa").reason == "cooling work");
+  BOOST_TEST((Take("Nassarawa", false, 2, false).verdict == ChangeVerdict::Accepted));
+  BOOST_TEST(!cluster.Domain("Nassarawa").out);
+  BOOST_TEST(cluster.Domain("Nassarawa").reason.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_second_operator_on_a_domain_learns_who_was_first)
+{
+  BOOST_TEST((Take("Ikeja", true, 1, false).verdict == ChangeVerdict::Accepted));
+  const ChangeOutcome second = Take("Ikeja", true, 1, false);
+  BOOST_TEST((second.verdict == ChangeVerdict::Conflict));
+  BOOST_TEST(second.generation == 2U);
+  BOOST_REQUIRE(second.conflicts.size() == 1U);
+  BOOST_TEST(second.conflicts[0].author == "Ngozi");
+  BOOST_TEST(cluster.applied == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_unrelated_change_does_not_hold_up_a_domain)
+{
+  cluster.ChangeElsewhere("profile quick-quote: concurrency from 64 to 96");
+  BOOST_TEST((Take("Ikeja", true, 1, false).verdict == ChangeVerdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_history_that_does_not_reach_back_is_a_conflict)
+{
+  cluster.ChangeElsewhere("profile quick-quote: concurrency from 64 to 96");
+  cluster.ChangeElsewhere("profile quick-quote: concurrency from 96 to 64");
+  cluster.configuration.history.erase(cluster.configuration.history.begin() + 1);
+  BOOST_TEST((Take("Ikeja", true, 1, false).verdict == ChangeVerdict::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_behind_the_operator_makes_no_change)
+{
+  BOOST_TEST((Take("Ikeja", true, 9, false).verdict == ChangeVerdict::Conflict));
+  BOOST_TEST(cluster.applied == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_race_at_the_store_is_a_conflict)
+{
+  const auto apply = hooks.applyChange;
+  hooks.applyChange = [this, apply](ChangeRequest aRequest, const ChangeCallback& aCallback) {
+    cluster.ChangeElsewhere("failure domain Ikeja goes out");
+    apply(std::move(aRequest), aCallback);
+  };
+  const ChangeOutcome outcome = Take("Ikeja", true, 1, false);
+  BOOST_TEST((outcome.verdict == ChangeVerdict::Conflict));
+  BOOST_TEST(!cluster.Domain("Ikeja").out);
+}
+
+BOOST_AUTO_TEST_CASE(harm_needs_force)
+{
+  Take("Ikeja", true, 1, false);
+  Take("Nassarawa", true, 2, false);
+  const ChangeOutcome refused = Take("Trans-Amadi", true, 3, false);
+  BOOST_TEST((refused.verdict == ChangeVerdict::Refused));
+  BOOST_TEST(!refused.harms.empty());
+  BOOST_TEST(!cluster.Domain("Trans-Amadi").out);
+  BOOST_TEST((Take("Trans-Amadi", true, 3, true).verdict == ChangeVerdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(the_last_live_entry_vm_is_guarded)
+{
+  hooks.status = [this] {
+    ClusterStatus status = cluster.Status();
+    status.failureDomains[1].vms[0].state = "gone";
+    status.failureDomains[2].vms.clear();
+    return status;
+  };
+  const ChangeOutcome refused = Take(cluster.Status().failureDomains[0].name, true, 1, false);
+  BOOST_TEST((refused.verdict == ChangeVerdict::Refused));
+  BOOST_REQUIRE(!refused.harms.empty());
+  BOOST_TEST(refused.harms.back() == "no live entry VM would be left for callers");
+}
+
+BOOST_AUTO_TEST_CASE(a_declaration_conflicts_with_any_change_and_lists_all_faults)
+{
+  ChangeOutcome outcome;
+  const ChangeCallback keep = [&](ChangeOutcome aOutcome) { outcome = std::move(aOutcome); };
+  cluster.ChangeElsewhere("profile quick-quote: concurrency from 64 to 96");
+  service.ApplyDeclaration(FakeCluster::Text(), { 1, "Ngozi", "", false }, keep);
+  BOOST_TEST((outcome.verdict == ChangeVerdict::Conflict));
+  service.ApplyDeclaration(FakeCluster::Text(), { 2, "Ngozi", "", false }, keep);
+  BOOST_TEST((outcome.verdict == ChangeVerdict::Accepted));
+  service.ApplyDeclaration(
+    R"({"deployment": 7, "failureDomains": 1})", { {}, "Ngozi", "", false }, keep);
+  BOOST_TEST((outcome.verdict == ChangeVerdict::Refused));
+  BOOST_TEST(outcome.faults.size() >= 2U);
+  BOOST_TEST(cluster.applied == 1);
+}
+
+BOOST_AUTO_TEST_CASE(nobody_changes_without_a_name)
+{
+  ChangeOutcome outcome;
+  service.ApplyDomain({ "Ikeja", true }, {}, [&](ChangeOutcome aOutcome) { outcome = aOutcome; });
+  BOOST_TEST((outcome.verdict == ChangeVerdict::Refused));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::console
