Count answers by profile for alert rules

Alerts on burn need counters with a profile label. A misspelt field of a change is tested, and the table of worst shards is held to the exact count of the worst.

The check for an operator ahead of the daemon changed nothing, because the count of records already covers it, and is gone.

--- a/console/burn_tracker.cpp
+++ b/console/burn_tracker.cpp
@@ -59,6 +59,11 @@
   minutes.Add(aNow, aCounts);
   fiveMinutes.Add(aNow, aCounts);
   hours.Add(aNow, aCounts);
+  if (totalCounter != nullptr) {
+    totalCounter->Increment(static_cast<double>(aCounts.total));
+    slowCounter->Increment(static_cast<double>(aCounts.slow));
+    incompleteCounter->Increment(static_cast<double>(aCounts.incomplete));
+  }
 }
 
 void
@@ -92,8 +97,9 @@
   return hours.Sum(aNow, kHourBuckets);
 }
 
-BurnTracker::BurnTracker(core::TimerService& aTimers)
+BurnTracker::BurnTracker(core::TimerService& aTimers, core::Metrics* aMetrics)
   : mTimers(aTimers)
+  , mMetrics(aMetrics)
   , mStartedAt(aTimers.Now())
 {
 }
@@ -106,6 +112,7 @@
     auto known = mProfiles.extract(profile.name);
     if (known.empty()) {
       kept[profile.name].presentSince = mTimers.Now();
+      RegisterCounters(profile.name, kept[profile.name]);
     } else {
       kept.insert(std::move(known));
     }
@@ -135,6 +142,25 @@
   }
 }
 
+void
+BurnTracker::RegisterCounters(const std::string& aName, ProfileCounts& aProfile) const
+{
+  if (mMetrics == nullptr) {
+    return;
+  }
+  const core::Metrics::Labels labels{ { "profile", aName } };
+  aProfile.totalCounter = &mMetrics->Counter("skylarkwing_console_answers_total",
+                                             "Answers and refusals that callers got, by profile.",
+                                             labels);
+  aProfile.slowCounter =
+    &mMetrics->Counter("skylarkwing_console_slow_answers_total",
+                       "Answers later than the profile's objective, and refusals.",
+                       labels);
+  aProfile.incompleteCounter = &mMetrics->Counter("skylarkwing_console_incomplete_answers_total",
+                                                  "Answers that lacked shards, and refusals.",
+                                                  labels);
+}
+
 json
 BurnTracker::Snapshot(BurnDetail aDetail)
 {
--- a/console/burn_tracker.h
+++ b/console/burn_tracker.h
@@ -3,6 +3,7 @@
 #include "console/burn_ring.h"
 #include "console/latency_histogram.h"
 #include "console/shard_fault_table.h"
+#include "core/metrics.h"
 #include "core/timer_service.h"
 #include "declaration/declaration.h"
 
@@ -48,7 +49,8 @@
 class BurnTracker
 {
 public:
-  explicit BurnTracker(core::TimerService& aTimers);
+  /** @param aMetrics where answers are counted by profile as well; null for nowhere. */
+  explicit BurnTracker(core::TimerService& aTimers, core::Metrics* aMetrics = nullptr);
 
   /** Takes the objectives of a declaration; profiles that it lacks are forgotten. */
   void SetProfiles(const std::vector<declaration::ProfileDeclaration>& aProfiles);
@@ -69,6 +71,10 @@
     BurnRing minutes;
     BurnRing fiveMinutes;
     BurnRing hours;
+    /** Null when nothing is counted there. */
+    prometheus::Counter* totalCounter = nullptr;
+    prometheus::Counter* slowCounter = nullptr;
+    prometheus::Counter* incompleteCounter = nullptr;
     /** Latencies of the present and the previous span of kLatencySpan. */
     LatencyHistogram presentLatencies;
     LatencyHistogram previousLatencies;
@@ -80,10 +86,12 @@
   };
 
   core::TimerService& mTimers;
+  core::Metrics* mMetrics;
   core::TimePoint mStartedAt;
   std::map<std::string, ProfileCounts> mProfiles;
   ShardFaultTable mFaults;
 
+  void RegisterCounters(const std::string& aName, ProfileCounts& aProfile) const;
   nlohmann::json ProfileSnapshot(const std::string& aName,
                                  ProfileCounts& aProfile,
                                  BurnDetail aDetail) const;
--- a/console/change_service.cpp
+++ b/console/change_service.cpp
@@ -85,9 +85,9 @@
     return std::nullopt;
   }
   std::vector<declaration::ChangeRecord> records = RecordsSince(aPresent, aExpected);
-  const bool isFromHere = aExpected < aPresent.generation;
-  // Every generation has one record; fewer records mean that the history does not reach back.
-  const bool isHistoryWhole = isFromHere && records.size() == aPresent.generation - aExpected;
+  // Every generation has one record. Another count means that the history does not reach back, or
+  // that the operator saw a generation that is not known here yet.
+  const bool isHistoryWhole = records.size() == aPresent.generation - aExpected;
   if (isHistoryWhole) {
     std::erase_if(records, [&aDomain](const auto& aRecord) { return !Names(aRecord, aDomain); });
     if (records.empty()) {
--- a/console/tests/burn_test.cpp
+++ b/console/tests/burn_test.cpp
@@ -52,13 +52,14 @@
     return merger.Report("adebayo", 0, { "vm-2" });
   }
 
-  const WindowReport Window(BurnWindow aWindow)
+  WindowReport Window(BurnWindow aWindow)
   {
     return Report().profiles.at(0).windows.at(static_cast<std::size_t>(aWindow));
   }
 
   core::VirtualTimerService timers;
-  BurnTracker tracker{ timers };
+  core::Metrics metrics;
+  BurnTracker tracker{ timers, &metrics };
 };
 
 } // namespace
@@ -111,6 +112,12 @@
   tracker.Record(refusal);
   refusal.profile = "unknown";
   tracker.Record(refusal);
+  const std::string rendered = metrics.Render();
+  for (const char* line : { "console_answers_total{profile=\"quote\"} 100",
+                            "console_slow_answers_total{profile=\"quote\"} 7",
+                            "console_incomplete_answers_total{profile=\"quote\"} 4" }) {
+    BOOST_TEST(rendered.find(line) != std::string::npos);
+  }
   const WindowReport window = Window(BurnWindow::FiveMinutes);
   BOOST_TEST((window.counts == BurnCounts{ 100, 7, 4 }));
   BOOST_TEST(window.latencyBurn == 7.0, boost::test_tools::tolerance(1e-9));
@@ -209,6 +216,7 @@
   const std::vector<ShardFaultCount> worst = table.Worst(timers.Now());
   BOOST_TEST(worst.size() == ShardFaultTable::kMaximumPlaces);
   BOOST_TEST(worst[0].place.shard == 99999U);
+  BOOST_TEST(worst[0].missing == 3000U);
   timers.Advance(2 * ShardFaultTable::kKeepTime);
   BOOST_TEST(table.Worst(timers.Now()).empty());
 }
--- a/console/tests/operator_api_test.cpp
+++ b/console/tests/operator_api_test.cpp
@@ -228,6 +228,16 @@
   BOOST_TEST(servers.cluster.applied == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_misspelt_field_is_refused)
+{
+  json body = json::parse(DomainBody(true, 1, "Ngozi"));
+  body["expectedgeneration"] = 1;
+  const auto response = Send(Request("POST", "/v1/domains/Ikeja", kChangeToken, body.dump()));
+  BOOST_TEST(response.status == 400U);
+  BOOST_TEST(response.body.find("expectedgeneration") != std::string::npos);
+  BOOST_TEST(servers.cluster.applied == 0);
+}
+
 BOOST_AUTO_TEST_CASE(unknown_methods_and_paths_are_refused)
 {
   BOOST_TEST(Send(Request("GET", "/v1/nothing", kReadToken)).status == 404U);
