Keep the count of exposed replicas, of failures and of shards apart from the run

What it knows of crashes, of its shards and of why parts failed now has a file each. Found on the way and mended: a search suspected wrongly passed its canary and then was held to one part at a time, so its answer was never complete; and a canary whose version had died went on to further shards before the query began again.

Guards switched off by hand, each broke a test: clearing after a passed canary, silence keeping a replica at risk, crashes known before, exposure limit, canary, gate, restart.

--- /dev/null
+++ b/query/crash_exposure.cpp
@@ -0,0 +1,55 @@
+#include "query/crash_exposure.h"
+
+namespace skylarkwing::query {
+
+namespace {
+
+/** Replicas that one fingerprint may put at risk. */
+constexpr std::size_t kMostReplicas = 2;
+
+} // namespace
+
+CrashExposure::CrashExposure(const std::vector<std::string>& aCrashed)
+  : mCrashed(aCrashed.begin(), aCrashed.end())
+{
+}
+
+void
+CrashExposure::RecordSent(const std::string& aReplica)
+{
+  mAtRisk.insert(aReplica);
+}
+
+void
+CrashExposure::RecordEnded(const std::string& aReplica, upstream::PartStatus aStatus)
+{
+  // Silence proves nothing, so a replica that gave no answer stays at risk.
+  if (aStatus == upstream::PartStatus::Unknown) {
+    return;
+  }
+  mAtRisk.erase(aReplica);
+  if (aStatus == upstream::PartStatus::Crashed) {
+    mCrashed.insert(aReplica);
+  }
+}
+
+void
+CrashExposure::Clear()
+{
+  mCrashed.clear();
+  mAtRisk.clear();
+}
+
+bool
+CrashExposure::HasRoom() const
+{
+  return mCrashed.size() + mAtRisk.size() < kMostReplicas;
+}
+
+bool
+CrashExposure::IsQuarantined() const
+{
+  return mCrashed.size() >= kMostReplicas;
+}
+
+} // namespace skylarkwing::query
--- a/query/engine_state.cpp
+++ b/query/engine_state.cpp
@@ -79,6 +79,15 @@
   return mPartPrefix + "-" + std::to_string(++mLastPart);
 }
 
+std::vector<std::string>
+EngineState::KnownCrashes(std::uint64_t aFingerprint) const
+{
+  if (!hooks.crashedReplicas) {
+    return {};
+  }
+  return hooks.crashedReplicas(aFingerprint);
+}
+
 ProfileBudgets&
 EngineState::BudgetsOf(const std::string& aIndex, const std::string& aProfile)
 {
--- a/query/engine_state.h
+++ b/query/engine_state.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace skylarkwing::query {
 
@@ -57,6 +58,9 @@
   /** @return an id that no part of any daemon had before. */
   std::string NextPartId();
 
+  /** @return the replicas that this daemon knows to have crashed while running a fingerprint. */
+  std::vector<std::string> KnownCrashes(std::uint64_t aFingerprint) const;
+
   /** @return the budgets of a profile on an index. */
   ProfileBudgets& BudgetsOf(const std::string& aIndex, const std::string& aProfile);
 
--- a/query/query_hooks.h
+++ b/query/query_hooks.h
@@ -19,10 +19,7 @@
   upstream::PartCanceller cancelPart;
   /** @return what is known of an index now, nullptr when nothing is. */
   std::function<std::shared_ptr<const IndexView>(const std::string& aIndex)> indexView;
-  /**
-   * Optional: the processes known on this daemon to have gone away while they ran a fingerprint,
-   * as "name@incarnation".
-   */
+  /** Optional: the replicas known on this daemon to have crashed while running a fingerprint. */
   std::function<std::vector<std::string>(std::uint64_t aFingerprint)> crashedReplicas;
   /** Optional: one-way time to another VM. */
   WayEstimate wayTo;
--- a/query/query_run.cpp
+++ b/query/query_run.cpp
@@ -14,9 +14,6 @@
 using upstream::PartRefusal;
 using upstream::PartStatus;
 
-/** Replicas that one fingerprint may put at risk. */
-constexpr std::size_t kMostExposedReplicas = 2;
-
 /** Attempts per shard that were sent astray by stale facts and cost no upstream anything. */
 constexpr std::uint32_t kMostReroutes = 3;
 
@@ -32,11 +29,6 @@
 /** A hedge waits longer than its quantile by this part, so that even latencies cause no hedges. */
 constexpr int kHedgeMarginDivisor = 10;
 
-constexpr core::Duration kOverloadedRetryAfter = std::chrono::milliseconds{ 100 };
-constexpr core::Duration kUnavailableRetryAfter = std::chrono::milliseconds{ 500 };
-constexpr core::Duration kQuarantinedRetryAfter = std::chrono::seconds{ 60 };
-constexpr double kRetryAfterJitter = 0.5;
-
 /** @return whether a replica was asked in vain because the asker's facts were stale. */
 bool
 IsStaleRoute(const PartAnswer& aAnswer)
@@ -55,19 +47,6 @@
   }
 }
 
-/** @return the replica of a piece of evidence, "name@incarnation" or only the name. */
-std::string
-ReplicaOf(const std::string& aCrash)
-{
-  return aCrash.substr(0, aCrash.find('@'));
-}
-
-double
-ShareOf(const Coverage& aCoverage)
-{
-  return aCoverage.total == 0 ? 0.0 : static_cast<double>(aCoverage.answered) / aCoverage.total;
-}
-
 } // namespace
 
 QueryRun::QueryRun(std::shared_ptr<EngineState> aState, QueryRequest aRequest)
@@ -77,17 +56,14 @@
   , mFingerprint(FingerprintOf(mRequest.index, mRequest.search))
   , mAnswerBy(mRequest.deadline - mState->settings.mergeReserve)
   , mMailbox(std::make_shared<PartMailbox>(mState->timers))
+  , mExposure(mState->KnownCrashes(mFingerprint))
 {
-  if (mState->hooks.crashedReplicas) {
-    const std::vector<std::string> crashed = mState->hooks.crashedReplicas(mFingerprint);
-    mCrashed.insert(crashed.begin(), crashed.end());
-  }
 }
 
 core::Task<QueryResult>
 QueryRun::Run()
 {
-  if (mCrashed.size() >= kMostExposedReplicas) {
+  if (IsQuarantined()) {
     co_return Refuse(QueryRefusal::Quarantined);
   }
   if (!HasTimeForAttempt()) {
@@ -141,28 +117,27 @@
     co_return IsKnownSafe();
   }
   const bool isSafe = co_await RunCanary();
-  mState->canaryGate.Leave(mFingerprint, mCrashed);
+  mState->canaryGate.Leave(mFingerprint, mExposure.Crashed());
   co_return isSafe;
 }
 
 bool
 QueryRun::IsKnownSafe()
 {
-  return mCrashed.empty() && mState->safeFingerprints.Contains(mFingerprint);
+  return !mExposure.HasCrashed() && mState->safeFingerprints.Contains(mFingerprint);
 }
 
 core::Task<bool>
 QueryRun::AwaitPlace()
 {
-  while (HasTimeForAttempt() && !mIsQuarantined && !IsKnownSafe()) {
+  while (HasTimeForAttempt() && !IsQuarantined() && !IsKnownSafe()) {
     const std::shared_ptr<CanaryGate::Waiter> waiter = mState->canaryGate.Enter(mFingerprint);
     if (!waiter) {
       co_return true;
     }
     const std::optional<CanaryGate::Crashed> crashed = co_await waiter->Receive(mAnswerBy);
     if (crashed) {
-      mCrashed.insert(crashed->begin(), crashed->end());
-      mIsQuarantined = mCrashed.size() >= kMostExposedReplicas;
+      mExposure.Learn(*crashed);
     }
   }
   co_return false;
@@ -179,8 +154,8 @@
     const std::uint32_t shard = (first + n) % mSnapshot.shardCount;
     OpenShard(shard);
     co_await Gather();
-    const bool isRefusedUnrun = mSuspects.empty() && !mIsQuarantined && mOpenShards == 0;
-    if (!isRefusedUnrun) {
+    const bool isRefusedUnrun = !mExposure.IsAtRisk() && !IsQuarantined() && mOpenShards == 0;
+    if (!isRefusedUnrun || MayRestart()) {
       break;
     }
   }
@@ -192,7 +167,7 @@
 core::Task<void>
 QueryRun::Gather()
 {
-  while (mOpenShards > 0 && !mIsQuarantined) {
+  while (mOpenShards > 0 && !IsQuarantined()) {
     const core::TimePoint until = WakeTime();
     std::optional<PartAnswer> answer = co_await mMailbox->Receive(until);
     if (answer) {
@@ -248,7 +223,7 @@
   shard.tried.insert(replica->replica);
   ++shard.running;
   if (IsGuarded()) {
-    mSuspects.insert(replica->replica);
+    mExposure.RecordSent(replica->replica);
   }
   if (aKind == AttemptKind::First) {
     Budgets().hedges.RecordFirstAttempt(mProfile.hedgeBudget);
@@ -273,7 +248,7 @@
 const ReplicaView*
 QueryRun::Candidate(std::uint32_t aShard, AttemptKind aKind)
 {
-  if (IsGuarded() && Exposure() >= kMostExposedReplicas) {
+  if (IsGuarded() && !mExposure.HasRoom()) {
     return nullptr;
   }
   if (aKind != AttemptKind::First) {
@@ -282,9 +257,7 @@
   const SnapshotView* version = mView->Find(mSnapshot.snapshot);
   const std::vector<std::size_t>& holders = version->holders[aShard];
   std::set<std::string> avoided = mShards[aShard].tried;
-  for (const std::string& crash : mCrashed) {
-    avoided.insert(ReplicaOf(crash));
-  }
+  avoided.insert(mExposure.Crashed().begin(), mExposure.Crashed().end());
   if (mIsCanary) {
     return FirstInCanaryOrder(*mView, holders, avoided, mFingerprint);
   }
@@ -308,21 +281,13 @@
 QueryRun::IsGuarded() const
 {
   // Once a canary has passed, only attempts that follow a crash are held back.
-  return mIsCanary || !mCrashed.empty();
-}
-
-std::size_t
-QueryRun::Exposure() const
-{
-  return mCrashed.size() + mSuspects.size();
+  return mIsCanary || mExposure.HasCrashed();
 }
 
 bool
-QueryRun::HasFallen(const std::string& aReplica) const
+QueryRun::IsQuarantined() const
 {
-  return std::any_of(mCrashed.begin(), mCrashed.end(), [&aReplica](const std::string& aCrash) {
-    return ReplicaOf(aCrash) == aReplica;
-  });
+  return mWasRefusedAsQuarantined || mExposure.IsQuarantined();
 }
 
 upstream::PartRequest
@@ -340,7 +305,8 @@
   part.deadline = PartDeadline(aReplica.owner);
   part.fingerprint = mFingerprint;
   part.isCanary = mIsCanary;
-  part.crashedReplicas.assign(mCrashed.begin(), mCrashed.end());
+  const std::set<std::string>& crashed = mExposure.Crashed();
+  part.crashedReplicas.assign(crashed.begin(), crashed.end());
   return part;
 }
 
@@ -396,6 +362,7 @@
   mState->latency.Record(mRequest.index, aAttempt.shard, latency);
   if (mIsCanary) {
     mState->safeFingerprints.Add(mFingerprint);
+    mExposure.Clear();
     mIsCanary = false;
   }
   ShardProgress& shard = mShards[aAttempt.shard];
@@ -421,11 +388,11 @@
 void
 QueryRun::TakeFailure(const Attempt& aAttempt, const PartAnswer& aAnswer)
 {
-  ++mFailures[aAnswer.refusal];
+  mFailures.Record(aAnswer.refusal);
   ShardProgress& shard = mShards[aAttempt.shard];
   shard.sawWrongSnapshot |= aAnswer.refusal == PartRefusal::WrongSnapshot;
   if (aAnswer.status == PartStatus::Quarantined) {
-    mIsQuarantined = true;
+    mWasRefusedAsQuarantined = true;
     return;
   }
   if (!TryAgain(aAttempt, aAnswer) && shard.running == 0) {
@@ -482,24 +449,11 @@
 void
 QueryRun::NoteEvidence(const Attempt& aAttempt, const PartAnswer& aAnswer)
 {
-  mCrashed.insert(aAnswer.crashedReplicas.begin(), aAnswer.crashedReplicas.end());
-  if (aAnswer.status == PartStatus::Crashed) {
-    mSuspects.erase(aAttempt.replica);
-    if (!HasFallen(aAttempt.replica)) {
-      mCrashed.insert(aAttempt.replica);
-    }
-  }
-  if (!mCrashed.empty()) {
+  mExposure.Learn(aAnswer.crashedReplicas);
+  mExposure.RecordEnded(aAttempt.replica, aAnswer.status);
+  if (mExposure.HasCrashed()) {
     mState->safeFingerprints.Remove(mFingerprint);
   }
-  const bool isProvenAlive =
-    aAnswer.status == PartStatus::Answered || aAnswer.status == PartStatus::NotRun;
-  if (isProvenAlive) {
-    mSuspects.erase(aAttempt.replica);
-  }
-  if (mCrashed.size() >= kMostExposedReplicas) {
-    mIsQuarantined = true;
-  }
 }
 
 void
@@ -552,7 +506,7 @@
 QueryRun::MayHedge(const ShardProgress& aShard) const
 {
   const bool isWaiting = aShard.isOpen && !aShard.isHedged && aShard.running == 1;
-  return isWaiting && mProfile.hedgeBudget > 0.0 && mCrashed.empty() && HasTimeForAttempt();
+  return isWaiting && mProfile.hedgeBudget > 0.0 && !mExposure.HasCrashed() && HasTimeForAttempt();
 }
 
 ProfileBudgets&
@@ -593,9 +547,9 @@
 QueryRun::MayRestart() const
 {
   const auto isDead = [](const ShardProgress& aShard) {
-    return !aShard.isOpen && !aShard.isAnswered && aShard.sawWrongSnapshot;
+    return aShard.IsLost() && aShard.sawWrongSnapshot;
   };
-  if (mIsQuarantined || mRestarts >= kMostRestarts || !HasTimeForAttempt()) {
+  if (IsQuarantined() || mRestarts >= kMostRestarts || !HasTimeForAttempt()) {
     return false;
   }
   if (std::none_of(mShards.begin(), mShards.end(), isDead)) {
@@ -612,9 +566,8 @@
   std::set<std::uint64_t> excluded = mDeadSnapshots;
   excluded.insert(mSnapshot.snapshot);
   const std::optional<SnapshotChoice> other = ChooseSnapshot(*view, excluded);
-  const auto lost = std::count_if(mShards.begin(), mShards.end(), [](const ShardProgress& aShard) {
-    return !aShard.isOpen && !aShard.isAnswered;
-  });
+  const auto lost = std::count_if(
+    mShards.begin(), mShards.end(), [](const ShardProgress& aShard) { return aShard.IsLost(); });
   const double reachable = 1.0 - static_cast<double>(lost) / static_cast<double>(mShards.size());
   return other && other->Share() > reachable;
 }
@@ -646,7 +599,7 @@
   // A quarantined query ran on the replicas that it crashed, if perhaps for another request.
   const bool mayHaveRun = mMayHaveRun || aRefusal == QueryRefusal::Quarantined;
   result.executed = mayHaveRun ? Executed::Unknown : Executed::No;
-  result.retryAfter = RetryAfter(aRefusal);
+  result.retryAfter = RetryAfterOf(aRefusal, mState->random);
   return result;
 }
 
@@ -654,10 +607,10 @@
 QueryRun::Conclude()
 {
   CancelAttempts(std::nullopt);
-  if (mIsQuarantined) {
+  if (IsQuarantined()) {
     return Refuse(QueryRefusal::Quarantined);
   }
-  const Coverage coverage = CountCoverage();
+  const Coverage coverage = CoverageOf(mShards);
   const bool hasHits = std::any_of(mShards.begin(), mShards.end(), [](const ShardProgress& aShard) {
     return aShard.isAnswered || !aShard.hits.empty();
   });
@@ -686,66 +639,12 @@
   return result;
 }
 
-Coverage
-QueryRun::CountCoverage() const
-{
-  Coverage coverage;
-  coverage.total = mSnapshot.shardCount;
-  for (std::uint32_t n = 0; n < mShards.size(); ++n) {
-    if (mShards[n].isAnswered) {
-      ++coverage.answered;
-    } else {
-      coverage.missing.push_back(n);
-    }
-  }
-  return coverage;
-}
-
 QueryRefusal
 QueryRun::FailureReason() const
 {
-  const auto countOf = [this](PartRefusal aRefusal) {
-    const auto it = mFailures.find(aRefusal);
-    return it == mFailures.end() ? 0U : it->second;
-  };
-  std::uint32_t all = 0;
-  for (const auto& [refusal, n] : mFailures) {
-    all += n;
-  }
-  const std::uint32_t loaded = countOf(PartRefusal::Overloaded) + countOf(PartRefusal::Cold);
-  if (loaded > 0 && 2 * loaded >= all) {
-    return QueryRefusal::Overloaded;
-  }
-  const std::uint32_t late = countOf(PartRefusal::DeadlineTooClose);
-  if (late > 0 && 2 * late >= all) {
-    return QueryRefusal::DeadlineTooClose;
-  }
-  return QueryRefusal::Unavailable;
-}
-
-core::Duration
-QueryRun::RetryAfter(QueryRefusal aRefusal) const
-{
-  core::Duration centre{};
-  switch (aRefusal) {
-    case QueryRefusal::Overloaded:
-      centre = kOverloadedRetryAfter;
-      break;
-    case QueryRefusal::NoSnapshot:
-    case QueryRefusal::Unavailable:
-    case QueryRefusal::TooLittleCoverage:
-      centre = kUnavailableRetryAfter;
-      break;
-    case QueryRefusal::Quarantined:
-      centre = kQuarantinedRetryAfter;
-      break;
-    case QueryRefusal::None:
-    case QueryRefusal::DeadlineTooClose:
-      return {};
-  }
-  const double seconds = std::chrono::duration<double>(centre).count();
-  const double jittered = mState->random.Around(seconds, kRetryAfterJitter);
-  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(jittered));
+  const bool wasNothingSent = !mMayHaveRun && mFailures.IsEmpty();
+  return wasNothingSent && !HasTimeForAttempt() ? QueryRefusal::DeadlineTooClose
+                                                : mFailures.Reason();
 }
 
 } // namespace skylarkwing::query
--- a/query/query_run.h
+++ b/query/query_run.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "core/task.h"
+#include "query/crash_exposure.h"
 #include "query/engine_state.h"
+#include "query/failure_tally.h"
 #include "query/query_request.h"
 #include "query/query_result.h"
+#include "query/shard_progress.h"
 #include "query/snapshot_choice.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -41,20 +43,6 @@
     AttemptKind kind = AttemptKind::First;
   };
 
-  /** What has become of one shard. */
-  struct ShardProgress
-  {
-    bool isOpen = false;
-    bool isAnswered = false;
-    bool isHedged = false;
-    bool mayHaveRun = false;
-    bool sawWrongSnapshot = false;
-    std::uint32_t running = 0;
-    std::uint32_t reroutes = 0;
-    std::set<std::string> tried;
-    std::vector<upstream::Hit> hits;
-  };
-
   using PartMailbox = core::Mailbox<upstream::PartAnswer>;
   using HedgeDue = std::pair<core::TimePoint, std::uint32_t>;
   using HedgeQueue = std::priority_queue<HedgeDue, std::vector<HedgeDue>, std::greater<HedgeDue>>;
@@ -72,8 +60,7 @@
   const ReplicaView* Candidate(std::uint32_t aShard, AttemptKind aKind);
   void RefreshView();
   bool IsGuarded() const;
-  std::size_t Exposure() const;
-  bool HasFallen(const std::string& aReplica) const;
+  bool IsQuarantined() const;
   upstream::PartRequest PartFor(std::uint32_t aShard, const ReplicaView& aReplica) const;
   core::TimePoint PartDeadline(const std::string& aOwner) const;
 
@@ -98,9 +85,7 @@
   void Restart();
   QueryResult Refuse(QueryRefusal aRefusal) const;
   QueryResult Conclude();
-  Coverage CountCoverage() const;
   QueryRefusal FailureReason() const;
-  core::Duration RetryAfter(QueryRefusal aRefusal) const;
 
   std::shared_ptr<EngineState> mState;
   QueryRequest mRequest;
@@ -120,14 +105,11 @@
   std::optional<QueryResult> mEarlierAnswer;
 
   bool mIsCanary = false;
-  bool mIsQuarantined = false;
+  bool mWasRefusedAsQuarantined = false;
   bool mIsVersionFailing = false;
   bool mMayHaveRun = false;
-  std::map<upstream::PartRefusal, std::uint32_t> mFailures;
-  /** Processes that went away while they ran this fingerprint, as "name@incarnation". */
-  std::set<std::string> mCrashed;
-  /** Replicas that run it under guard now, or from which no answer came. */
-  std::set<std::string> mSuspects;
+  FailureTally mFailures;
+  CrashExposure mExposure;
 };
 
 } // namespace skylarkwing::query
--- a/query/tests/query_engine_test.cpp
+++ b/query/tests/query_engine_test.cpp
@@ -379,32 +379,43 @@
 
 BOOST_AUTO_TEST_CASE(a_search_that_is_lost_without_a_trace_is_tried_on_two_replicas)
 {
-  QueryFixture fixture;
-  fixture.AddVersion(7, 5, 3);
-  fixture.behaviour = [](const PartRequest&) { return Silent(); };
-  for (int n = 0; n < 3; ++n) {
-    fixture.StartQuery("{\"q\":\"bad\"}", 200ms);
+  for (const PartBehaviour& lost :
+       { Silent(), Failing(PartStatus::Unknown, PartRefusal::ConnectionLost) }) {
+    QueryFixture fixture;
+    fixture.AddVersion(7, 5, 3);
+    fixture.behaviour = [lost](const PartRequest&) { return lost; };
+    for (int n = 0; n < 3; ++n) {
+      fixture.StartQuery("{\"q\":\"bad\"}", 200ms);
+    }
+    fixture.Advance(300ms);
+    BOOST_TEST(ReplicasOf(fixture).size() <= 2U);
+    BOOST_TEST(fixture.results.size() == 3U);
   }
-  fixture.Advance(300ms);
-  BOOST_TEST(ReplicasOf(fixture).size() <= 2U);
-  BOOST_TEST(fixture.results.size() == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(a_known_crash_leaves_one_more_replica)
 {
   QueryFixture fixture;
   fixture.AddVersion(7, 5, 3);
-  fixture.knownCrashes = { "r0-0@a1" };
+  fixture.knownCrashes = { "r0-0" };
   fixture.behaviour = [](const PartRequest&) {
     return Failing(PartStatus::Crashed, PartRefusal::ConnectionLost);
   };
   BOOST_TEST((fixture.Ask().refusal == QueryRefusal::Quarantined));
   BOOST_TEST(fixture.sent.size() == 1U);
-  fixture.knownCrashes = { "r0-0@a1", "r1-0@a1" };
+  fixture.knownCrashes = { "r0-0", "r1-0" };
   BOOST_TEST((fixture.Ask("{\"q\":2}").refusal == QueryRefusal::Quarantined));
   BOOST_TEST(fixture.sent.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_search_that_was_suspected_wrongly_is_answered_in_full)
+{
+  QueryFixture fixture;
+  fixture.AddVersion(7, 5, 3);
+  fixture.knownCrashes = { "r0-0" };
+  BOOST_TEST(fixture.Ask().complete);
+}
+
 BOOST_AUTO_TEST_CASE(a_safe_search_that_meets_a_crash_is_tried_on_one_more_replica)
 {
   QueryFixture fixture;
--- a/query/tests/query_fixture.cpp
+++ b/query/tests/query_fixture.cpp
@@ -174,7 +174,7 @@
     }
   }
   if (part.status == upstream::PartStatus::Crashed) {
-    answer.crashedReplicas.push_back(aRequest.replica + "@a1");
+    answer.crashedReplicas.push_back(aRequest.replica);
   }
   timers.Schedule(part.latency, [this, answer] { End(answer.partId, answer); });
 }
