--- a/membership/fact_spread.h
+++ b/membership/fact_spread.h
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "core/timer_service.h"
+#include "membership/byte_budget.h"
 #include "membership/fact_table.h"
 #include "membership/spread_queue.h"
 
@@ -55,21 +56,21 @@
   /** Takes facts from a comparison; they are not passed on. @return how many were new. */
   std::size_t HearComparison(const nlohmann::json& aFacts);
 
+  /** Calls the hook again with all facts of a VM that was thought gone and is not. */
+  void TellAgain(const std::string& aVm) const;
+
   const FactTable& Table() const { return mTable; }
 
 private:
   void StateOwn();
-  void Earn();
   void SendFrom(SpreadQueue& aQueue);
   bool Take(NamedFact aFact);
 
-  core::TimerService& mTimers;
   FactSpreadHooks mHooks;
   FactTable mTable;
   SpreadQueue mUrgent;
   SpreadQueue mPatient;
-  double mBytesLeft;
-  core::TimePoint mEarnedAt;
+  ByteBudget mBudget;
   prometheus::Counter& mStated;
   prometheus::Counter& mHeard;
   prometheus::Gauge& mWaiting;
