--- a/daemon/upstream_wiring.cpp
+++ b/daemon/upstream_wiring.cpp
@@ -24,9 +24,10 @@
   int kind = 0;
   std::string replica;
   std::string incarnation;
+  std::uint32_t shard = 0;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvidenceMessage, fingerprint, kind, replica, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvidenceMessage, fingerprint, kind, replica, incarnation, shard)
 
 void
 RefuseAsNotOwner(const upstream::PartRequest& aPart, const upstream::PartCallback& aCallback)
@@ -51,7 +52,8 @@
     const EvidenceMessage message{ aEvidence.fingerprint,
                                    static_cast<int>(aEvidence.kind),
                                    aEvidence.replica,
-                                   aEvidence.incarnation };
+                                   aEvidence.incarnation,
+                                   aEvidence.shard };
     for (const std::string& vm : membership->Peers()) {
       bus->Send(vm, kCrashKind, message);
     }
@@ -70,6 +72,7 @@
     evidence.kind = static_cast<upstream::EvidenceKind>(message.kind);
     evidence.replica = message.replica;
     evidence.incarnation = message.incarnation;
+    evidence.shard = message.shard;
     dispatcher->Merge(evidence);
   });
 
--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -461,10 +461,7 @@
 bool
 PartDispatcher::IsReleasing(const std::string& aReplica) const
 {
-  return std::any_of(
-    mState->retiring.begin(), mState->retiring.end(), [&aReplica](const State::WorkerPtr& aWorker) {
-      return aWorker->Replica().declaration.name == aReplica && !aWorker->IsDone();
-    });
+  return mState->IsRetiring(aReplica);
 }
 
 void
