--- a/bench/bench_command.cpp
+++ b/bench/bench_command.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <iterator>
 #include <optional>
@@ -255,6 +256,23 @@
   return scenarios;
 }
 
+/** Says on standard error how one run ended, so that a long series shows where it is. */
+void
+ReportRun(const ExperimentResult& aRun)
+{
+  constexpr double kP99 = 0.99;
+  constexpr double kPercent = 100.0;
+  std::cerr << aRun.scenario << ' ' << NameOf(aRun.policy) << " seed " << aRun.seed;
+  if (!aRun.error.empty()) {
+    std::cerr << ": did not run: " << aRun.error << '\n';
+    return;
+  }
+  std::cerr << std::fixed << std::setprecision(2) << ": answered "
+            << kPercent * aRun.load.AnsweredShare() << " %, p99 " << aRun.load.LatencyMs(kP99)
+            << " ms, coverage " << kPercent * aRun.load.Coverage() << " %, broken "
+            << aRun.load.Broken() << '\n';
+}
+
 std::vector<ExperimentResult>
 RunAll(const BenchOptions& aOptions,
        const declaration::Declaration& aDeclaration,
@@ -275,6 +293,7 @@
                                 std::to_string(aOptions.seed);
       results.push_back(RunExperiment(experiment, TerminalProgress(title, scenario.length)));
       EndProgress();
+      ReportRun(results.back());
     }
   }
   return results;
