Name the write in each record of the experiment's configuration

The declaration's parser now asks for the identity of the write in every record of the history; without it no daemon took the configuration, and all queries were refused. The fixture now reads back what it writes and says what is wrong.

--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -326,8 +326,7 @@
     mLastError = "no free port for the store or the VM list";
     return false;
   }
-  WriteConfiguration();
-  return true;
+  return WriteConfiguration();
 }
 
 bool
@@ -367,7 +366,7 @@
   return true;
 }
 
-void
+bool
 ClusterFixture::WriteConfiguration()
 {
   const std::string text = PlatformThread().Run([this] { return mStore->Get(kConfigurationKey); });
@@ -378,11 +377,19 @@
   next.declaration = mOptions.declaration;
   declaration::ChangeRecord record;
   record.generation = next.generation;
+  record.writeId = next.writeId;
   record.author = "experiment";
   record.reason = "step of the scenario";
   next.history = { std::move(record) };
   const std::string value = declaration::ConfigurationToText(next);
+  const auto readBack = declaration::ParseConfiguration(value);
+  if (!readBack.configuration) {
+    mLastError = "no daemon can read the configuration: " + readBack.faults.front().path + ": " +
+                 readBack.faults.front().expected;
+    return false;
+  }
   PlatformThread().Run([this, &value] { mStore->Put(kConfigurationKey, value); });
+  return true;
 }
 
 std::string
--- a/bench/cluster_fixture.h
+++ b/bench/cluster_fixture.h
@@ -152,7 +152,7 @@
   bool StartPlatform();
   bool StartNodes();
   bool WriteToken();
-  void WriteConfiguration();
+  bool WriteConfiguration();
   NodePlace NewPlace();
   std::string FreeAddress();
   void PublishVms();
