Hedge a shard twice, and hold attempts back while a crash is looked into

Cause: two paused replicas of a shard cost its answer although a third was well; and a crash at one shard made the other shards give up attempts that its evidence forbade at that moment only.

Change: a shard gets a second hedge within the same budget. After a crash further attempts and hedges wait for the one attempt that shows whether the search is to blame, and go on or are given up then.

--- a/query/query_run.cpp
+++ b/query/query_run.cpp
@@ -20,6 +20,9 @@
 /** Times that a query may begin again on another version. */
 constexpr std::uint32_t kMostRestarts = 2;
 
+/** Hedges for one shard; the second is for the case that the first meets a straggler as well. */
+constexpr std::uint32_t kMostHedges = 2;
+
 /** Shards that are asked for a replica to run the canary. */
 constexpr std::uint32_t kMostCanaryShards = 8;
 
@@ -215,15 +218,17 @@
 bool
 QueryRun::SendTo(std::uint32_t aShard, AttemptKind aKind)
 {
-  const ReplicaView* replica = Candidate(aShard, aKind);
+  const ReplicaView* replica = IsHeldBack() ? nullptr : Candidate(aShard, aKind);
   if (replica == nullptr) {
     return false;
   }
   ShardProgress& shard = mShards[aShard];
   shard.tried.insert(replica->replica);
   ++shard.running;
-  if (IsGuarded()) {
+  const bool isGuarded = IsGuarded();
+  if (isGuarded) {
     mExposure.RecordSent(replica->replica);
+    ++mGuardedRunning;
   }
   if (aKind == AttemptKind::First) {
     Budgets().hedges.RecordFirstAttempt(mProfile.hedgeBudget);
@@ -231,11 +236,11 @@
     mState->counters.firstAttempts.Increment();
   }
   const core::TimePoint now = mState->timers.Now();
-  if (mProfile.idempotent && !shard.isHedged) {
+  if (mProfile.idempotent && shard.hedges < kMostHedges) {
     mHedgeQueue.emplace(now + HedgeDelay(aShard), aShard);
   }
   upstream::PartRequest part = PartFor(aShard, *replica);
-  mAttempts[part.partId] = { replica->replica, replica->owner, aShard, now, aKind };
+  mAttempts[part.partId] = { replica->replica, replica->owner, aShard, now, aKind, isGuarded };
   mState->chooser.RecordSent(part.replica);
   auto callback = [state = mState, mailbox = mMailbox, replica = part.replica](PartAnswer aAnswer) {
     state->chooser.RecordEnded(replica);
@@ -248,9 +253,6 @@
 const ReplicaView*
 QueryRun::Candidate(std::uint32_t aShard, AttemptKind aKind)
 {
-  if (IsGuarded() && !mExposure.HasRoom()) {
-    return nullptr;
-  }
   if (aKind != AttemptKind::First) {
     RefreshView();
   }
@@ -284,6 +286,12 @@
   return mIsCanary || mExposure.HasCrashed();
 }
 
+bool
+QueryRun::IsHeldBack() const
+{
+  return IsGuarded() && !mExposure.HasRoom();
+}
+
 bool
 QueryRun::IsQuarantined() const
 {
@@ -333,6 +341,7 @@
   const Attempt attempt = std::move(it->second);
   mAttempts.erase(it);
   --mShards[attempt.shard].running;
+  mGuardedRunning -= attempt.isGuarded ? 1 : 0;
   const bool mayHaveRun = aAnswer.status != PartStatus::NotRun;
   mShards[attempt.shard].mayHaveRun |= mayHaveRun;
   mMayHaveRun |= mayHaveRun;
@@ -344,9 +353,23 @@
   }
   if (aAnswer.status == PartStatus::Answered) {
     TakeHits(attempt, std::move(aAnswer));
+  } else {
+    TakeFailure(attempt, aAnswer);
+  }
+  ResumeHeldShards();
+}
+
+void
+QueryRun::ResumeHeldShards()
+{
+  if (IsHeldBack() && mGuardedRunning > 0) {
     return;
   }
-  TakeFailure(attempt, aAnswer);
+  for (const std::uint32_t shard : std::exchange(mHeldShards, {})) {
+    if (mShards[shard].isOpen && !SendTo(shard, AttemptKind::Retry)) {
+      CloseShard(shard);
+    }
+  }
 }
 
 bool
@@ -369,6 +392,10 @@
   if (aAnswer.isComplete) {
     shard.hits = std::move(aAnswer.hits);
     shard.isAnswered = true;
+    if (shard.hasCrashed) {
+      // Another replica bore what the first one fell to, so the search is not to blame.
+      mExposure.Clear();
+    }
     if (aAttempt.kind == AttemptKind::Hedge) {
       mState->counters.hedgeWins.Increment();
     }
@@ -390,6 +417,7 @@
 {
   mFailures.Record(aAnswer.refusal);
   ShardProgress& shard = mShards[aAttempt.shard];
+  shard.hasCrashed |= aAnswer.status == PartStatus::Crashed;
   shard.sawWrongSnapshot |= aAnswer.refusal == PartRefusal::WrongSnapshot;
   if (aAnswer.status == PartStatus::Quarantined) {
     mWasRefusedAsQuarantined = true;
@@ -418,7 +446,14 @@
   if (Candidate(aAttempt.shard, AttemptKind::Retry) == nullptr) {
     return false;
   }
-  return TakeRetry(shard, aAnswer) && SendTo(aAttempt.shard, AttemptKind::Retry);
+  if (!TakeRetry(shard, aAnswer)) {
+    return false;
+  }
+  if (IsHeldBack() && mGuardedRunning > 0) {
+    mHeldShards.push_back(aAttempt.shard);
+    return true;
+  }
+  return SendTo(aAttempt.shard, AttemptKind::Retry);
 }
 
 bool
@@ -473,6 +508,7 @@
     }
     mMayHaveRun = true;
     --mShards[attempt.shard].running;
+    mGuardedRunning -= attempt.isGuarded ? 1 : 0;
     given.emplace_back(attempt.replica, it->first);
     it = mAttempts.erase(it);
   }
@@ -485,6 +521,9 @@
 void
 QueryRun::SendDueHedges()
 {
+  if (AreHedgesHeld()) {
+    return;
+  }
   const core::TimePoint now = mState->timers.Now();
   while (!mHedgeQueue.empty() && mHedgeQueue.top().first <= now) {
     const std::uint32_t n = mHedgeQueue.top().second;
@@ -492,10 +531,10 @@
     if (n >= mShards.size() || !MayHedge(mShards[n])) {
       continue;
     }
-    if (Candidate(n, AttemptKind::Hedge) == nullptr || !Budgets().hedges.Take()) {
+    if (IsHeldBack() || Candidate(n, AttemptKind::Hedge) == nullptr || !Budgets().hedges.Take()) {
       continue;
     }
-    mShards[n].isHedged = true;
+    ++mShards[n].hedges;
     if (SendTo(n, AttemptKind::Hedge)) {
       mState->counters.hedges.Increment();
     }
@@ -505,7 +544,7 @@
 bool
 QueryRun::MayHedge(const ShardProgress& aShard) const
 {
-  const bool isWaiting = aShard.isOpen && !aShard.isHedged && aShard.running == 1;
+  const bool isWaiting = aShard.isOpen && aShard.running > 0 && aShard.hedges < kMostHedges;
   return isWaiting && mProfile.hedgeBudget > 0.0 && !mExposure.HasCrashed() && HasTimeForAttempt();
 }
 
@@ -527,10 +566,16 @@
   return *delay + *delay / kHedgeMarginDivisor;
 }
 
+bool
+QueryRun::AreHedgesHeld() const
+{
+  return mExposure.HasCrashed() && mGuardedRunning > 0;
+}
+
 core::TimePoint
 QueryRun::WakeTime() const
 {
-  if (mHedgeQueue.empty()) {
+  if (mHedgeQueue.empty() || AreHedgesHeld()) {
     return mAnswerBy;
   }
   return std::min(mAnswerBy, mHedgeQueue.top().first);
@@ -586,6 +631,7 @@
   }
   mDeadSnapshots.insert(mSnapshot.snapshot);
   mHedgeQueue = {};
+  mHeldShards.clear();
   mOpenShards = 0;
   mIsVersionFailing = false;
 }
--- a/query/query_run.h
+++ b/query/query_run.h
@@ -41,6 +41,8 @@
     std::uint32_t shard = 0;
     core::TimePoint sentAt;
     AttemptKind kind = AttemptKind::First;
+    /** Whether it was sent while the search was not known to be harmless. */
+    bool isGuarded = false;
   };
 
   using PartMailbox = core::Mailbox<upstream::PartAnswer>;
@@ -60,6 +62,7 @@
   const ReplicaView* Candidate(std::uint32_t aShard, AttemptKind aKind);
   void RefreshView();
   bool IsGuarded() const;
+  bool IsHeldBack() const;
   bool IsQuarantined() const;
   upstream::PartRequest PartFor(std::uint32_t aShard, const ReplicaView& aReplica) const;
   core::TimePoint PartDeadline(const std::string& aOwner) const;
@@ -74,7 +77,9 @@
   void NoteEvidence(const Attempt& aAttempt, const upstream::PartAnswer& aAnswer);
   void CancelAttempts(std::optional<std::uint32_t> aShard);
 
+  void ResumeHeldShards();
   void SendDueHedges();
+  bool AreHedgesHeld() const;
   bool MayHedge(const ShardProgress& aShard) const;
   ProfileBudgets& Budgets();
   core::Duration HedgeDelay(std::uint32_t aShard) const;
@@ -101,6 +106,9 @@
   std::unordered_map<std::string, Attempt> mAttempts;
   HedgeQueue mHedgeQueue;
   std::uint32_t mOpenShards = 0;
+  std::uint32_t mGuardedRunning = 0;
+  /** Shards whose next attempt waits until it is clear whether the search crashes replicas. */
+  std::vector<std::uint32_t> mHeldShards;
   std::uint32_t mRestarts = 0;
   std::optional<QueryResult> mEarlierAnswer;
 
--- a/query/shard_progress.h
+++ b/query/shard_progress.h
@@ -17,10 +17,12 @@
   bool isOpen = false;
   /** Whether a replica answered for the whole shard. */
   bool isAnswered = false;
-  bool isHedged = false;
   bool mayHaveRun = false;
   bool sawWrongSnapshot = false;
+  /** Whether a replica crashed while it ran the query for this shard. */
+  bool hasCrashed = false;
   std::uint32_t running = 0;
+  std::uint32_t hedges = 0;
   /** Attempts that were sent on because the asker's facts were stale. */
   std::uint32_t reroutes = 0;
   /** Replicas that were asked. */
