--- a/caller/caller_front.h
+++ b/caller/caller_front.h
@@ -21,6 +21,18 @@
 
 namespace skylarkwing::caller {
 
+/** How one query of a caller ended, for whoever counts service levels. */
+struct QueryOutcome
+{
+  std::string profile;
+  std::string index;
+  /** From the time that the query was understood to its answer or refusal. */
+  core::Duration latency{};
+  bool isRefused = false;
+  /** The result of the run; null when it was refused before. */
+  const query::QueryResult* result = nullptr;
+};
+
 /** What a caller front needs of the rest of the daemon. */
 struct CallerHooks
 {
@@ -46,6 +58,8 @@
   std::function<core::Duration(const std::string& aVm)> wayTo;
   /** Starts a task that nobody waits for, on the daemon's loop. */
   std::function<void(core::Task<void>)> start;
+  /** Optional: hears how each query ended that was a caller's right to ask. */
+  std::function<void(const QueryOutcome&)> onOutcome;
 };
 
 /** Who this daemon is. */
--- a/caller/front_state.cpp
+++ b/caller/front_state.cpp
@@ -184,8 +184,10 @@
 CallerFront::State::RunAdmitted(CallerQuery aQuery, core::TimePoint aDeadline)
 {
   RunOutcome outcome;
+  const core::TimePoint start = timers.Now();
   const std::optional<Refusal> closed = ClosedReason();
   if (closed) {
+    Report(aQuery, start, nullptr);
     outcome.response = Refuse(*closed);
     co_return outcome;
   }
@@ -195,12 +197,14 @@
   request.deadline = aDeadline;
   const AdmissionVerdict verdict = co_await admission.Enter(std::move(request));
   if (!verdict.isAdmitted) {
+    Report(aQuery, start, nullptr);
     Refusal refusal = MakeRefusal(RefusalKind::Overloaded, verdict.reason, query::Executed::No);
     refusal.retryAfter = verdict.retryAfter;
     outcome.response = Refuse(refusal);
     co_return outcome;
   }
-  const query::QueryResult result = co_await Run(std::move(aQuery), aDeadline);
+  const query::QueryResult result = co_await Run(aQuery, aDeadline);
+  Report(aQuery, start, &result);
   if (result.status == query::QueryStatus::Refused) {
     outcome.response = Refuse(RefusalOf(result));
     outcome.mayHaveRun = result.executed != query::Executed::No;
@@ -212,6 +216,23 @@
   co_return outcome;
 }
 
+void
+CallerFront::State::Report(const CallerQuery& aQuery,
+                           core::TimePoint aStart,
+                           const query::QueryResult* aResult)
+{
+  if (!hooks.onOutcome) {
+    return;
+  }
+  QueryOutcome outcome;
+  outcome.profile = aQuery.profile->name;
+  outcome.index = aQuery.index;
+  outcome.latency = timers.Now() - aStart;
+  outcome.isRefused = !aResult || aResult->status == query::QueryStatus::Refused;
+  outcome.result = aResult;
+  hooks.onOutcome(outcome);
+}
+
 core::Task<query::QueryResult>
 CallerFront::State::Run(CallerQuery aQuery, core::TimePoint aDeadline)
 {
--- a/caller/front_state.h
+++ b/caller/front_state.h
@@ -57,6 +57,9 @@
   /** Admits and runs a query. */
   core::Task<RunOutcome> RunAdmitted(CallerQuery aQuery, core::TimePoint aDeadline);
 
+  /** Reports how a query ended; a null result means that it was refused before it ran. */
+  void Report(const CallerQuery& aQuery, core::TimePoint aStart, const query::QueryResult* aResult);
+
   /** Runs an admitted query. */
   core::Task<query::QueryResult> Run(CallerQuery aQuery, core::TimePoint aDeadline);
 
--- a/daemon/caller_wiring.cpp
+++ b/daemon/caller_wiring.cpp
@@ -55,6 +55,7 @@
   hooks.start = [this](core::Task<void> aTask) {
     core::Start(loop.get_executor(), std::move(aTask));
   };
+  hooks.onOutcome = [this](const caller::QueryOutcome& aOutcome) { RecordOutcome(aOutcome); };
   caller::CallerSettings callerSettings;
   callerSettings.vm = settings.vm;
   callerSettings.incarnation = incarnation;
@@ -63,6 +64,22 @@
   front->ListenOn(*bus);
 }
 
+void
+Daemon::Parts::RecordOutcome(const caller::QueryOutcome& aOutcome)
+{
+  console::AnswerOutcome record;
+  record.profile = aOutcome.profile;
+  record.latency = aOutcome.latency;
+  record.isRefused = aOutcome.isRefused;
+  record.isComplete = aOutcome.result && aOutcome.result->complete;
+  if (aOutcome.result) {
+    for (const std::uint32_t shard : aOutcome.result->coverage.missing) {
+      record.faults.push_back({ { aOutcome.index, shard, "" }, console::ShardFaultKind::Missing });
+    }
+  }
+  burn->Record(record);
+}
+
 std::uint64_t
 Daemon::Parts::IdentityEpoch() const
 {
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -60,6 +60,7 @@
 
   // caller_wiring.cpp
   void WireCaller();
+  void RecordOutcome(const caller::QueryOutcome& aOutcome);
   std::uint64_t IdentityEpoch() const;
   std::size_t LiveMembers() const;
   std::optional<std::string> IncarnationOf(const std::string& aVm) const;
