Let replicas of unknown state warm up, and bound the wait for a hedge

Replicas start in an unknown state, and askers went there only as a last resort, so one replica of each shard got warm and half of the hedges (213 of 419) found none to go to. The samples of the cold start also put hedges off for as long as the windows held them.

Change: unknown replicas with room get the same share of first attempts as cold ones, and take hedges when no warm one is left; a hedge waits for three medians at most.

--- a/query/query_run.cpp
+++ b/query/query_run.cpp
@@ -32,6 +32,9 @@
 /** A hedge waits longer than its quantile by this part, so that even latencies cause no hedges. */
 constexpr int kHedgeMarginDivisor = 10;
 
+/** A hedge waits for this many usual times of a part at most; its budget bounds what that costs. */
+constexpr int kMostMedians = 3;
+
 /** @return whether a replica was asked in vain because the asker's facts were stale. */
 bool
 IsStaleRoute(const PartAnswer& aAnswer)
@@ -563,7 +566,10 @@
   if (!delay) {
     return mState->settings.firstHedgeDelay;
   }
-  return *delay + *delay / kHedgeMarginDivisor;
+  // A window that remembers a cold start must not put hedges off until it has passed.
+  const core::Duration cap = mState->latency.Median(mRequest.index) * kMostMedians;
+  const core::Duration bounded = std::min(*delay, cap);
+  return bounded + bounded / kHedgeMarginDivisor;
 }
 
 bool
--- a/query/replica_chooser.cpp
+++ b/query/replica_chooser.cpp
@@ -11,12 +11,20 @@
 /** Replicas whose costs differ by less than this share are even. */
 constexpr double kEvenShare = 0.1;
 
-/** A cold replica is chosen before warm ones with this probability, so that it warms up. */
+/** A cold or unknown replica goes before warm ones with this probability, so that it warms up. */
 constexpr double kColdShare = 0.05;
 
 /** Stands for the latency of a replica that has none measured. */
 constexpr double kUnmeasuredMicroseconds = 5000.0;
 
+/** @return whether the replica bears work, and nothing shows yet that it bears its full share. */
+bool
+IsUnproven(const ReplicaView& aReplica)
+{
+  return aReplica.state == upstream::ReplicaState::Cold ||
+         aReplica.state == upstream::ReplicaState::Unknown;
+}
+
 } // namespace
 
 ReplicaChooser::ReplicaChooser(core::RandomSource& aRandom,
@@ -43,7 +51,7 @@
     if (tier == Tier::Never || aTried.contains(replica.replica)) {
       continue;
     }
-    if (replica.state == upstream::ReplicaState::Cold && HasRoom(replica)) {
+    if (IsUnproven(replica) && HasRoom(replica)) {
       cold.push_back(&replica);
     }
     if (tier < bestTier) {
@@ -88,14 +96,13 @@
   if (!MayGetWork(aReplica.state)) {
     return Tier::Never;
   }
-  const bool isHedge = aKind == AttemptKind::Hedge;
-  if (aReplica.state == upstream::ReplicaState::Unknown) {
-    return isHedge ? Tier::Never : Tier::LastResort;
-  }
-  if (isHedge && !HasRoom(aReplica)) {
+  if (aKind == AttemptKind::Hedge && !HasRoom(aReplica)) {
     return Tier::Never;
   }
-  if (aReplica.state == upstream::ReplicaState::Cold || aReplica.allowance == 0) {
+  if (aReplica.allowance == 0) {
+    return Tier::LastResort;
+  }
+  if (IsUnproven(aReplica)) {
     return Tier::Reserve;
   }
   return Tier::Preferred;
--- a/query/replica_chooser.h
+++ b/query/replica_chooser.h
@@ -48,7 +48,7 @@
    * @param aTried replicas that must not be chosen.
    * @param aKind what the attempt is for.
    * @return the replica, or nullptr when none is left. Replicas that are draining, out or gone
-   *         are never chosen; those whose state is unknown only when nothing else is left.
+   *         are never chosen, and for a hedge none without room.
    */
   const ReplicaView* Choose(const IndexView& aView,
                             const std::vector<std::size_t>& aHolders,
--- a/query/tests/query_engine_test.cpp
+++ b/query/tests/query_engine_test.cpp
@@ -290,6 +290,24 @@
   BOOST_ERROR("the loser was not cancelled");
 }
 
+BOOST_AUTO_TEST_CASE(a_cold_start_does_not_put_hedges_off)
+{
+  QueryFixture fixture;
+  fixture.AddVersion(7, 4, 3);
+  fixture.behaviour = [](const PartRequest&) { return Slow(100ms); };
+  for (int n = 0; n < 10; ++n) {
+    fixture.Ask();
+  }
+  fixture.behaviour = [](const PartRequest&) { return PartBehaviour{}; };
+  WarmUp(fixture);
+  bool hasStraggled = false;
+  fixture.behaviour = [&hasStraggled](const PartRequest&) {
+    return std::exchange(hasStraggled, true) ? PartBehaviour{} : Slow(100ms);
+  };
+  BOOST_TEST(fixture.Ask().complete);
+  BOOST_TEST(fixture.latencies.back() < 30ms);
+}
+
 BOOST_AUTO_TEST_CASE(hedges_stay_within_their_budget_when_everything_slows_down)
 {
   QueryFixture fixture;
