--- a/bench/demo_command.cpp
+++ b/bench/demo_command.cpp
@@ -33,6 +33,7 @@
   std::uint64_t seed = 1;
   bool isJson = false;
   bool isHelp = false;
+  std::string externalFolder;
 };
 
 void
@@ -45,6 +46,9 @@
        "  --deployment NAME  adebayo or brezelkar; both if absent\n"
        "  --seconds N        length of the load for each deployment; 20 if absent\n"
        "  --seed N           repeats the callers' and the stand-ins' random decisions\n"
+       "  --external DIR     write the daemons' settings to DIR and let somebody else start them,\n"
+       "                     as `skylarkwing serve --settings DIR/vm-1.json` and so on; one\n"
+       "                     deployment, without the usual faults\n"
        "  --json             print one JSON document\n"
        "  --help             print this\n"
        "  --version          print the version\n\n"
@@ -79,6 +83,9 @@
       aOptions.seed = *seed;
       return std::nullopt;
     }
+    case 'x':
+      aOptions.externalFolder = aValue;
+      return std::nullopt;
     case 'j':
       aOptions.isJson = true;
       return std::nullopt;
@@ -94,9 +101,10 @@
 std::optional<int>
 ReadOptions(int argc, char** argv, DemoOptions& aOptions)
 {
-  static const std::array<option, 7> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
+  static const std::array<option, 8> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
                                                  { "seconds", required_argument, nullptr, 's' },
                                                  { "seed", required_argument, nullptr, 'e' },
+                                                 { "external", required_argument, nullptr, 'x' },
                                                  { "json", no_argument, nullptr, 'j' },
                                                  { "help", no_argument, nullptr, 'h' },
                                                  { "version", no_argument, nullptr, 'v' },
@@ -121,6 +129,9 @@
     PrintHelp();
     return kExitDone;
   }
+  if (!aOptions.externalFolder.empty() && aOptions.deployments.size() != 1) {
+    return FailUsage("demo", "--external needs one --deployment");
+  }
   return std::nullopt;
 }
 
@@ -177,6 +188,10 @@
     ExperimentOptions experiment;
     experiment.declaration = *BuiltinDeployment(name);
     experiment.scenario = DemoScenario();
+    if (!options.externalFolder.empty()) {
+      experiment.scenario.events.clear();
+      experiment.externalFolder = options.externalFolder;
+    }
     experiment.scenario.length = options.length;
     experiment.seed = options.seed;
     const ExperimentResult result =
--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -1,6 +1,7 @@
 #include "bench/experiment.h"
 
 #include "bench/daemon_node.h"
+#include "bench/external_node.h"
 #include "bench/load_run.h"
 #include "bench/naive_node.h"
 #include "core/name_table.h"
@@ -243,9 +244,17 @@
 }
 
 ClusterNodeFactory
-FactoryOf(Policy aPolicy)
+FactoryOf(const ExperimentOptions& aOptions)
 {
-  if (aPolicy == Policy::Naive) {
+  if (!aOptions.externalFolder.empty()) {
+    return [folder = aOptions.externalFolder](
+             const NodePlace& aPlace,
+             const Declaration&,
+             const std::vector<NodePlace>&) -> std::unique_ptr<EntryNode> {
+      return std::make_unique<ExternalNode>(aPlace, folder);
+    };
+  }
+  if (aOptions.policy == Policy::Naive) {
     return [](const NodePlace& aPlace,
               const Declaration& aDeclaration,
               const std::vector<NodePlace>& aAll) -> std::unique_ptr<EntryNode> {
@@ -360,7 +369,7 @@
   result.scenario = aOptions.scenario.name;
   result.policy = aOptions.policy;
   result.seed = aOptions.seed;
-  ClusterFixture cluster(MakeClusterOptions(aOptions), FactoryOf(aOptions.policy));
+  ClusterFixture cluster(MakeClusterOptions(aOptions), FactoryOf(aOptions));
   if (!cluster.Start()) {
     result.error = cluster.LastError();
     return result;
--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -37,6 +37,8 @@
   /** Multiplies the usual load. */
   double rate = 1.0;
   std::uint64_t seed = 1;
+  /** When set, settings of the daemons are written there, and somebody else starts them. */
+  std::string externalFolder;
 };
 
 /** What one run gave. */
