Plot burn on a logarithmic scale, with gaps where nothing was answered

On a linear scale one minute at a burn of 2,000 flattened everything, and the labels of 0 and 1 lay on each other. Looked at as rendered.

--- a/console/burn_report_page.cpp
+++ b/console/burn_report_page.cpp
@@ -3,6 +3,9 @@
 #include "console/burn_report_text.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <optional>
 #include <sstream>
 #include <string_view>
 #include <vector>
@@ -13,10 +16,16 @@
 
 constexpr double kPlotWidth = 720.0;
 constexpr double kPlotHeight = 120.0;
-constexpr double kPlotMargin = 34.0;
+constexpr double kPlotMargin = 48.0;
+constexpr double kPlotBottom = 24.0;
+/** Levels closer to the highest one than this share of the plot are left out. */
+constexpr double kLeastLabelGap = 0.12;
 constexpr double kPercent = 100.0;
 /** The plot shows at least this burn rate, so that a calm course is not blown up. */
 constexpr double kLeastScale = 2.0;
+/** Burn rates with a line of their own. */
+constexpr std::array kLevels{ 0.0, 1.0, 6.0, 14.4, 100.0 };
+constexpr double kWholeNumbersFrom = 20.0;
 
 constexpr std::string_view kStyle = R"css(
 body{font:16px/1.45 system-ui,sans-serif;margin:2rem auto;max-width:60rem;padding:0 1rem;
@@ -67,10 +76,10 @@
 /** One course of burn rates, newest first, and how it is drawn. */
 struct Course
 {
-  std::string_view name;
   std::string_view colour;
   std::string_view dash;
-  std::vector<double> rates;
+  /** Absent where there was no answer. */
+  std::vector<std::optional<double>> rates;
 };
 
 double
@@ -78,68 +87,110 @@
 {
   double scale = kLeastScale;
   for (const Course& course : aCourses) {
-    for (const double rate : course.rates) {
-      scale = std::max(scale, rate);
+    for (const std::optional<double>& rate : course.rates) {
+      scale = std::max(scale, rate.value_or(0.0));
     }
   }
   return scale;
 }
 
+/** @return the share of the plot's height; logarithmic, so that 1 shows beside a rate of 1000. */
 double
 HeightOf(double aRate, double aScale)
 {
-  return kPlotHeight - kPlotHeight * aRate / aScale;
+  return std::log1p(aRate) / std::log1p(aScale);
+}
+
+std::string
+VerticalOf(double aRate, double aScale)
+{
+  return Fixed(kPlotHeight * (1.0 - HeightOf(aRate, aScale)), 1);
 }
 
 void
 WriteCourse(std::ostream& aOut, const Course& aCourse, double aScale)
 {
-  aOut << "<polyline fill=\"none\" stroke=\"" << aCourse.colour
-       << "\" stroke-width=\"2\" stroke-dasharray=\"" << aCourse.dash << "\" points=\"";
   const auto last = static_cast<double>(std::max<std::size_t>(aCourse.rates.size(), 2) - 1);
+  bool isOpen = false;
   for (std::size_t age = 0; age < aCourse.rates.size(); ++age) {
-    const double x = kPlotWidth * (1.0 - static_cast<double>(age) / last);
-    aOut << Fixed(x, 1) << ',' << Fixed(HeightOf(aCourse.rates[age], aScale), 1) << ' ';
+    const std::optional<double>& rate = aCourse.rates[age];
+    if (!rate) {
+      aOut << (isOpen ? "\"/>" : "");
+      isOpen = false;
+      continue;
+    }
+    const std::string point = Fixed(kPlotWidth * (1.0 - static_cast<double>(age) / last), 1) + ',' +
+                              VerticalOf(*rate, aScale) + ' ';
+    if (!isOpen) {
+      // The doubled first point makes a dot where a single bucket holds answers.
+      aOut << "<polyline fill=\"none\" stroke=\"" << aCourse.colour
+           << "\" stroke-width=\"2\" stroke-linecap=\"round\" stroke-dasharray=\"" << aCourse.dash
+           << "\" points=\"" << point;
+    }
+    aOut << point;
+    isOpen = true;
   }
-  aOut << "\"/>";
+  aOut << (isOpen ? "\"/>" : "");
 }
 
 void
 WriteLevel(std::ostream& aOut, double aRate, double aScale)
 {
-  const std::string y = Fixed(HeightOf(aRate, aScale), 1);
+  const std::string y = VerticalOf(aRate, aScale);
   aOut << "<line x1=\"0\" x2=\"" << kPlotWidth << "\" y1=\"" << y << "\" y2=\"" << y
        << "\" stroke=\"#8a949d\"/><text x=\"-6\" y=\"" << y
        << "\" text-anchor=\"end\" dominant-baseline=\"middle\" font-size=\"12\">"
-       << Fixed(aRate, aRate < 10.0 ? 1 : 0) << "</text>";
+       << Fixed(aRate, aRate < kWholeNumbersFrom && aRate > 1.0 ? 1 : 0) << "</text>";
 }
 
 void
-WritePlot(std::ostream& aOut, const std::vector<Course>& aCourses, const std::string& aCaption)
+WriteTimeLabels(std::ostream& aOut, std::string_view aOldest)
+{
+  const std::string y = Fixed(kPlotHeight + kPlotBottom - 8.0, 0);
+  aOut << "<text x=\"0\" y=\"" << y << "\" font-size=\"12\">" << aOldest << "</text><text x=\""
+       << kPlotWidth << "\" y=\"" << y << "\" text-anchor=\"end\" font-size=\"12\">now</text>";
+}
+
+void
+WritePlot(std::ostream& aOut,
+          const std::vector<Course>& aCourses,
+          std::string_view aOldest,
+          const std::string& aCaption)
 {
   const double scale = ScaleOf(aCourses);
   aOut << "<figure><svg role=\"img\" aria-label=\"" << Escape(aCaption) << "\" viewBox=\""
-       << -kPlotMargin << " -8 " << kPlotWidth + 2 * kPlotMargin << ' ' << kPlotHeight + 20
-       << "\" width=\"" << kPlotWidth + 2 * kPlotMargin << "\">";
-  WriteLevel(aOut, 0.0, scale);
-  WriteLevel(aOut, 1.0, scale);
-  if (scale > kLeastScale) {
-    WriteLevel(aOut, scale, scale);
+       << -kPlotMargin << " -8 " << kPlotWidth + 2 * kPlotMargin << ' '
+       << kPlotHeight + kPlotBottom + 8 << "\" width=\"" << kPlotWidth + 2 * kPlotMargin << "\">";
+  for (const double level : kLevels) {
+    if (HeightOf(level, scale) < 1.0 - kLeastLabelGap) {
+      WriteLevel(aOut, level, scale);
+    }
   }
+  WriteLevel(aOut, scale, scale);
+  WriteTimeLabels(aOut, aOldest);
   for (const Course& course : aCourses) {
     WriteCourse(aOut, course, scale);
   }
   aOut << "</svg><figcaption>" << Escape(aCaption) << "</figcaption></figure>\n";
 }
 
+std::optional<double>
+RateOf(std::uint64_t aBad, std::uint64_t aTotal, double aObjective)
+{
+  if (aTotal == 0) {
+    return std::nullopt;
+  }
+  return BurnRate(aBad, aTotal, aObjective);
+}
+
 std::vector<Course>
 CoursesOf(const ProfileReport& aProfile, const std::vector<BurnCounts>& aSeries)
 {
-  Course latency{ "latency", "#0047ab", "none", {} };
-  Course coverage{ "coverage", "#b34700", "6 4", {} };
+  Course latency{ "#0047ab", "none", {} };
+  Course coverage{ "#b34700", "6 4", {} };
   for (const BurnCounts& counts : aSeries) {
-    latency.rates.push_back(BurnRate(counts.slow, counts.total, aProfile.latencyShare));
-    coverage.rates.push_back(BurnRate(counts.incomplete, counts.total, aProfile.completeShare));
+    latency.rates.push_back(RateOf(counts.slow, counts.total, aProfile.latencyShare));
+    coverage.rates.push_back(RateOf(counts.incomplete, counts.total, aProfile.completeShare));
   }
   return { std::move(latency), std::move(coverage) };
 }
@@ -185,9 +236,11 @@
   const std::string legend = " (latency: solid, coverage: dashed; 1 spends exactly the budget)";
   WritePlot(aOut,
             CoursesOf(aProfile, aProfile.minutes),
+            "1 h ago",
             "Burn of " + aProfile.profile + " in each minute of the last hour" + legend);
   WritePlot(aOut,
             CoursesOf(aProfile, aProfile.hours),
+            "3 d ago",
             "Burn of " + aProfile.profile + " in each hour of the last 3 days" + legend);
 }
 
