Test that a verdict reaches parts that wait or run

Guards seen failing when switched off: the last look before the write (a part that waits), and the cancelling of what runs (a quarantine stops what waits and what runs).

--- a/upstream/tests/crash_quarantine_test.cpp
+++ b/upstream/tests/crash_quarantine_test.cpp
@@ -39,6 +39,14 @@
     return Send("vm-" + number, std::move(request));
   }
 
+  /** A part of the bad request that does its replica no harm. */
+  std::string SendHarmless()
+  {
+    PartRequest request = Request("r1", milliseconds{ 400 });
+    request.fingerprint = kPoison;
+    return Send("vm-1", std::move(request));
+  }
+
   std::uint32_t Crashes() const
   {
     std::uint32_t n = 0;
@@ -181,6 +189,39 @@
   BOOST_TEST(permits.holders.count("fingerprint-00000000000003e9") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_part_that_waits_is_judged_again_before_it_is_written)
+{
+  MakeWarm("vm-1", "r1");
+  std::vector<std::string> ids;
+  for (int n = 0; n < 4; ++n) {
+    ids.push_back(SendHarmless());
+  }
+  RunFor(milliseconds{ 1 });
+  const std::uint32_t begun = upstreams["r1"]->begun;
+  dispatchers["vm-1"]->Merge({ kPoison, EvidenceKind::Crash, "r2", "process-1", 5 });
+  RunFor(milliseconds{ 50 });
+  BOOST_TEST((StatusOf(ids[3]) == PartStatus::NotRun));
+  BOOST_TEST(upstreams["r1"]->begun == begun);
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantine_stops_what_waits_and_what_runs)
+{
+  MakeWarm("vm-1", "r1");
+  upstreams["r1"]->serviceTime = milliseconds{ 50 };
+  std::vector<std::string> ids;
+  for (int n = 0; n < 4; ++n) {
+    ids.push_back(SendHarmless());
+  }
+  RunFor(milliseconds{ 1 });
+  BOOST_REQUIRE(upstreams["r1"]->Running() == 3U);
+  dispatchers["vm-1"]->Merge({ kPoison, EvidenceKind::Crash, "r2", "process-1", 0 });
+  dispatchers["vm-1"]->Merge({ kPoison, EvidenceKind::Crash, "r3", "process-1", 0 });
+  BOOST_TEST((StatusOf(ids[3]) == PartStatus::Quarantined));
+  RunFor(milliseconds{ 2 });
+  BOOST_TEST(upstreams["r1"]->Running() == 0U);
+  BOOST_TEST((StatusOf(ids[0]) == PartStatus::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_can_be_lifted)
 {
   SendPoison(1);
