--- a/membership/tests/ownership_test.cpp
+++ b/membership/tests/ownership_test.cpp
@@ -157,6 +157,13 @@
     BOOST_TEST(isOwnerOut == isReplicaOut);
   }
   BOOST_TEST(OwnersOf(declaration, {}).empty());
+  // Replicas of a domain without members go to others, though not to those that are out.
+  auto fewer = MembersOf(8);
+  std::erase_if(fewer, [](const Member& aMember) { return aMember.failureDomain == "domain-2"; });
+  for (const auto& [replica, owner] : OwnersOf(declaration, fewer)) {
+    const bool isOwnerOut = owner == "vm-1" || owner == "vm-4" || owner == "vm-7";
+    BOOST_TEST((!isOwnerOut || replica.back() == '1'));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
