--- a/upstream/replica_fact.h
+++ b/upstream/replica_fact.h
@@ -33,6 +33,8 @@
   std::uint32_t shardCount = 0;
   /** The shards held, 0 to below shardCount. */
   std::vector<std::uint32_t> shards;
+
+  bool operator==(const SnapshotHolding&) const = default;
 };
 
 /** What a replica's owner tells every daemon about it. */
@@ -52,9 +54,10 @@
   std::uint32_t allowance = 0;
   std::uint32_t inFlight = 0;
   std::uint32_t queued = 0;
-  /** Typical and slow time of a part there, in microseconds. */
+  /** Typical and slow times of a part there, in microseconds. */
   std::uint32_t medianMicroseconds = 0;
   std::uint32_t p95Microseconds = 0;
+  std::uint32_t p99Microseconds = 0;
 };
 
 } // namespace skylarkwing::upstream
--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -160,6 +160,8 @@
   BOOST_TEST((StatusOf(id) == PartStatus::Unknown));
   BOOST_TEST(ended[id].answer.hits.empty());
   BOOST_TEST((Fact("vm-1", "r1").state == ReplicaState::Unknown));
+  // The search itself may still run, so its slot is taken until its deadline and the grace.
+  RunFor(milliseconds{ 650 });
   const std::string next = Send("vm-1", "r1");
   RunFor(milliseconds{ 100 });
   BOOST_TEST(ended[next].answer.hits.at(0).id == "hit-of-" + next);
@@ -344,6 +346,31 @@
   BOOST_TEST(upstream.overfullWhileCold == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_process_frees_the_slots_of_the_former_one)
+{
+  upstream.serviceTime = milliseconds{ 60 };
+  Send("vm-1", "r1", seconds{ 5 });
+  RunFor(milliseconds{ 10 });
+  upstream.Restart();
+  RunFor(seconds{ 1 });
+  const std::string id = Send("vm-1", "r1", seconds{ 5 });
+  RunFor(milliseconds{ 200 });
+  BOOST_TEST((StatusOf(id) == PartStatus::Answered));
+}
+
+BOOST_AUTO_TEST_CASE(owners_that_overlap_stay_within_the_connection_limit)
+{
+  upstream.connectionLimit = 8;
+  for (const char* vm : { "vm-1", "vm-2", "vm-3", "vm-4" }) {
+    AddDispatcher(vm).SetOwned({ Declare("r1") });
+    RunFor(milliseconds{ 50 });
+    MakeWarm(vm, "r1");
+    RunFor(milliseconds{ 500 });
+  }
+  BOOST_TEST((Fact("vm-4", "r1").state == ReplicaState::Warm));
+  BOOST_TEST(upstream.mostConnections <= upstream.connectionLimit);
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_owned_again_waits_for_its_former_worker)
 {
   upstream.serviceTime = milliseconds{ 60 };
