Part comparisons and a daemon's standing from the membership service

Comparisons with random peers and the question how peers hold this daemon after a pause are classes of their own now. Tests added: heartbeats that waited through a pause, how often a refuted doubt is raised again, and the count of daemons with a configuration at 32 daemons.

--- /dev/null
+++ b/membership/comparison.cpp
@@ -0,0 +1,144 @@
+#include "membership/comparison.h"
+
+#include "membership/hash.h"
+#include "membership/messages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kQuickPeriod{ 200 };
+constexpr milliseconds kSlowPeriod{ 5000 };
+/** More than this in one comparison is much. */
+constexpr std::size_t kMuchNew = 8;
+constexpr std::size_t kMostMembers = 128;
+constexpr std::size_t kMostFactBytes = 16 * 1024;
+
+std::uint64_t
+LastingHashOf(const Member& aMember)
+{
+  // A suspicion passes by itself; only what lasts is compared.
+  const bool isSuspect = aMember.state == MemberState::Suspect;
+  const MemberState state = isSuspect ? MemberState::Alive : aMember.state;
+  const auto process = CombineHashes(HashOf(aMember.incarnation), aMember.startOrder);
+  return CombineHashes(process, static_cast<std::uint64_t>(state));
+}
+
+} // namespace
+
+Comparison::Comparison(core::TimerService& aTimers,
+                       core::RandomSource& aRandom,
+                       const MemberTable& aMembers,
+                       FactSpread& aFacts,
+                       ComparisonHooks aHooks)
+  : mMembers(aMembers)
+  , mFacts(aFacts)
+  , mHooks(std::move(aHooks))
+  , mTimer(aTimers, aRandom)
+{
+}
+
+void
+Comparison::Start()
+{
+  mPeriod = kQuickPeriod;
+  mTimer.Start(mPeriod, [this](core::Duration) { Run(); });
+}
+
+void
+Comparison::Hear(const std::string& aVm, const nlohmann::json& aBody)
+{
+  if (!aBody.is_object()) {
+    return;
+  }
+  if (aBody.contains("l")) {
+    mNew += mFacts.HearComparison(aBody["l"]);
+    return;
+  }
+  const auto members = Digest::FromJson(aBody.value("m", nlohmann::json()));
+  const auto facts = Digest::FromJson(aBody.value("f", nlohmann::json()));
+  const bool isWhole = aBody.contains("a") && aBody["a"].is_boolean();
+  if (!members || !facts || !isWhole) {
+    return;
+  }
+  const bool isSame = SummarizeMembers().Differences(*members).empty() &&
+                      mFacts.Table().Summarize().Differences(*facts).empty();
+  if (isSame) {
+    return;
+  }
+  SendMembers(aVm, *members);
+  SendFacts(aVm, *facts);
+  if (!aBody["a"].get<bool>()) {
+    SendDigests(aVm, true);
+  }
+}
+
+void
+Comparison::Run()
+{
+  const bool isMuchNew = mNew > kMuchNew;
+  mNew = 0;
+  mPeriod =
+    isMuchNew ? core::Duration(kQuickPeriod) : std::min<core::Duration>(2 * mPeriod, kSlowPeriod);
+  mTimer.SetPeriod(mPeriod);
+  const auto peer = mHooks.randomPeer();
+  if (peer) {
+    SendDigests(*peer, false);
+  }
+}
+
+void
+Comparison::SendDigests(const std::string& aVm, bool aIsAnswer)
+{
+  const nlohmann::json body{ { "m", SummarizeMembers().ToJson() },
+                             { "f", mFacts.Table().Summarize().ToJson() },
+                             { "a", aIsAnswer } };
+  mHooks.send(aVm, kDigestKind, body);
+}
+
+void
+Comparison::SendMembers(const std::string& aVm, const Digest& aTheirs)
+{
+  const auto buckets = SummarizeMembers().Differences(aTheirs);
+  MembersReport report{ ReportReason::Comparison, {} };
+  for (auto& member : mMembers.Members()) {
+    const std::size_t bucket = Digest::BucketOf(member.vm);
+    const bool isDifferent = std::find(buckets.begin(), buckets.end(), bucket) != buckets.end();
+    const bool isHeardOf = member.state != MemberState::Joining;
+    if (isDifferent && isHeardOf && report.members.size() < kMostMembers) {
+      report.members.push_back(std::move(member));
+    }
+  }
+  if (!report.members.empty()) {
+    mHooks.send(aVm, kMembersKind, MembersReportToJson(report));
+  }
+}
+
+void
+Comparison::SendFacts(const std::string& aVm, const Digest& aTheirs)
+{
+  const auto buckets = mFacts.Table().Summarize().Differences(aTheirs);
+  const auto facts = mFacts.Table().EntriesIn(buckets, kMostFactBytes);
+  if (!facts.empty()) {
+    mHooks.send(aVm, kDigestKind, { { "l", FactsToJson(facts) } });
+  }
+}
+
+Digest
+Comparison::SummarizeMembers() const
+{
+  Digest digest;
+  for (const auto& member : mMembers.Members()) {
+    if (member.state != MemberState::Joining) {
+      digest.Add(member.vm, LastingHashOf(member));
+    }
+  }
+  return digest;
+}
+
+} // namespace skylarkwing::membership
--- a/membership/membership_service.cpp
+++ b/membership/membership_service.cpp
@@ -18,15 +18,9 @@
 constexpr milliseconds kJudgementPeriod{ 100 };
 constexpr milliseconds kFactPeriod{ 100 };
 constexpr milliseconds kNewsDelay{ 20 };
-constexpr milliseconds kQuickComparisonPeriod{ 200 };
-constexpr milliseconds kSlowComparisonPeriod{ 5000 };
 constexpr milliseconds kProbePeriod{ 1000 };
 constexpr milliseconds kVmListPeriod{ 5000 };
 
-/** A process that runs this much late was paused: others may hold it for gone. */
-constexpr milliseconds kPause{ 1000 };
-/** How long a process waits to hear how its peers hold it after a pause. */
-constexpr milliseconds kLongestRelearning{ 1000 };
 /** How young a process is while it may still raise its start order above an earlier one's. */
 constexpr seconds kStartOrderSettling{ 10 };
 
@@ -43,13 +37,9 @@
 constexpr std::size_t kNewsReceivers = 3;
 /** Three receivers in each of two rounds leave about one daemon in four hundred out. */
 constexpr std::uint32_t kNewsRounds = 2;
-constexpr std::size_t kComparisonMembers = 128;
-constexpr std::size_t kComparisonFactBytes = 16 * 1024;
 /** A ring with more members than this is sorted anew once in a period at most. */
 constexpr std::size_t kLargeRing = 32;
 constexpr milliseconds kLargeRingPeriod{ 100 };
-/** A comparison that brings more than this is followed by another one soon. */
-constexpr std::size_t kMuchNew = 8;
 
 constexpr std::array kAllStates{ MemberState::Joining,
                                  MemberState::Alive,
@@ -91,10 +81,22 @@
         .send = [this](const std::string& aVm,
                        const nlohmann::json& aFacts) { Send(aVm, kFactsKind, aFacts); } })
   , mNewsBudget(aTimers, kNewsBytesPerSecond, kNewsBurstBytes)
+  , mComparison(aTimers,
+                aRandom,
+                mTable,
+                mFacts,
+                { .randomPeer = [this] { return RandomPeer(); },
+                  .send = [this](const std::string& aVm,
+                                 std::string_view aKind,
+                                 const nlohmann::json& aBody) { Send(aVm, aKind, aBody); } })
+  , mStanding(aTimers,
+              aMetrics,
+              { .ask = [this] { AskStanding(); },
+                .monitors = [this] { return mRing.Monitors().size(); },
+                .onWasGone = [this] { ReturnSelf(); } })
   , mHeartbeatTimer(aTimers, aRandom)
   , mJudgementTimer(aTimers, aRandom)
   , mFactTimer(aTimers, aRandom)
-  , mComparisonTimer(aTimers, aRandom)
   , mProbeTimer(aTimers, aRandom)
   , mVmListTimer(aTimers, aRandom)
   , mStartedAt(aTimers.Now())
@@ -118,13 +120,11 @@
 {
   mIsStarted = true;
   mStartedAt = mTimers.Now();
-  mJudgedAt = mStartedAt;
   mHeartbeatTimer.Start(kHeartbeatPeriod, [this](core::Duration) { RunHeartbeat(); });
   mJudgementTimer.Start(kJudgementPeriod,
                         [this](core::Duration aLateness) { RunJudgement(aLateness); });
   mFactTimer.Start(kFactPeriod, [this](core::Duration) { mFacts.Run(); });
-  mComparisonPeriod = kQuickComparisonPeriod;
-  mComparisonTimer.Start(mComparisonPeriod, [this](core::Duration) { RunComparison(); });
+  mComparison.Start();
   mProbeTimer.Start(kProbePeriod, [this](core::Duration) { RunProbes(); });
   mVmListTimer.Start(kVmListPeriod, [this](core::Duration) { StartVmListFetch(); });
   StartVmListFetch();
@@ -138,7 +138,7 @@
   mHeartbeatTimer.Stop();
   mJudgementTimer.Stop();
   mFactTimer.Stop();
-  mComparisonTimer.Stop();
+  mComparison.Stop();
   mProbeTimer.Stop();
   mVmListTimer.Stop();
   mTimers.Cancel(mNewsTimer);
@@ -200,14 +200,6 @@
   }
 }
 
-bool
-MembershipService::IsRelearning() const
-{
-  const core::TimePoint now = mTimers.Now();
-  // The first thing to run after a pause need not be the timer that notices it.
-  return now < mRelearningUntil || now - mJudgedAt > core::Duration(kPause);
-}
-
 std::vector<std::string>
 MembershipService::RandomPeers(std::size_t aMost)
 {
@@ -232,6 +224,13 @@
   mBus.OnMessage(aKind, std::move(aHandler));
 }
 
+std::optional<std::string>
+MembershipService::RandomPeer()
+{
+  const auto peers = RandomPeers(1);
+  return peers.empty() ? std::nullopt : std::optional(peers.front());
+}
+
 bool
 MembershipService::Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody)
 {
@@ -254,8 +253,6 @@
     mStates[name] = &mMetrics.Gauge(
       "skylarkwing_membership_members", "Members with self, by state.", { { "state", name } });
   }
-  mPauses = &mMetrics.Counter("skylarkwing_membership_own_pauses_total",
-                              "Times that this process noticed that it had stood still.");
   mSuspicions = &mMetrics.Counter("skylarkwing_membership_suspicions_total",
                                   "Times that a member became suspect here.");
   mVmListFailures = &mMetrics.Counter("skylarkwing_membership_vm_list_failures_total",
@@ -276,7 +273,7 @@
     mFacts.Hear(aOrigin.vm, aBody);
   });
   mBus.OnMessage(kDigestKind, [this](const Origin& aOrigin, const nlohmann::json& aBody) {
-    HearComparison(aOrigin, aBody);
+    mComparison.Hear(aOrigin.vm, aBody);
   });
   mBus.OnMessage(kStandingRequestKind, [this](const Origin& aOrigin, const nlohmann::json&) {
     HearStandingRequest(aOrigin);
@@ -299,10 +296,7 @@
 void
 MembershipService::RunJudgement(core::Duration aLateness)
 {
-  if (aLateness > kPause) {
-    BeginRelearning(aLateness);
-  }
-  mJudgedAt = mTimers.Now();
+  mStanding.NoteRunning(aLateness);
   mTable.Judge();
   CheckOwners();
   for (const auto& listener : mJudgedListeners) {
@@ -310,20 +304,6 @@
   }
 }
 
-void
-MembershipService::RunComparison()
-{
-  const bool isMuchNew = mNewByComparison > kMuchNew;
-  mNewByComparison = 0;
-  mComparisonPeriod = isMuchNew
-                        ? core::Duration(kQuickComparisonPeriod)
-                        : std::min<core::Duration>(2 * mComparisonPeriod, kSlowComparisonPeriod);
-  mComparisonTimer.SetPeriod(mComparisonPeriod);
-  for (const auto& vm : RandomPeers(1)) {
-    SendComparison(vm, false);
-  }
-}
-
 void
 MembershipService::ShowStates()
 {
@@ -444,15 +424,6 @@
   ScheduleNews();
 }
 
-void
-MembershipService::SendComparison(const std::string& aVm, bool aIsAnswer)
-{
-  const nlohmann::json body{ { "m", SummarizeMembers().ToJson() },
-                             { "f", mFacts.Table().Summarize().ToJson() },
-                             { "a", aIsAnswer } };
-  Send(aVm, kDigestKind, body);
-}
-
 void
 MembershipService::HearHeartbeat(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
 {
@@ -518,7 +489,9 @@
       correction.members.push_back(mTable.Find(member.vm)->member);
     }
     const bool isByComparison = report->reason == ReportReason::Comparison;
-    mNewByComparison += isByComparison && outcome == ReportOutcome::Changed ? 1 : 0;
+    if (isByComparison && outcome == ReportOutcome::Changed) {
+      mComparison.CountNewMember();
+    }
   }
   mIsPassingOn = true;
   const bool isAnswered = report->reason != ReportReason::Correction;
@@ -540,7 +513,7 @@
     self.beat = std::max(self.beat, aReport.beat) + 1;
     AddNews(self.vm);
     if (aReport.state == MemberState::Gone) {
-      CountStanding(aFrom, true);
+      mStanding.Hear(aFrom, true);
     }
     return;
   }
@@ -565,55 +538,6 @@
   }
 }
 
-void
-MembershipService::HearComparison(const net::PeerMessageOrigin& aOrigin,
-                                  const nlohmann::json& aBody)
-{
-  if (!aBody.is_object() || !aBody.contains("a") || !aBody["a"].is_boolean()) {
-    return;
-  }
-  if (aBody.contains("l")) {
-    mNewByComparison += mFacts.HearComparison(aBody["l"]);
-    return;
-  }
-  const auto members = Digest::FromJson(aBody.value("m", nlohmann::json()));
-  const auto facts = Digest::FromJson(aBody.value("f", nlohmann::json()));
-  if (!members || !facts) {
-    return;
-  }
-  SendDifferences(aOrigin.vm, *members, *facts);
-  const bool isSame = SummarizeMembers().Differences(*members).empty() &&
-                      mFacts.Table().Summarize().Differences(*facts).empty();
-  if (!aBody["a"].get<bool>() && !isSame) {
-    SendComparison(aOrigin.vm, true);
-  }
-}
-
-void
-MembershipService::SendDifferences(const std::string& aVm,
-                                   const Digest& aTheirMembers,
-                                   const Digest& aTheirFacts)
-{
-  const auto buckets = SummarizeMembers().Differences(aTheirMembers);
-  MembersReport report{ ReportReason::Comparison, {} };
-  for (const auto& member : mTable.Members()) {
-    const std::size_t bucket = Digest::BucketOf(member.vm);
-    const bool isDifferent = std::find(buckets.begin(), buckets.end(), bucket) != buckets.end();
-    const bool isKnown = member.state != MemberState::Joining;
-    if (isDifferent && isKnown && report.members.size() < kComparisonMembers) {
-      report.members.push_back(member);
-    }
-  }
-  if (!report.members.empty()) {
-    Send(aVm, kMembersKind, MembersReportToJson(report));
-  }
-  const auto factBuckets = mFacts.Table().Summarize().Differences(aTheirFacts);
-  const auto facts = mFacts.Table().EntriesIn(factBuckets, kComparisonFactBytes);
-  if (!facts.empty()) {
-    Send(aVm, kDigestKind, { { "a", true }, { "l", FactsToJson(facts) } });
-  }
-}
-
 void
 MembershipService::HearStandingRequest(const net::PeerMessageOrigin& aOrigin)
 {
@@ -625,28 +549,9 @@
 }
 
 void
-MembershipService::HearStanding(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+MembershipService::AskStanding()
 {
-  if (!aBody.is_object() || !aBody.contains("g") || !aBody["g"].is_boolean()) {
-    return;
-  }
-  CountStanding(aOrigin.vm, aBody["g"].get<bool>());
-}
-
-void
-MembershipService::BeginRelearning(core::Duration aPause)
-{
-  mPauses->Increment();
-  const auto ms = std::chrono::duration_cast<milliseconds>(aPause).count();
-  core::LogChange(core::LogLevel::Warning,
-                  "membership",
-                  "own_pause_noticed",
-                  { { "pause_ms", std::to_string(ms) } });
   mTable.ExcuseSilences();
-  mRelearningUntil = mTimers.Now() + kLongestRelearning;
-  mStandings.clear();
-  mGoneStandings.clear();
-  mStandingsSince = mTimers.Now();
   RefreshRing();
   for (const auto& vm : mRing.Monitors()) {
     Send(vm, kStandingRequestKind, nlohmann::json::object());
@@ -654,30 +559,21 @@
 }
 
 void
-MembershipService::CountStanding(const std::string& aVm, bool aWasGone)
+MembershipService::ReturnSelf()
 {
-  if (mTimers.Now() - mStandingsSince > kLongestRelearning) {
-    mStandings.clear();
-    mGoneStandings.clear();
-    mStandingsSince = mTimers.Now();
-  }
-  mStandings.insert(aVm);
-  if (aWasGone) {
-    mGoneStandings.insert(aVm);
-  }
-  const std::size_t all = mRing.Monitors().size() + 1;
-  // When most held this daemon for gone, its replicas have new owners: it waits like any that
-  // returns. When only few did, they were the ones that were cut off.
-  if (2 * mGoneStandings.size() > all) {
-    mGoneStandings.clear();
-    mTable.ReturnSelf();
-    core::LogChange(core::LogLevel::Warning, "membership", "was_held_for_gone", {});
-    mTable.Judge();
-    CheckOwners();
-  }
-  if (2 * mStandings.size() > all && IsRelearning()) {
-    mRelearningUntil = mTimers.Now();
+  // Its replicas have new owners: it waits like any member that returns.
+  mTable.ReturnSelf();
+  mTable.Judge();
+  CheckOwners();
+}
+
+void
+MembershipService::HearStanding(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody)
+{
+  if (!aBody.is_object() || !aBody.contains("g") || !aBody["g"].is_boolean()) {
+    return;
   }
+  mStanding.Hear(aOrigin.vm, aBody["g"].get<bool>());
 }
 
 void
@@ -715,7 +611,7 @@
   }
   if (aMember.state == MemberState::Alive && mRing.IsFullMesh() && mIsStarted) {
     // In a full mesh facts are sent once, and this member may have missed some.
-    SendComparison(aMember.vm, false);
+    mComparison.Begin(aMember.vm);
   }
 }
 
@@ -811,23 +707,6 @@
   }
 }
 
-Digest
-MembershipService::SummarizeMembers() const
-{
-  Digest digest;
-  for (const auto& member : mTable.Members()) {
-    if (member.state == MemberState::Joining) {
-      continue;
-    }
-    // A suspicion passes by itself; only what lasts is compared.
-    const bool isSuspect = member.state == MemberState::Suspect;
-    const MemberState state = isSuspect ? MemberState::Alive : member.state;
-    const auto lasting = CombineHashes(HashOf(member.incarnation), member.startOrder);
-    digest.Add(member.vm, CombineHashes(lasting, static_cast<std::uint64_t>(state)));
-  }
-  return digest;
-}
-
 void
 MembershipService::StartVmListFetch()
 {
--- a/membership/membership_service.h
+++ b/membership/membership_service.h
@@ -5,12 +5,14 @@
 #include "core/task.h"
 #include "core/timer_service.h"
 #include "membership/byte_budget.h"
+#include "membership/comparison.h"
 #include "membership/fact_spread.h"
 #include "membership/member_table.h"
 #include "membership/messages.h"
 #include "membership/peer_ring.h"
 #include "membership/periodic_timer.h"
 #include "membership/spread_queue.h"
+#include "membership/standing.h"
 #include "membership/vm_list.h"
 #include "net/peer_bus.h"
 
@@ -121,7 +123,7 @@
    * @return whether this process was paused and has not yet heard from its peers how they hold it;
    *         until then it must not act as an owner.
    */
-  bool IsRelearning() const;
+  bool IsRelearning() const { return mStanding.IsRelearning(); }
 
   /** @return whether a newer process of the same VM takes part. */
   bool IsSuperseded() const { return mIsSuperseded; }
@@ -156,7 +158,6 @@
   void SetUpHandlers();
   void RunHeartbeat();
   void RunJudgement(core::Duration aLateness);
-  void RunComparison();
   void RunProbes();
   void ShowStates();
   void SendHeartbeat(const std::string& aVm, std::optional<bool> aWatched);
@@ -166,19 +167,15 @@
   void SendNews();
   void ScheduleNews();
   void AddNews(const std::string& aVm);
-  void SendComparison(const std::string& aVm, bool aIsAnswer);
   void HearHeartbeat(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
   void HearMembers(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
-  void HearComparison(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
-  void SendDifferences(const std::string& aVm,
-                       const Digest& aTheirMembers,
-                       const Digest& aTheirFacts);
+  std::optional<std::string> RandomPeer();
+  void AskStanding();
+  void ReturnSelf();
   void HearStandingRequest(const net::PeerMessageOrigin& aOrigin);
   void HearStanding(const net::PeerMessageOrigin& aOrigin, const nlohmann::json& aBody);
   void HearAboutSelf(const Member& aReport, const std::string& aFrom);
   void HearVitals(const Vitals& aVitals);
-  void BeginRelearning(core::Duration aPause);
-  void CountStanding(const std::string& aVm, bool aWasGone);
   void HearChange(const Member& aMember);
   void FollowConnection(const Member& aMember);
   void TellFactsAgain(const Member& aMember);
@@ -186,7 +183,6 @@
   void CheckOwners();
   void ScheduleOwnersCheck();
   void TellGeneration(const std::string& aVm, std::uint64_t aGeneration);
-  Digest SummarizeMembers() const;
   void StartVmListFetch();
   static core::Task<void> FetchVmList(std::weak_ptr<MembershipService*> aService,
                                       core::Task<std::optional<std::vector<VmRecord>>> aFetch);
@@ -204,14 +200,13 @@
   ByteBudget mNewsBudget;
   core::TimerId mNewsTimer = 0;
   core::TimerId mOwnersTimer = 0;
+  Comparison mComparison;
+  Standing mStanding;
   PeriodicTimer mHeartbeatTimer;
   PeriodicTimer mJudgementTimer;
   PeriodicTimer mFactTimer;
-  PeriodicTimer mComparisonTimer;
   PeriodicTimer mProbeTimer;
   PeriodicTimer mVmListTimer;
-  core::Duration mComparisonPeriod{};
-  std::size_t mNewByComparison = 0;
   std::map<std::string, HeartbeatCount> mHeartbeatsSent;
   /** The incarnations that went, by VM. */
   std::map<std::string, std::string> mGone;
@@ -221,12 +216,7 @@
   std::vector<GenerationListener> mGenerationListeners;
   std::uint64_t mOwnersHash = 0;
   core::TimePoint mStartedAt;
-  core::TimePoint mRelearningUntil;
-  core::TimePoint mJudgedAt;
   core::TimePoint mRingAt;
-  core::TimePoint mStandingsSince;
-  std::set<std::string> mStandings;
-  std::set<std::string> mGoneStandings;
   bool mIsStarted = false;
   bool mIsRingStale = true;
   bool mIsFetchingVmList = false;
@@ -235,7 +225,6 @@
   std::shared_ptr<MembershipService*> mWeakSelf;
   std::map<std::string, prometheus::Counter*, std::less<>> mSent;
   std::map<std::string, prometheus::Gauge*, std::less<>> mStates;
-  prometheus::Counter* mPauses = nullptr;
   prometheus::Counter* mSuspicions = nullptr;
   prometheus::Counter* mVmListFailures = nullptr;
 };
--- a/membership/tests/configuration_spread_test.cpp
+++ b/membership/tests/configuration_spread_test.cpp
@@ -42,6 +42,8 @@
     cluster.At(0).keeper.Offer(ConfigurationOf(1), "store");
     cluster.Advance(seconds{ 2 });
     BOOST_TEST(CountInForce(cluster, 1) == count);
+    cluster.Advance(seconds{ 3 });
+    BOOST_TEST(cluster.At(1).spread.InForceAt(1).inForce == count);
   }
 }
 
--- a/membership/tests/failures_test.cpp
+++ b/membership/tests/failures_test.cpp
@@ -265,6 +265,13 @@
   cluster.Advance(minutes{ 2 });
   BOOST_TEST(CountSettled(cluster) == 8U);
   BOOST_TEST(CountNotHeldBy(cluster, 1) == 0U);
+  // What others refute again and again is raised less and less often.
+  const double suspicions = cluster.At(1)
+                              .metrics
+                              .Counter("skylarkwing_membership_suspicions_total",
+                                       "Times that a member became suspect here.")
+                              .Value();
+  BOOST_TEST(suspicions <= 20.0);
 }
 
 BOOST_AUTO_TEST_CASE(a_daemon_that_nobody_hears_is_given_up)
--- a/membership/tests/member_table_test.cpp
+++ b/membership/tests/member_table_test.cpp
@@ -112,6 +112,20 @@
   BOOST_TEST((StateOf("a") == MemberState::Alive));
 }
 
+BOOST_AUTO_TEST_CASE(a_heartbeat_that_waited_does_not_end_a_doubt)
+{
+  table.HearHeartbeat(MemberOf("a", 1, 1), true);
+  Pass(seconds{ 5 });
+  Pass(seconds{ 1 });
+  BOOST_REQUIRE((StateOf("a") == MemberState::Gone));
+  table.HearHeartbeat(MemberOf("a", 1, 1), true, seconds{ 5 });
+  BOOST_TEST((StateOf("a") == MemberState::Gone));
+  Member doubt = MemberOf("b", 1, 9);
+  table.HearHeartbeat(doubt, true, seconds{ 2 });
+  doubt.state = MemberState::Suspect;
+  BOOST_TEST((table.HearReport(doubt) == ReportOutcome::Changed));
+}
+
 BOOST_AUTO_TEST_CASE(an_older_incarnation_never_comes_back)
 {
   table.HearHeartbeat(MemberOf("a", 2, 1), true);
