--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -66,7 +66,7 @@
   , mNextPort(FirstPortOffset())
 {
   for (std::size_t n = 0; n < kStandinThreads; ++n) {
-    mThreads.push_back(std::make_unique<LoopThread>());
+    mThreads.push_back(std::make_unique<LoopThread>("standin"));
   }
 }
 
--- a/bench/daemon_node.cpp
+++ b/bench/daemon_node.cpp
@@ -49,7 +49,7 @@
   NodePlace place;
   std::unique_ptr<daemon::Daemon> daemon;
   std::shared_ptr<std::atomic<bool>> isStopped = std::make_shared<std::atomic<bool>>(false);
-  LoopThread thread;
+  LoopThread thread{ "daemon" };
 };
 
 DaemonNode::DaemonNode(NodePlace aPlace)
--- a/bench/load_run.h
+++ b/bench/load_run.h
@@ -36,7 +36,7 @@
 
 private:
   std::chrono::steady_clock::time_point mEnd;
-  LoopThread mThread;
+  LoopThread mThread{ "callers" };
   std::unique_ptr<LoadDriver> mDriver;
 };
 
--- a/bench/loop_thread.cpp
+++ b/bench/loop_thread.cpp
@@ -14,11 +14,12 @@
 
 } // namespace
 
-LoopThread::LoopThread()
+LoopThread::LoopThread(const char* aName)
   : mParts(std::make_unique<Parts>())
   , mGuard(boost::asio::make_work_guard(mParts->loop))
   , mThread([this] { mParts->loop.run(); })
 {
+  pthread_setname_np(mThread.native_handle(), aName);
 }
 
 LoopThread::~LoopThread()
--- a/bench/loop_thread.h
+++ b/bench/loop_thread.h
@@ -20,7 +20,8 @@
 class LoopThread
 {
 public:
-  LoopThread();
+  /** @param aName what a profiler calls the thread, 15 letters at most. */
+  explicit LoopThread(const char* aName = "loop");
   LoopThread(const LoopThread&) = delete;
   LoopThread& operator=(const LoopThread&) = delete;
   ~LoopThread();
--- a/bench/naive_node.cpp
+++ b/bench/naive_node.cpp
@@ -105,7 +105,7 @@
   bool isStopped = false;
   std::map<std::string, std::vector<Connection>> idle;
   std::unique_ptr<net::HttpServer> server;
-  LoopThread thread;
+  LoopThread thread{ "naive" };
 
   bool Listen();
   void Close();
