--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -380,6 +380,7 @@
   record.writeId = next.writeId;
   record.author = "experiment";
   record.reason = "step of the scenario";
+  record.writeId = next.writeId;
   next.history = { std::move(record) };
   const std::string value = declaration::ConfigurationToText(next);
   const auto readBack = declaration::ParseConfiguration(value);
--- a/console/change_service.cpp
+++ b/console/change_service.cpp
@@ -1,5 +1,6 @@
 #include "console/change_service.h"
 
+#include "declaration/declaration_diff.h"
 #include "declaration/declaration_parser.h"
 #include "declaration/harm_check.h"
 
@@ -84,9 +85,9 @@
     return std::nullopt;
   }
   std::vector<declaration::ChangeRecord> records = RecordsSince(aPresent, aExpected);
-  const bool isFromHere = aExpected < aPresent.generation;
-  // Every generation has one record; fewer records mean that the history does not reach back.
-  const bool isHistoryWhole = isFromHere && records.size() == aPresent.generation - aExpected;
+  // Every generation has one record. Another count means that the history does not reach back, or
+  // that the operator saw a generation that is not known here yet.
+  const bool isHistoryWhole = records.size() == aPresent.generation - aExpected;
   if (isHistoryWhole) {
     std::erase_if(records, [&aDomain](const auto& aRecord) { return !Names(aRecord, aDomain); });
     if (records.empty()) {
@@ -212,6 +213,8 @@
     }
   }
   ChangeRequest request;
+  request.changes =
+    declaration::ToLines(declaration::DescribeChanges(aPresent.declaration, aDeclaration));
   request.declaration = std::move(aDeclaration);
   request.expectedGeneration = aPresent.generation;
   request.author = std::move(aTerms.author);
