--- a/bench/slope_probe.cpp
+++ b/bench/slope_probe.cpp
@@ -386,7 +386,7 @@
 {
   constexpr std::uint32_t kNodes = 8;
   std::vector<ControlPoint> points;
-  for (const std::uint32_t services : { 8U, 32U, 64U, 128U }) {
+  for (const std::uint32_t services : { 8U, 32U, 64U, 128U, 256U }) {
     points.push_back(MeasureControlAt(services, kNodes, aSeed));
   }
   return points;
--- a/bench/slope_probe.h
+++ b/bench/slope_probe.h
@@ -55,7 +55,7 @@
 std::vector<ControlPoint>
 MeasureNodes(std::uint64_t aSeed);
 
-/** Measures the control cost of 8 daemons over 24, 96, 192 and 384 replicas. */
+/** Measures the control cost of 8 daemons over 24, 96, 192, 384 and 768 replicas. */
 std::vector<ControlPoint>
 MeasureReplicas(std::uint64_t aSeed);
 
