--- a/bench/load_result.cpp
+++ b/bench/load_result.cpp
@@ -61,6 +61,23 @@
   return Share(static_cast<double>(answered), static_cast<double>(sent));
 }
 
+double
+LoadResult::WorstSecond() const
+{
+  // A second with few queries says little, such as the last one, which may be cut.
+  constexpr std::uint64_t kLeastQueries = 10;
+  double worst = 1.0;
+  for (const SecondOfLoad& second : seconds) {
+    if (second.sent < kLeastQueries) {
+      continue;
+    }
+    const double answeredShare =
+      Share(static_cast<double>(second.answered), static_cast<double>(second.sent));
+    worst = std::min(worst, answeredShare * Share(second.shardsAnswered, second.shardsTotal));
+  }
+  return worst;
+}
+
 std::uint64_t
 LoadResult::Broken() const
 {
@@ -78,6 +95,7 @@
             { "p50Ms", aResult.LatencyMs(kMedian) },
             { "p99Ms", aResult.LatencyMs(kP99) },
             { "coverage", aResult.Coverage() },
+            { "worstSecond", aResult.WorstSecond() },
             { "extraLoad", aResult.ExtraLoad() },
             { "refusals", aResult.refusals },
             { "callerFaults", aResult.faults },
--- a/bench/load_result.h
+++ b/bench/load_result.h
@@ -76,6 +76,12 @@
   /** @return the share of queries that got an answer, whole or partial. */
   double AnsweredShare() const;
 
+  /**
+   * @return the least service of any second: the share of its queries that were answered times the
+   *         coverage of those answers, 0 to 1. It shows what a change of failure domains costs.
+   */
+  double WorstSecond() const;
+
   /** @return how often any property was broken. */
   std::uint64_t Broken() const;
 };
--- a/bench/report_writer.cpp
+++ b/bench/report_writer.cpp
@@ -63,6 +63,7 @@
     { "p50_ms", [](const R& aRun) { return Fixed(aRun.load.LatencyMs(kMedian), 1); } },
     { "p99_ms", [](const R& aRun) { return Fixed(aRun.load.LatencyMs(kP99), 1); } },
     { "coverage_pct", [](const R& aRun) { return Percent(aRun.load.Coverage()); } },
+    { "worst_second_pct", [](const R& aRun) { return Percent(aRun.load.WorstSecond()); } },
     { "extra_load_pct", [](const R& aRun) { return Percent(aRun.load.ExtraLoad()); } },
     { "late", [](const R& aRun) { return std::to_string(aRun.load.late); } },
     { "refused", [](const R& aRun) { return std::to_string(SumOf(aRun.load.refusals)); } },
--- a/standin/tests/upstream_standin_test.cpp
+++ b/standin/tests/upstream_standin_test.cpp
@@ -210,6 +210,44 @@
   BOOST_TEST(upstream->Load().cancelled == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(RefusesEverySearchWhenTold)
+{
+  Start({});
+  upstream->SetRefusing(true);
+  const net::HttpReply reply = Call(upstream->Address(), "/search", Search("p-1"));
+  BOOST_TEST(json::parse(reply.response.body)["reason"] == "overloaded");
+  BOOST_TEST(json::parse(reply.response.body)["executed"] == "no");
+}
+
+BOOST_AUTO_TEST_CASE(SaysWhenItSearchedOnlyAPart)
+{
+  Start({});
+  upstream->SetPartial(true);
+  const net::HttpReply reply = Call(upstream->Address(), "/search", Search("p-1"));
+  const json body = json::parse(reply.response.body);
+  BOOST_TEST(body["complete"] == false);
+  BOOST_TEST(body["hits"].size() == GenerateShard("catalogue", 7, 3).size() / 2);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsProcessWhenItDropsConnections)
+{
+  UpstreamStandinOptions options;
+  options.serviceTime = std::chrono::milliseconds{ 200 };
+  Start(options);
+  const std::string before =
+    Call(upstream->Address(), "/load").response.Header("Upstream-Incarnation").value();
+  auto replies = std::make_shared<Replies>();
+  Post(NewConnection(), upstream->Address(), "/search", Search("p-1").dump(), replies);
+  while (upstream->Load().started == 0) {
+    loop.run_one();
+  }
+  upstream->DropConnections();
+  RunUntilReplies(*replies, 1);
+  BOOST_TEST((replies->front().error == net::HttpClientError::Broken));
+  const net::HttpReply after = Call(upstream->Address(), "/load");
+  BOOST_TEST(after.response.Header("Upstream-Incarnation").value() == before);
+}
+
 BOOST_AUTO_TEST_CASE(TheLoadEndpointLags)
 {
   UpstreamStandinOptions options;
