Stop only when answers are written, replicas handed over and messages sent

Cause: a stopping daemon could close while a response was being written, its last answers to other daemons were still queued, or callers had its address from a daemon that had not heard yet. Change: it waits for each of these; the load of the loop's thread goes into entry points.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -13,6 +13,9 @@
 
 /** How often a stopping daemon looks whether its work has ended. */
 constexpr core::Duration kStopPoll = std::chrono::milliseconds{ 20 };
+/** By then every daemon knows of a leaving one and hands its address out no more. */
+constexpr core::Duration kNoticeMargin = std::chrono::seconds{ 2 };
+constexpr core::Duration kLastMessages = std::chrono::milliseconds{ 200 };
 
 std::uint64_t
 DrawSeed(const settings::Settings& aSettings)
@@ -32,9 +35,17 @@
   , random(DrawSeed(settings))
   , incarnation(random.Token())
   , startedAt(timers.Now())
+  , loadMeter(timers, LoadMeter::ThreadProcessorTime)
 {
 }
 
+bool
+Daemon::Parts::IsBusy() const
+{
+  const bool isHandingOver = !membership->Owners().empty() && handover->HeldCount() > 0;
+  return front->Running() > 0 || callerServer->ActiveRequests() > 0 || isHandingOver;
+}
+
 bool
 Daemon::Parts::Listen()
 {
@@ -101,6 +112,10 @@
                     { "callers", CallerAddress() },
                     { "operators", OperatorAddress() } });
   mParts->membership->Start();
+  mParts->loadMeter.Start([this](double aLoad) {
+    mParts->membership->SetLoad(aLoad);
+    mParts->storeClient->SetFleetSize(mParts->LiveMembers());
+  });
   mParts->configurationWatch->Start(mParts->loop.get_executor());
 }
 
@@ -116,17 +131,19 @@
   parts.membership->AnnounceLeaving();
   parts.RefreshOwnership();
   // Callers that keep this address are served until the last of them has forgotten it.
-  co_await core::Sleep(parts.timers, membership::kEntryPointsKeep);
+  co_await core::Sleep(parts.timers, membership::kEntryPointsKeep + kNoticeMargin);
   parts.callerServer->CloseAfterResponses();
   parts.callerServer->StopAccepting();
   const core::TimePoint end =
     parts.timers.Now() + std::chrono::seconds{ parts.settings.stopGraceSeconds };
-  while (parts.front->Running() > 0 && parts.timers.Now() < end) {
+  while (parts.IsBusy() && parts.timers.Now() < end) {
     co_await core::Sleep(parts.timers, kStopPoll);
   }
   parts.isRefusing = true;
   co_await parts.dispatcher->Stop();
   parts.operators->Stop();
+  // The last answers to other daemons are still on their way out.
+  co_await core::Sleep(parts.timers, kLastMessages);
   core::LogChange(core::LogLevel::Info, "daemon", "stopped", { { "vm", parts.settings.vm } });
 }
 
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -9,6 +9,7 @@
 #include "daemon/burn_exchange.h"
 #include "daemon/daemon.h"
 #include "daemon/index_view_cache.h"
+#include "daemon/load_meter.h"
 #include "declaration/configuration_keeper.h"
 #include "membership/configuration_spread.h"
 #include "membership/handover.h"
@@ -42,6 +43,8 @@
 
   // daemon.cpp
   bool Listen();
+  /** @return whether work of callers or of other daemons still runs here. */
+  bool IsBusy() const;
 
   // membership_wiring.cpp
   void WireMembership();
@@ -82,6 +85,7 @@
   core::Metrics metrics;
   std::string incarnation;
   core::TimePoint startedAt;
+  LoadMeter loadMeter;
   declaration::ConfigurationKeeper keeper;
   IndexViewCache views;
   std::unique_ptr<net::NngPeerBus> bus;
--- a/daemon/upstream_wiring.cpp
+++ b/daemon/upstream_wiring.cpp
@@ -115,7 +115,12 @@
   if (!configuration || !handover) {
     return;
   }
-  handover->Assign(membership::OwnersOf(configuration->declaration, membership->Owners()));
+  const std::vector<membership::Member> members = membership->Owners();
+  if (members.empty()) {
+    // Nobody is there to take over, so the last daemon keeps what it holds until its end.
+    return;
+  }
+  handover->Assign(membership::OwnersOf(configuration->declaration, members));
   RefreshHeld();
 }
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -166,6 +166,7 @@
   asio::ip::tcp::acceptor acceptor;
   std::unordered_map<std::uint64_t, std::shared_ptr<beast::tcp_stream>> streams;
   std::uint64_t lastStream = 0;
+  std::size_t active = 0;
   bool isClosing = false;
   bool isClosed = false;
 
@@ -248,11 +249,16 @@
   HttpRequest request = ToRequest(parser, aClientAddress);
   const bool isKeepAlive = parser.get().keep_alive();
   aStream->expires_never();
+  ++active;
   HttpResponse response = co_await handler(std::move(request));
+  bool isOpen = false;
   if (response.stream) {
-    co_return co_await RespondInPieces(*aStream, std::move(response));
+    isOpen = co_await RespondInPieces(*aStream, std::move(response));
+  } else {
+    isOpen = co_await Respond(*aStream, std::move(response), isKeepAlive && !isClosing);
   }
-  co_return co_await Respond(*aStream, std::move(response), isKeepAlive && !isClosing);
+  --active;
+  co_return isOpen;
 }
 
 core::Task<beast::error_code>
@@ -406,6 +412,12 @@
   return mState->streams.size();
 }
 
+std::size_t
+HttpServer::ActiveRequests() const
+{
+  return mState->active;
+}
+
 void
 HttpServer::Close()
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -80,6 +80,9 @@
   /** @return how many connections are open. */
   std::size_t OpenConnections() const;
 
+  /** @return how many requests have been read and not yet answered whole. */
+  std::size_t ActiveRequests() const;
+
   /** Closes everything at once. */
   void Close();
 
