--- a/membership/tests/failures_test.cpp
+++ b/membership/tests/failures_test.cpp
@@ -109,6 +109,41 @@
   BOOST_TEST(CountNotHeldBy(cluster, 1) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_daemon_waits_for_the_owners_before_it)
+{
+  Start(7);
+  for (const auto& [n, daemon] : cluster.daemons) {
+    daemon->isReleasingAtOnce = false;
+  }
+  FakeDaemon& added = cluster.StartDaemon(7);
+  cluster.ShowVmList();
+  cluster.Advance(seconds{ 5 });
+  BOOST_TEST(MostHolders(cluster) == 1U);
+  BOOST_TEST(added.acquired.empty());
+  for (const auto& [replica, owner] : added.handover.Owners()) {
+    for (const auto& [n, daemon] : cluster.daemons) {
+      if (owner == VmOf(7) && daemon->acquired.erase(replica) > 0) {
+        daemon->handover.Released(replica);
+      }
+    }
+  }
+  cluster.Advance(milliseconds{ 200 });
+  BOOST_TEST(!added.acquired.empty());
+  BOOST_TEST(CountNotHeldBy(cluster, 1) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(of_two_that_believe_to_be_owners_one_begins)
+{
+  cluster.StartAll(3);
+  for (int n = 0; n < 20; ++n) {
+    const std::string replica = "r-" + std::to_string(n);
+    cluster.At(0).handover.Assign({ { replica, VmOf(0) } });
+    cluster.At(1).handover.Assign({ { replica, VmOf(1) } });
+    cluster.Advance(seconds{ 1 });
+    BOOST_TEST(cluster.CountHolders(replica) == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(two_lists_that_differ_do_not_make_two_holders)
 {
   cluster.StartAll(4);
--- a/membership/tests/promises_test.cpp
+++ b/membership/tests/promises_test.cpp
@@ -90,16 +90,27 @@
   BOOST_TEST(Ask(cluster, 0, "r-1").has_value());
 }
 
-BOOST_AUTO_TEST_CASE(a_restarted_member_does_not_forget_what_it_promised)
+BOOST_AUTO_TEST_CASE(restarted_members_do_not_promise_again_what_they_may_have_promised)
 {
   FakeCluster cluster(4);
-  cluster.StartAll(2);
+  cluster.StartAll(3);
   cluster.Advance(seconds{ 1 });
   BOOST_REQUIRE(Ask(cluster, 0, "r-1").has_value());
+  // The holder is paused and no longer listed, and whoever promised has started anew.
+  cluster.At(0).process.Pause();
   cluster.StartDaemon(1);
-  cluster.ShowVmList();
+  cluster.StartDaemon(2);
+  std::vector<VmRecord> records;
+  for (const std::size_t n : { 1U, 2U }) {
+    const Member& self = cluster.At(n).service.Self();
+    records.push_back({ self.vm, self.failureDomain, self.region, "", self.peerAddress, false });
+  }
+  cluster.At(1).service.LearnVms(records);
+  cluster.At(2).service.LearnVms(records);
   cluster.Advance(milliseconds{ 500 });
   BOOST_TEST(!Ask(cluster, 1, "r-1").has_value());
+  cluster.Advance(kPromiseTtl);
+  BOOST_TEST(Ask(cluster, 1, "r-1").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_holder_of_a_store_permit_does_not_promise_it_away)
