Answer parts in time while a permit or claim is slow to come

Cause: a successor waits out the longest deadline before it gets a permit. Parts waited with it until their own deadline, and a suspected part that had asked for its claim was answered only after it.

Change: a permit that takes longer than 100 ms counts as refused until it comes; a part that waits for its claim is refused at its deadline and can be cancelled.

Guards seen failing when switched off: the patience (does not hold parts while the permit is slow), the claim's deadline (a slow store does not hold a suspect).

--- a/upstream/canary_gate.cpp
+++ b/upstream/canary_gate.cpp
@@ -42,10 +42,12 @@
   }
   flight.running = aPart;
   flight.hasClaim = false;
+  flight.isAwaitingClaim = aNeedsClaim;
   if (!aNeedsClaim) {
     mHooks.run(aPart);
     return;
   }
+  flight.claimTimer = RefuseAtDeadline(aPart);
   core::Start(mExecutor, RunClaimed(shared_from_this(), aPart));
 }
 
@@ -56,6 +58,12 @@
   if (flight == mFlights.end()) {
     return false;
   }
+  if (flight->second.running == aPart && flight->second.isAwaitingClaim) {
+    // Its answer ends the flight, and the task that asks for the claim then gives it back.
+    mTimers.Cancel(flight->second.claimTimer);
+    flight->second.isAwaitingClaim = false;
+    return true;
+  }
   std::deque<Waiting>& waiting = flight->second.waiting;
   const auto it = std::find_if(
     waiting.begin(), waiting.end(), [&aPart](const Waiting& aItem) { return aItem.part == aPart; });
@@ -116,6 +124,8 @@
     }
     co_return;
   }
+  aSelf->mTimers.Cancel(it->second.claimTimer);
+  it->second.isAwaitingClaim = false;
   it->second.hasClaim = isGranted;
   if (isGranted) {
     aSelf->mHooks.run(aPart);
@@ -131,14 +141,19 @@
     mHooks.refuse(aPart, PartRefusal::Overloaded);
     return;
   }
+  aFlight.waiting.push_back({ aPart, RefuseAtDeadline(aPart) });
+}
+
+core::TimerId
+CanaryGate::RefuseAtDeadline(const PendingPartPtr& aPart)
+{
   const core::Duration delay = aPart->request.deadline - mTimers.Now();
-  const core::TimerId timer = mTimers.Schedule(delay, [weak = weak_from_this(), part = aPart] {
+  return mTimers.Schedule(delay, [weak = weak_from_this(), part = aPart] {
     const std::shared_ptr<CanaryGate> self = weak.lock();
     if (self && self->Remove(part)) {
       self->mHooks.refuse(part, PartRefusal::DeadlineTooClose);
     }
   });
-  aFlight.waiting.push_back({ aPart, timer });
 }
 
 void
--- a/upstream/canary_gate.h
+++ b/upstream/canary_gate.h
@@ -55,7 +55,11 @@
    */
   void Enter(const PendingPartPtr& aPart, bool aNeedsClaim);
 
-  /** Takes a waiting part out; false when it does not wait here. */
+  /**
+   * Takes a part out that waits for its turn or its claim.
+   *
+   * @return false when it does not wait here.
+   */
   bool Remove(const PendingPartPtr& aPart);
 
   /** Notes that a part has its answer; one that never passed here is ignored. */
@@ -74,7 +78,9 @@
   struct Flight
   {
     PendingPartPtr running;
+    bool isAwaitingClaim = false;
     bool hasClaim = false;
+    core::TimerId claimTimer = 0;
     std::deque<Waiting> waiting;
   };
 
@@ -85,6 +91,7 @@
   std::unordered_map<std::string, core::TimerId> mReleaseTimers;
 
   static core::Task<void> RunClaimed(std::shared_ptr<CanaryGate> aSelf, PendingPartPtr aPart);
+  core::TimerId RefuseAtDeadline(const PendingPartPtr& aPart);
   void Wait(Flight& aFlight, const PendingPartPtr& aPart);
   void ReleaseLater(const std::string& aClaim, core::Duration aDelay);
 };
--- a/upstream/permit_keeper.cpp
+++ b/upstream/permit_keeper.cpp
@@ -33,7 +33,9 @@
 bool
 PermitKeeper::IsRefused() const
 {
-  return !mIsAsking && mTimers.Now() < mNextTry && !IsHeld();
+  const core::TimePoint now = mTimers.Now();
+  const bool isLong = mIsAsking ? now - mAskedAt >= kPatience : now < mNextTry;
+  return isLong && !IsHeld();
 }
 
 bool
@@ -46,6 +48,7 @@
 PermitKeeper::Acquire()
 {
   mIsAsking = true;
+  mAskedAt = mTimers.Now();
   std::string name = mName;
   const bool isGranted = co_await mHooks.acquire(std::move(name));
   mIsAsking = false;
--- a/upstream/permit_keeper.h
+++ b/upstream/permit_keeper.h
@@ -6,8 +6,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <chrono>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace skylarkwing::upstream {
@@ -34,7 +34,10 @@
   /** @return whether this worker acquired the permit and it is still held at this moment. */
   bool IsHeld() const;
 
-  /** @return whether the permit was refused so lately that nobody should wait for it. */
+  /** How long a part may wait for an answer about the permit. */
+  static constexpr std::chrono::milliseconds kPatience{ 100 };
+
+  /** @return whether nobody should wait for the permit: it was refused lately, or takes long. */
   bool IsRefused() const;
 
   /** @return whether it may be asked for now: it is not being asked for, nor just refused. */
@@ -53,6 +56,7 @@
   PermitHooks mHooks;
   bool mIsAsking = false;
   bool mIsAcquired = false;
+  core::TimePoint mAskedAt;
   core::TimePoint mNextTry;
 };
 
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -651,6 +651,7 @@
   if (mPermit.MayAsk()) {
     ++mTasks;
     core::Start(mExecutor, RunPermit(shared_from_this()));
+    PumpLater(PermitKeeper::kPatience);
     return;
   }
   if (IsPermitRefused()) {
@@ -863,7 +864,13 @@
   const core::TimePoint until = std::max(now, aPart->request.deadline) + kAnswerGrace;
   mSlots.KeepUntil(until, now);
   mControlOrders.Push({ aPart->request.partId });
-  mTimers.Schedule(until - now, [weak = weak_from_this()] {
+  PumpLater(until - now);
+}
+
+void
+ReplicaWorker::PumpLater(core::Duration aDelay)
+{
+  mTimers.Schedule(aDelay, [weak = weak_from_this()] {
     if (const Self self = weak.lock()) {
       self->Pump();
     }
--- a/upstream/replica_worker.h
+++ b/upstream/replica_worker.h
@@ -140,6 +140,7 @@
 
   void Pump();
   void PumpOnce();
+  void PumpLater(core::Duration aDelay);
   void AddLanes();
   void Assign();
   std::size_t WantedLanes() const;
--- a/upstream/tests/crash_quarantine_test.cpp
+++ b/upstream/tests/crash_quarantine_test.cpp
@@ -154,6 +154,25 @@
   BOOST_TEST(Crashes() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_slow_store_does_not_hold_a_suspect_past_its_deadline)
+{
+  SendPoison(1);
+  RunFor(milliseconds{ 50 });
+  permits.answerTime = seconds{ 3 };
+  const std::string late = SendPoison(2, { "r1" });
+  const std::string behind = SendPoison(2, { "r1" });
+  RunFor(milliseconds{ 401 });
+  BOOST_TEST((StatusOf(late) == PartStatus::NotRun));
+  BOOST_TEST(ended[late].count == 1);
+  BOOST_TEST(ended[behind].count == 1);
+  const std::string cancelled = SendPoison(3, { "r1" });
+  dispatchers["vm-3"]->Cancel(cancelled);
+  BOOST_TEST((ended[cancelled].answer.refusal == PartRefusal::Cancelled));
+  RunFor(seconds{ 10 });
+  BOOST_TEST(Crashes() == 1U);
+  BOOST_TEST(permits.holders.count("fingerprint-000000000000029a") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_network_is_no_crash)
 {
   MakeWarm("vm-1", "r1");
--- a/upstream/tests/dispatcher_fixture.h
+++ b/upstream/tests/dispatcher_fixture.h
@@ -23,6 +23,7 @@
   std::map<std::string, std::uint32_t> grants;
   /** A successor waits until what the former holder sent has ended. */
   std::map<std::string, core::TimePoint> barredUntil;
+  core::Duration answerTime = std::chrono::milliseconds{ 2 };
   bool isDown = false;
 };
 
@@ -188,7 +189,7 @@
 
   core::Task<bool> Acquire(std::string aVm, std::string aName)
   {
-    co_await core::Sleep(timers, std::chrono::milliseconds{ 2 });
+    co_await core::Sleep(timers, permits.answerTime);
     std::string& holder = permits.holders[aName];
     const bool isBarred = timers.Now() < permits.barredUntil[aName];
     if (!permits.isDown && !isBarred && holder.empty()) {
--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -70,6 +70,20 @@
   BOOST_TEST(ended[next].count == 1);
 }
 
+BOOST_AUTO_TEST_CASE(does_not_hold_parts_while_the_permit_is_slow)
+{
+  permits.answerTime = seconds{ 3 };
+  const std::string id = Send("vm-1", "r1", seconds{ 2 });
+  RunFor(milliseconds{ 101 });
+  BOOST_TEST((RefusalOf(id) == PartRefusal::Cold));
+  const std::string next = Send("vm-1", "r1", seconds{ 2 });
+  BOOST_TEST((RefusalOf(next) == PartRefusal::Cold));
+  RunFor(seconds{ 4 });
+  const std::string last = Send("vm-1", "r1", seconds{ 2 });
+  RunFor(milliseconds{ 100 });
+  BOOST_TEST((StatusOf(last) == PartStatus::Answered));
+}
+
 BOOST_AUTO_TEST_CASE(ramps_a_cold_replica_without_overfilling_it)
 {
   upstream.searchesUntilWarm = 20;
