Pack a peer message without copying its body

The envelope took a deep copy of the body's JSON objects only to serialise both together. The body is now appended to the packed envelope as one more member.

--- a/net/nng_peer_bus.cpp
+++ b/net/nng_peer_bus.cpp
@@ -51,6 +51,19 @@
                                    kind,
                                    sentMicroseconds)
 
+/** @return the envelope with the body as one more member, without a copy of the body's objects. */
+std::vector<std::uint8_t>
+Pack(const Envelope& aEnvelope, const json& aBody)
+{
+  std::vector<std::uint8_t> bytes = json::to_msgpack(json(aEnvelope));
+  // MessagePack writes a map of less than 16 members as one byte with their number, then the
+  // members.
+  ++bytes.front();
+  json::to_msgpack(json("body"), bytes);
+  json::to_msgpack(aBody, bytes);
+  return bytes;
+}
+
 std::optional<Envelope>
 ReadEnvelope(const json& aMessage)
 {
@@ -344,9 +357,7 @@
   envelope.incarnation = mState->identity.incarnation;
   envelope.kind = std::string(aKind);
   envelope.sentMicroseconds = Microseconds(mState->timers.Now());
-  json message(envelope);
-  message["body"] = aBody;
-  const std::vector<std::uint8_t> bytes = json::to_msgpack(message);
+  const std::vector<std::uint8_t> bytes = Pack(envelope, aBody);
   if (SendCopy(outlet->socket, bytes) != 0) {
     mState->notSent.Increment();
     return false;
