--- a/bench/slope_probe.cpp
+++ b/bench/slope_probe.cpp
@@ -28,7 +28,9 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::array kFanOuts{ 10U, 40U, 100U, 280U };
-constexpr double kPartsPerSecond = 1500.0;
+constexpr double kPartsPerSecond = 3000.0;
+/** How long the cost of idle daemons is measured before the load. */
+constexpr std::chrono::seconds kIdle{ 4 };
 constexpr std::chrono::milliseconds kWarmUp{ 8000 };
 constexpr std::chrono::milliseconds kMeasured{ 10000 };
 constexpr double kMebibyte = 1024.0 * 1024.0;
@@ -145,16 +147,22 @@
   }
   const double rate = kPartsPerSecond / aFanOut;
   LoadRun(*cluster, MakeLoad(*cluster, rate, kWarmUp, aSeed + 1)).Finish();
+  const nanoseconds idleBefore = ProcessCpuTime() - cluster->StandinCpuTime();
+  std::this_thread::sleep_for(kIdle);
+  const nanoseconds idle = ProcessCpuTime() - cluster->StandinCpuTime() - idleBefore;
+  point.idleCores = Microseconds(idle) / Microseconds(kIdle);
   const double bytesBefore = SumMetric(*cluster, "skylarkwing_net_peer_sent_bytes_total");
   const nanoseconds cpuBefore = ProcessCpuTime() - cluster->StandinCpuTime();
+  const auto begin = Clock::now();
   LoadRun run(*cluster, MakeLoad(*cluster, rate, kMeasured, aSeed));
   const LoadResult result = run.Finish();
-  const nanoseconds cpu =
+  const nanoseconds used =
     ProcessCpuTime() - cluster->StandinCpuTime() - run.Thread().CpuTime() - cpuBefore;
+  const double cpu = Microseconds(used) - point.idleCores * 1e6 * Seconds(Clock::now() - begin);
   const double bytes = SumMetric(*cluster, "skylarkwing_net_peer_sent_bytes_total") - bytesBefore;
   const auto queries = static_cast<double>(std::max<std::uint64_t>(result.answered, 1));
   point.queries = result.answered;
-  point.cpuMicrosecondsPerQuery = Microseconds(cpu) / queries;
+  point.cpuMicrosecondsPerQuery = cpu / queries;
   point.cpuMicrosecondsPerPart = point.cpuMicrosecondsPerQuery / aFanOut;
   point.peerBytesPerQuery = bytes / queries;
   point.p50Ms = result.LatencyMs(0.5);
@@ -338,6 +346,7 @@
       { "queries", [](const P& aPoint) { return static_cast<double>(aPoint.queries); } },
       { "cpu_us_per_query", [](const P& aPoint) { return aPoint.cpuMicrosecondsPerQuery; } },
       { "cpu_us_per_part", [](const P& aPoint) { return aPoint.cpuMicrosecondsPerPart; } },
+      { "idle_cores", [](const P& aPoint) { return aPoint.idleCores; } },
       { "peer_bytes_per_query", [](const P& aPoint) { return aPoint.peerBytesPerQuery; } },
       { "p50_ms", [](const P& aPoint) { return aPoint.p50Ms; } },
       { "p99_ms", [](const P& aPoint) { return aPoint.p99Ms; } },
--- a/bench/slope_probe.h
+++ b/bench/slope_probe.h
@@ -11,6 +11,8 @@
 {
   std::uint32_t fanOut = 0;
   std::uint64_t queries = 0;
+  /** Cores that all daemons together take while no query runs; left out of the next two. */
+  double idleCores = 0.0;
   /** Processor time of asker and owners. */
   double cpuMicrosecondsPerQuery = 0.0;
   double cpuMicrosecondsPerPart = 0.0;
