Say on the page when there is no configuration or no service

The page said that all 0 services hold every shard. The browser's request for an icon was refused and logged; the page names an empty one.

--- a/console/screen_page.cpp
+++ b/console/screen_page.cpp
@@ -10,6 +10,7 @@
 <meta charset="utf-8">
 <meta name="viewport" content="width=device-width, initial-scale=1">
 <title>skylarkwing</title>
+<link rel="icon" href="data:,">
 <style>
 :root {
   --ground: #0d1319; --panel: #17202a; --line: #3b4a59; --text: #f2f6f9; --quiet: #b4c1cd;
@@ -256,17 +257,33 @@
   return "missing: " + names.join(", ") + (others > 0 ? " and " + others + " more" : "");
 }
 
-function renderHeader() {
-  byId("deployment").textContent = state.deployment || "skylarkwing";
-  byId("served").textContent = state.vm ? "served by " + state.vm : "";
+function renderForce() {
+  if (!state.generation) {
+    setFact("force", "s-ask", "busy", "no configuration is known");
+    return;
+  }
   const whole = state.inForce >= state.members;
   setFact("force", whole ? "s-tick" : "s-half", whole ? "good" : "busy",
     `generation ${state.generation} in force at ${state.inForce} of ${state.members}`,
     whole ? "" : missingText());
+}
+
+function renderCoverage() {
   const lacking = state.services.filter(lacksShards);
-  setFact("coverage", lacking.length ? "s-warn" : "s-tick", lacking.length ? "bad" : "good",
-    lacking.length ? `${lacking.length} of ${state.serviceCount} services lack shards`
-      : `all ${state.serviceCount} services hold every shard`);
+  if (!state.serviceCount) {
+    setFact("coverage", "s-ask", "busy", "no service is declared");
+  } else if (lacking.length) {
+    setFact("coverage", "s-warn", "bad", `${lacking.length} of ${state.serviceCount} services lack shards`);
+  } else {
+    setFact("coverage", "s-tick", "good", `all ${state.serviceCount} services hold every shard`);
+  }
+}
+
+function renderHeader() {
+  byId("deployment").textContent = state.deployment || "skylarkwing";
+  byId("served").textContent = state.vm ? "served by " + state.vm : "";
+  renderForce();
+  renderCoverage();
   setFact("store", state.storeReachable ? "s-tick" : "s-warn", state.storeReachable ? "good" : "busy",
     state.storeReachable ? "store reachable" : "store out");
 }
