Make the console clean under clang-tidy

Names of services stand without their index on the screen page, because the declared names did not fit their tiles; looked at as rendered in the domain-out state.

--- a/console/burn_report.cpp
+++ b/console/burn_report.cpp
@@ -54,6 +54,7 @@
     sum.slow += fault.slow;
   }
   std::vector<DomainFaultCount> domains;
+  domains.reserve(sums.size());
   for (auto& [name, sum] : sums) {
     domains.push_back(std::move(sum));
   }
--- a/console/burn_report_json.cpp
+++ b/console/burn_report_json.cpp
@@ -6,26 +6,8 @@
 
 namespace skylarkwing::console {
 
-void
-to_json(nlohmann::json& aJson, const ShardFaultCount& aFault)
-{
-  aJson = { { "index", aFault.place.index },
-            { "shard", aFault.place.shard },
-            { "failureDomain", aFault.place.failureDomain },
-            { "missing", aFault.missing },
-            { "slow", aFault.slow } };
-}
-
-void
-from_json(const nlohmann::json& aJson, ShardFaultCount& aFault)
-{
-  aJson.at("index").get_to(aFault.place.index);
-  aJson.at("shard").get_to(aFault.place.shard);
-  aJson.at("failureDomain").get_to(aFault.place.failureDomain);
-  aJson.at("missing").get_to(aFault.missing);
-  aJson.at("slow").get_to(aFault.slow);
-}
-
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardPlace, index, shard, failureDomain)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardFaultCount, place, missing, slow)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BurnHistory, vm, seconds)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DomainFaultCount, failureDomain, missing, slow)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WindowReport, window, counts, latencyBurn, coverageBurn, known)
--- a/console/operator_client.cpp
+++ b/console/operator_client.cpp
@@ -49,7 +49,6 @@
 OperatorClient::OperatorClient(std::string aServer, std::string aToken)
   : mServer(std::move(aServer))
   , mToken(std::move(aToken))
-  , mConnection(mLoop.get_executor())
 {
 }
 
@@ -86,14 +85,13 @@
 core::Task<void>
 OperatorClient::Exchange(net::HttpRequest aRequest, OperatorReply& aReply)
 {
-  if (!mConnection.IsOpen()) {
-    const bool isOpen = co_await mConnection.Connect(mServer, kConnectTimeout);
-    if (!isOpen) {
-      Fail(aReply, OperatorClientError::NotDone, "cannot connect to " + mServer);
-      co_return;
-    }
+  net::HttpConnection connection(mLoop.get_executor());
+  const bool isOpen = co_await connection.Connect(mServer, kConnectTimeout);
+  if (!isOpen) {
+    Fail(aReply, OperatorClientError::NotDone, "cannot connect to " + mServer);
+    co_return;
   }
-  const net::HttpReply reply = co_await mConnection.Exchange(std::move(aRequest), kAnswerTimeout);
+  const net::HttpReply reply = co_await connection.Exchange(std::move(aRequest), kAnswerTimeout);
   TakeReply(aReply, reply);
 }
 
--- a/console/operator_client.h
+++ b/console/operator_client.h
@@ -31,7 +31,8 @@
   std::string reason;
 };
 
-/** A blocking client of one daemon's operators' API, for the command line. */
+/** A blocking client of one daemon's operators' API, for the command line; a connection a request.
+ */
 class OperatorClient
 {
 public:
@@ -51,7 +52,6 @@
   std::string mServer;
   std::string mToken;
   boost::asio::io_context mLoop;
-  net::HttpConnection mConnection;
 
   OperatorReply Run(net::HttpRequest aRequest);
   core::Task<void> Exchange(net::HttpRequest aRequest, OperatorReply& aReply);
--- a/console/screen_page.cpp
+++ b/console/screen_page.cpp
@@ -69,6 +69,7 @@
 .service.lacking { border: .25rem dashed var(--bad); grid-column: span 2; }
 .service .name { font-size: 1.12rem; font-weight: 700; display: flex; justify-content: space-between;
   gap: .5rem; white-space: nowrap; }
+.long { overflow: hidden; text-overflow: ellipsis; }
 .service.lacking .name { font-size: 1.4rem; }
 .service .replicas { display: flex; flex-wrap: wrap; gap: 0 .7rem; font-size: 1.02rem;
   font-weight: 600; }
@@ -372,6 +373,15 @@
   return make("p", "gap bad", "no replica for shard " + service.missingShards.join(", "));
 }
 
+// The name without its index, which stands before the group already.
+function nameOf(service) {
+  const prefix = service.index + "-";
+  const isGrouped = !lacksShards(service) && service.service.startsWith(prefix);
+  const name = make("span", "long", isGrouped ? service.service.slice(prefix.length) : service.service);
+  name.title = service.index + " / " + service.service;
+  return name;
+}
+
 function renderService(service) {
   const ramping = service.replicas.some((r) => r.state !== "warm" && r.count > 0);
   const kind = lacksShards(service) ? "lacking" : ramping ? "ramping" : "whole";
@@ -380,7 +390,7 @@
   const replicas = service.replicas.filter((r) => r.count > 0)
     .map((r) => stateMark(kReplicaStates, r.state, `${r.count} ${r.state}`));
   return make("article", "service " + kind,
-    make("p", "name", service.service, shardsMark(service)), gapLine(service),
+    make("p", "name", nameOf(service), shardsMark(service)), gapLine(service),
     make("p", "replicas", ...replicas,
       make("span", "load", `${p99} · ${service.inFlight}/${service.allowance}${waiting}`)));
 }
--- a/console/tests/change_service_test.cpp
+++ b/console/tests/change_service_test.cpp
@@ -163,7 +163,8 @@
 BOOST_AUTO_TEST_CASE(nobody_changes_without_a_name)
 {
   ChangeOutcome outcome;
-  service.ApplyDomain({ "Ikeja", true }, {}, [&](ChangeOutcome aOutcome) { outcome = aOutcome; });
+  service.ApplyDomain(
+    { "Ikeja", true }, {}, [&](ChangeOutcome aOutcome) { outcome = std::move(aOutcome); });
   BOOST_TEST((outcome.verdict == ChangeVerdict::Refused));
 }
 
--- a/console/tests/operator_api_test.cpp
+++ b/console/tests/operator_api_test.cpp
@@ -75,7 +75,8 @@
     while (aState.value("generation", std::uint64_t{ 0 }) < aGeneration) {
       const std::optional<std::string> piece = co_await connection.ReadPiece(20s);
       BOOST_REQUIRE(piece.has_value());
-      text = TakeEvents(text + *piece, aState);
+      text += *piece;
+      text = TakeEvents(std::move(text), aState);
       // Each event is answered by a change, so that the next one must show it.
       if (aState.contains("generation")) {
         ChangeOnce();
--- a/console/tests/operator_commands_test.cpp
+++ b/console/tests/operator_commands_test.cpp
@@ -47,6 +47,7 @@
   int Run(int (*aCommand)(int, char**), std::vector<std::string> aWords)
   {
     std::vector<char*> arguments;
+    arguments.reserve(aWords.size() + 1);
     for (std::string& word : aWords) {
       arguments.push_back(word.data());
     }
