Test the daemon's own parts, and hear answers that come while a burn round is being asked

Cause: a round was entered after its questions were sent, so an answer that came at once was lost. Change: it is entered first. The test failed before (1 VM in the report instead of 2) and passes.

--- a/daemon/burn_exchange.cpp
+++ b/daemon/burn_exchange.cpp
@@ -62,15 +62,15 @@
   const std::uint64_t id = ++mLastRound;
   Round round{ console::BurnMerger(ProfilesOf(mKeeper)), {}, std::move(aCallback), 0 };
   round.merger.Merge(mSelf, mTracker.Snapshot(aDetail));
+  const std::vector<std::string> peers = mHooks.peers();
+  round.waitingFor.insert(peers.begin(), peers.end());
+  const core::Duration timeout = peers.empty() ? core::Duration::zero() : kAnswerTimeout;
+  round.timer = mTimers.Schedule(timeout, [this, id] { End(id); });
+  mRounds.emplace(id, std::move(round));
   const json request{ { "round", id }, { "full", aDetail == console::BurnDetail::Full } };
-  for (const std::string& vm : mHooks.peers()) {
-    round.waitingFor.insert(vm);
+  for (const std::string& vm : peers) {
     mBus.Send(vm, kRequestKind, request);
   }
-  const bool isAlone = round.waitingFor.empty();
-  round.timer =
-    mTimers.Schedule(isAlone ? core::Duration::zero() : kAnswerTimeout, [this, id] { End(id); });
-  mRounds.emplace(id, std::move(round));
 }
 
 const std::vector<console::ProfileStatus>&
--- /dev/null
+++ b/daemon/tests/burn_exchange_test.cpp
@@ -0,0 +1,143 @@
+#include "daemon/burn_exchange.h"
+
+#include "core/virtual_timer_service.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class FakeBus;
+using Network = std::map<std::string, FakeBus*>;
+
+/** Delivers at once to the buses of one network. */
+class FakeBus : public net::PeerBus
+{
+public:
+  FakeBus(Network& aNetwork, std::string aVm)
+    : mNetwork(aNetwork)
+    , mVm(std::move(aVm))
+  {
+    mNetwork[mVm] = this;
+  }
+
+  void Connect(const std::string&, const std::string&) override {}
+  void Disconnect(const std::string&) override {}
+
+  bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody) override
+  {
+    const auto it = mNetwork.find(aVm);
+    if (it == mNetwork.end()) {
+      return false;
+    }
+    net::PeerMessageOrigin origin;
+    origin.vm = mVm;
+    it->second->mHandlers.at(std::string(aKind))(origin, aBody);
+    return true;
+  }
+
+  void OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler) override
+  {
+    mHandlers[aKind] = std::move(aHandler);
+  }
+
+private:
+  Network& mNetwork;
+  std::string mVm;
+  std::map<std::string, net::PeerMessageHandler> mHandlers;
+};
+
+declaration::Configuration
+MakeConfiguration()
+{
+  declaration::Configuration configuration;
+  configuration.generation = 1;
+  configuration.declaration.deployment = "test";
+  declaration::ProfileDeclaration profile;
+  profile.name = "lookup";
+  profile.objective.latency = 50ms;
+  configuration.declaration.profiles = { profile };
+  return configuration;
+}
+
+/** One daemon's counts and its exchange. */
+struct Node
+{
+  Node(core::VirtualTimerService& aTimers, Network& aNetwork, const std::string& aVm)
+    : bus(aNetwork, aVm)
+    , tracker(aTimers)
+    , exchange(aTimers, bus, aVm, tracker, keeper, { [this] { return peers; } })
+  {
+    keeper.Offer(MakeConfiguration(), "test");
+    tracker.SetProfiles(keeper.InForce()->declaration.profiles);
+  }
+
+  void Record(core::Duration aLatency)
+  {
+    console::AnswerOutcome outcome;
+    outcome.profile = "lookup";
+    outcome.latency = aLatency;
+    tracker.Record(outcome);
+  }
+
+  FakeBus bus;
+  declaration::ConfigurationKeeper keeper;
+  console::BurnTracker tracker;
+  std::vector<std::string> peers;
+  BurnExchange exchange;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(burn_exchange)
+
+BOOST_AUTO_TEST_CASE(a_report_adds_all_daemons_and_names_the_silent)
+{
+  core::VirtualTimerService timers;
+  Network network;
+  Node a(timers, network, "vm-a");
+  Node b(timers, network, "vm-b");
+  a.peers = { "vm-b", "vm-silent" };
+  a.Record(10ms);
+  b.Record(10ms);
+  b.Record(90ms);
+  std::vector<console::BurnReport> reports;
+  a.exchange.Collect(console::BurnDetail::Full, [&reports](const console::BurnReport& aReport) {
+    reports.push_back(aReport);
+  });
+  BOOST_TEST(reports.empty());
+  timers.Advance(2s);
+  BOOST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST(reports[0].vms.size() == 2U);
+  BOOST_REQUIRE(reports[0].missingVms.size() == 1U);
+  BOOST_TEST(reports[0].missingVms[0] == "vm-silent");
+  BOOST_REQUIRE(reports[0].profiles.size() == 1U);
+  BOOST_TEST(reports[0].profiles[0].windows[0].latencyBurn > 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(screens_have_counts_collected_only_while_somebody_looks)
+{
+  core::VirtualTimerService timers;
+  Network network;
+  Node a(timers, network, "vm-a");
+  a.Record(90ms);
+  BOOST_TEST(a.exchange.Recent().empty());
+  timers.Advance(1s);
+  BOOST_REQUIRE(a.exchange.Recent().size() == 1U);
+  timers.Advance(1h);
+  BOOST_TEST(!timers.NextDue().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::daemon
