Keep hedges alive under load and limits low enough for many daemons

Change: a hedge may wait for one round at a warm replica; a limit may fall to 1; 8 ms, an eighth of the deadline at most, are kept back for the ways to and from the caller.

--- a/caller/caller_front.h
+++ b/caller/caller_front.h
@@ -68,8 +68,9 @@
   std::string vm;
   std::string incarnation;
   RunTableSettings runTable;
-  /** Kept back from a caller's deadline for the way of the answer through this process. */
-  core::Duration answerReserve = std::chrono::milliseconds{ 2 };
+  /** Kept back from a caller's deadline for the ways to and from the caller, a part of it at most.
+   */
+  core::Duration answerReserve = std::chrono::milliseconds{ 8 };
 };
 
 /**
--- a/caller/concurrency_limit.cpp
+++ b/caller/concurrency_limit.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr std::uint32_t kFirstLimit = 16;
-constexpr std::uint32_t kLeastLimit = 4;
+constexpr std::uint32_t kLeastLimit = 1;
 constexpr std::uint32_t kMostLimit = 2048;
 
 constexpr core::Duration kWindow = std::chrono::milliseconds{ 200 };
-constexpr std::uint32_t kLeastFinished = 20;
+constexpr std::uint32_t kLeastFinished = 10;
 
 /** Share of slow or shed queries in a window above which the limit falls. */
 constexpr double kBadShare = 0.1;
--- a/caller/front_state.cpp
+++ b/caller/front_state.cpp
@@ -13,6 +13,9 @@
 /** Share of the remaining time kept for the way of a home's reply while that way is unknown. */
 constexpr int kReplyReserveDivisor = 10;
 
+/** Most of a short deadline that is kept back for the ways to and from the caller. */
+constexpr int kAnswerReserveDivisor = 8;
+
 constexpr core::Duration kClosedRetryAfter = std::chrono::milliseconds{ 500 };
 
 Refusal
@@ -91,7 +94,9 @@
   }
   CallerQuery query = std::move(*parsed.query);
   const core::Duration patience = aArrival.isForwarded ? aArrival.remaining : query.patience;
-  const core::TimePoint deadline = arrival + patience - settings.answerReserve;
+  const core::Duration reserve =
+    std::min<core::Duration>(settings.answerReserve, patience / kAnswerReserveDivisor);
+  const core::TimePoint deadline = arrival + patience - reserve;
   if (!query.identity) {
     const RunOutcome outcome = co_await RunAdmitted(std::move(query), deadline);
     co_return outcome.response;
--- a/query/replica_chooser.cpp
+++ b/query/replica_chooser.cpp
@@ -14,6 +14,9 @@
 /** A cold or unknown replica goes before warm ones with this probability, so that it warms up. */
 constexpr double kColdShare = 0.05;
 
+/** A hedge may wait for one round of requests, which is far less than what a straggler takes. */
+constexpr std::uint32_t kHedgeRounds = 2;
+
 /** Stands for the latency of a replica that has none measured. */
 constexpr double kUnmeasuredMicroseconds = 5000.0;
 
@@ -96,7 +99,7 @@
   if (!MayGetWork(aReplica.state)) {
     return Tier::Never;
   }
-  if (aKind == AttemptKind::Hedge && !HasRoom(aReplica)) {
+  if (aKind == AttemptKind::Hedge && !HasHedgeRoom(aReplica)) {
     return Tier::Never;
   }
   if (aReplica.allowance == 0) {
@@ -115,6 +118,16 @@
   return busy < aReplica.allowance;
 }
 
+bool
+ReplicaChooser::HasHedgeRoom(const ReplicaView& aReplica) const
+{
+  if (IsUnproven(aReplica)) {
+    return HasRoom(aReplica);
+  }
+  const std::uint32_t busy = std::max(aReplica.inFlight, Outstanding(aReplica.replica));
+  return busy < kHedgeRounds * aReplica.allowance;
+}
+
 double
 ReplicaChooser::CostOf(const ReplicaView& aReplica) const
 {
--- a/query/replica_chooser.h
+++ b/query/replica_chooser.h
@@ -76,6 +76,7 @@
 
   Tier TierOf(const ReplicaView& aReplica, AttemptKind aKind) const;
   bool HasRoom(const ReplicaView& aReplica) const;
+  bool HasHedgeRoom(const ReplicaView& aReplica) const;
   double CostOf(const ReplicaView& aReplica) const;
   const ReplicaView* Better(const ReplicaView* aLeft, const ReplicaView* aRight) const;
   const ReplicaView* DrawTwo(const std::vector<const ReplicaView*>& aCandidates);
