Give the callers of each run identities of their own

Warm-up and load both counted their request identities from one, so that a later request was refused as identity_reused (1 of 843 in a demonstration of 5 s).

--- a/bench/load_driver.cpp
+++ b/bench/load_driver.cpp
@@ -239,7 +239,8 @@
       continue;
     }
     if (identity.empty()) {
-      identity = point->identityPrefix + ".c" + std::to_string(++lastToken);
+      identity = point->identityPrefix + ".c" + std::to_string(options.seed) + "-" +
+                 std::to_string(++lastToken);
     }
     net::HttpRequest request = MakeRequest(aQuery, identity, remaining);
     reply = co_await Exchange(point->address, std::move(request), remaining + kLatePatience);
