--- a/bench/bench_command.cpp
+++ b/bench/bench_command.cpp
@@ -159,7 +159,7 @@
 
 /** @return the exit code when the command ends here. */
 std::optional<int>
-ReadOptions(int argc, char** argv, BenchOptions& aOptions)
+ReadOptions(int aCount, char** aArguments, BenchOptions& aOptions)
 {
   static const std::array<option, 15> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
                                                   { "scenario", required_argument, nullptr, 'c' },
@@ -179,7 +179,7 @@
   optind = 1;
   opterr = 0;
   int found = 0;
-  while ((found = getopt_long(argc, argv, "", kOptions.data(), nullptr)) != -1) {
+  while ((found = getopt_long(aCount, aArguments, "", kOptions.data(), nullptr)) != -1) {
     if (found == 'V') {
       std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
       return kExitDone;
@@ -189,8 +189,8 @@
       return FailUsage("bench", *wrong);
     }
   }
-  if (optind < argc) {
-    return FailUsage("bench", "unexpected \"" + std::string(argv[optind]) + '"');
+  if (optind < aCount) {
+    return FailUsage("bench", "unexpected \"" + std::string(aArguments[optind]) + '"');
   }
   if (aOptions.isJson && aOptions.isCsv) {
     return FailUsage("bench", "--json and --csv exclude each other");
@@ -332,10 +332,10 @@
 } // namespace
 
 int
-RunBench(int argc, char** argv)
+RunBench(int aCount, char** aArguments)
 {
   BenchOptions options;
-  const std::optional<int> end = ReadOptions(argc, argv, options);
+  const std::optional<int> end = ReadOptions(aCount, aArguments, options);
   if (end) {
     return *end;
   }
--- a/bench/builtin_deployment.cpp
+++ b/bench/builtin_deployment.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 using declaration::Declaration;
-using declaration::FailureDomainDeclaration;
 using declaration::IndexDeclaration;
 using declaration::Objective;
 using declaration::ProfileDeclaration;
--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -440,7 +440,7 @@
       mPlaces.push_back(place);
     }
   }
-  PlatformThread().Run([this, &entries] { mVmList->Set(std::move(entries)); });
+  PlatformThread().Run([this, &entries] { mVmList->Set(entries); });
 }
 
 } // namespace skylarkwing::bench
--- a/bench/daemon_node.h
+++ b/bench/daemon_node.h
@@ -7,7 +7,7 @@
 namespace skylarkwing::bench {
 
 /** A daemon of this project as an entry process of an experiment. */
-class DaemonNode : public EntryNode
+class DaemonNode final : public EntryNode
 {
 public:
   explicit DaemonNode(NodePlace aPlace);
--- a/bench/demo_command.cpp
+++ b/bench/demo_command.cpp
@@ -99,7 +99,7 @@
 
 /** @return the exit code when the command ends here. */
 std::optional<int>
-ReadOptions(int argc, char** argv, DemoOptions& aOptions)
+ReadOptions(int aCount, char** aArguments, DemoOptions& aOptions)
 {
   static const std::array<option, 8> kOptions{ { { "deployment", required_argument, nullptr, 'd' },
                                                  { "seconds", required_argument, nullptr, 's' },
@@ -112,7 +112,7 @@
   optind = 1;
   opterr = 0;
   int found = 0;
-  while ((found = getopt_long(argc, argv, "", kOptions.data(), nullptr)) != -1) {
+  while ((found = getopt_long(aCount, aArguments, "", kOptions.data(), nullptr)) != -1) {
     if (found == 'v') {
       std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
       return kExitDone;
@@ -122,8 +122,8 @@
       return FailUsage("demo", *wrong);
     }
   }
-  if (optind < argc) {
-    return FailUsage("demo", "unexpected \"" + std::string(argv[optind]) + '"');
+  if (optind < aCount) {
+    return FailUsage("demo", "unexpected \"" + std::string(aArguments[optind]) + '"');
   }
   if (aOptions.isHelp) {
     PrintHelp();
@@ -174,10 +174,10 @@
 } // namespace
 
 int
-RunDemo(int argc, char** argv)
+RunDemo(int aCount, char** aArguments)
 {
   DemoOptions options;
-  const std::optional<int> end = ReadOptions(argc, argv, options);
+  const std::optional<int> end = ReadOptions(aCount, aArguments, options);
   if (end) {
     return *end;
   }
--- a/bench/loop_thread.h
+++ b/bench/loop_thread.h
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <future>
 #include <memory>
@@ -32,14 +33,21 @@
   /** @return the loop's timer service, for use on the loop. */
   core::TimerService& Timers() { return mParts->timers; }
 
-  /** Runs a function on the loop and waits for its result. Not to be called on the loop. */
+  /**
+   * Runs a function on the loop and waits for its result. An exception of the function ends the
+   * process. Not to be called on the loop.
+   */
   template<typename Function>
-  auto Run(Function aFunction) -> decltype(aFunction())
+  auto Run(Function aFunction) noexcept -> decltype(aFunction())
   {
-    std::packaged_task<decltype(aFunction())()> task(std::move(aFunction));
-    auto result = task.get_future();
-    boost::asio::post(mParts->loop, [&task] { task(); });
-    return result.get();
+    try {
+      std::packaged_task<decltype(aFunction())()> task(std::move(aFunction));
+      auto result = task.get_future();
+      boost::asio::post(mParts->loop, [&task] { task(); });
+      return result.get();
+    } catch (...) {
+      std::terminate();
+    }
   }
 
   /** @return the processor time that the thread has used. */
--- a/bench/naive_node.h
+++ b/bench/naive_node.h
@@ -13,7 +13,7 @@
  * replica of its shard, over connections of its own, with no limit, no second attempt and no regard
  * to cold starts. It speaks the callers' and the upstreams' protocols.
  */
-class NaiveNode : public EntryNode
+class NaiveNode final : public EntryNode
 {
 public:
   /**
--- a/bench/naive_reference.cpp
+++ b/bench/naive_reference.cpp
@@ -23,7 +23,6 @@
   std::uint32_t total = 0;
   std::vector<std::uint32_t> missing;
   bool complete = false;
-  json hits;
 };
 
 std::optional<Answer>
@@ -36,8 +35,8 @@
     answer.total = aBody.at("coverage").at("total").get<std::uint32_t>();
     answer.missing = aBody.at("coverage").at("missing").get<std::vector<std::uint32_t>>();
     answer.complete = aBody.at("complete").get<bool>();
-    answer.hits = aBody.at("hits");
-    return answer;
+    const bool hasHits = aBody.at("hits").is_array();
+    return hasHits ? std::optional(answer) : std::nullopt;
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -134,7 +133,7 @@
   if (!IsConsistent(*answer, *shardCount)) {
     return AnswerFault::FalseCoverage;
   }
-  auto hits = HitsById(answer->hits);
+  auto hits = HitsById(aAnswer["hits"]);
   if (!hits) {
     return AnswerFault::WrongHits;
   }
--- a/bench/slope_probe.cpp
+++ b/bench/slope_probe.cpp
@@ -373,6 +373,7 @@
 MeasureFanOut(std::uint64_t aSeed)
 {
   std::vector<FanOutPoint> points;
+  points.reserve(kFanOuts.size());
   for (const std::uint32_t fanOut : kFanOuts) {
     points.push_back(MeasureFanOutAt(fanOut, aSeed));
   }
@@ -383,8 +384,10 @@
 MeasureNodes(std::uint64_t aSeed)
 {
   constexpr std::uint32_t kServices = 16;
+  constexpr std::array kNodes{ 4U, 8U, 16U, 32U };
   std::vector<ControlPoint> points;
-  for (const std::uint32_t nodes : { 4U, 8U, 16U, 32U }) {
+  points.reserve(kNodes.size());
+  for (const std::uint32_t nodes : kNodes) {
     points.push_back(MeasureControlAt(kServices, nodes, aSeed));
   }
   return points;
@@ -394,8 +397,10 @@
 MeasureReplicas(std::uint64_t aSeed)
 {
   constexpr std::uint32_t kNodes = 8;
+  constexpr std::array kServices{ 8U, 32U, 64U, 128U, 256U };
   std::vector<ControlPoint> points;
-  for (const std::uint32_t services : { 8U, 32U, 64U, 128U, 256U }) {
+  points.reserve(kServices.size());
+  for (const std::uint32_t services : kServices) {
     points.push_back(MeasureControlAt(services, kNodes, aSeed));
   }
   return points;
@@ -405,6 +410,7 @@
 MeasureCodec(std::uint64_t aSeed)
 {
   std::vector<CodecPoint> points;
+  points.reserve(kFanOuts.size());
   for (const std::uint32_t fanOut : kFanOuts) {
     points.push_back(MeasureCodecAt(fanOut, aSeed));
   }
--- a/bench/tests/files_test.cpp
+++ b/bench/tests/files_test.cpp
@@ -29,8 +29,9 @@
 BOOST_AUTO_TEST_CASE(TheBuiltInDeploymentsEqualTheirFiles)
 {
   for (const std::string& name : BuiltinDeploymentNames()) {
-    const auto parsed =
-      declaration::ParseDeclaration(ReadFile(kRoot + "/deployments/" + name + ".json"));
+    const std::filesystem::path folder = std::filesystem::path(kRoot) / "deployments";
+    const std::filesystem::path file = (folder / name).replace_extension(".json");
+    const auto parsed = declaration::ParseDeclaration(ReadFile(file.string()));
     BOOST_TEST_REQUIRE(parsed.declaration.has_value(), name);
     BOOST_TEST(declaration::ToJson(*parsed.declaration) ==
                declaration::ToJson(*BuiltinDeployment(name)));
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -26,6 +26,7 @@
 constexpr int kGrpcUnavailable = 14;
 /** How long a call whose answer is lost stays open. */
 constexpr core::Duration kLostAnswerTime = std::chrono::seconds{ 3 };
+constexpr std::size_t kMostBodyBytes = 4UL * 1024 * 1024;
 constexpr core::Duration kWatchPoll = std::chrono::milliseconds{ 500 };
 
 namespace base64 = boost::beast::detail::base64;
@@ -245,7 +246,7 @@
 {
   ++serverNumber;
   net::HttpServerLimits limits;
-  limits.bodyBytes = 4 * 1024 * 1024;
+  limits.bodyBytes = kMostBodyBytes;
   const std::weak_ptr<State> weak = weak_from_this();
   server = std::make_unique<net::HttpServer>(
     loop, limits, [weak](net::HttpRequest aRequest) -> core::Task<net::HttpResponse> {
--- a/standin/tests/store_standin_test.cpp
+++ b/standin/tests/store_standin_test.cpp
@@ -50,13 +50,16 @@
       std::shared_ptr<std::string> aText)
 {
   constexpr core::Duration kTimeout = std::chrono::seconds{ 20 };
-  co_await aConnection->Connect(std::move(aAddress), kTimeout);
+  const bool isConnected = co_await aConnection->Connect(std::move(aAddress), kTimeout);
+  if (!isConnected) {
+    co_return;
+  }
   net::HttpRequest request;
   request.method = "POST";
   request.target = "/v3/watch";
   request.body = json{ { "create_request", aCreate } }.dump();
-  co_await aConnection->OpenStream(std::move(request), kTimeout);
-  while (true) {
+  const net::HttpReply head = co_await aConnection->OpenStream(std::move(request), kTimeout);
+  while (head.error == net::HttpClientError::None) {
     const std::optional<std::string> piece = co_await aConnection->ReadPiece(kTimeout);
     if (!piece) {
       co_return;
--- a/standin/upstream_standin.cpp
+++ b/standin/upstream_standin.cpp
@@ -658,7 +658,7 @@
 void
 UpstreamStandin::AddVersion(std::uint64_t aSnapshot,
                             std::uint32_t aShardCount,
-                            std::vector<std::uint32_t> aShards)
+                            const std::vector<std::uint32_t>& aShards)
 {
   Version& version = mState->versions[aSnapshot];
   version.shardCount = aShardCount;
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -117,7 +117,7 @@
   /** Takes up shards of a version of the index. */
   void AddVersion(std::uint64_t aSnapshot,
                   std::uint32_t aShardCount,
-                  std::vector<std::uint32_t> aShards);
+                  const std::vector<std::uint32_t>& aShards);
 
   /** Drops a version; searches for it are then refused. */
   void RemoveVersion(std::uint64_t aSnapshot);
--- a/standin/vm_list_standin.cpp
+++ b/standin/vm_list_standin.cpp
@@ -108,7 +108,7 @@
 }
 
 void
-VmListStandin::Set(std::vector<VmListEntry> aEntries)
+VmListStandin::Set(const std::vector<VmListEntry>& aEntries)
 {
   mState->versions.push_back({ mState->timers.Now(), Describe(aEntries) });
 }
--- a/standin/vm_list_standin.h
+++ b/standin/vm_list_standin.h
@@ -38,7 +38,7 @@
   const std::string& Address() const;
 
   /** Sets the list that holds from now on; it is reported after the lag, the first one at once. */
-  void Set(std::vector<VmListEntry> aEntries);
+  void Set(const std::vector<VmListEntry>& aEntries);
 
 private:
   struct State;
