Read the upstreams' own errors, and mend what the linter found

An error status of an upstream closed its connection and made the replica unknown, so one search that every upstream refuses as malformed would have made warm replicas cold. It is now an answer of the process: the part may have run, and the connection and the state stay.

--- a/upstream/crash_ledger.cpp
+++ b/upstream/crash_ledger.cpp
@@ -11,8 +11,8 @@
 
 constexpr core::NameTable<EvidenceKind, 4> kKindNames{ { "crash", "alive", "harmless", "lifted" } };
 
-constexpr std::size_t kMaximumSafeFingerprints = 16 * 1024;
-constexpr std::size_t kMaximumRecords = 4 * 1024;
+constexpr std::size_t kMaximumSafeFingerprints = 16'384;
+constexpr std::size_t kMaximumRecords = 4'096;
 constexpr std::chrono::minutes kSuspicionLifetime{ 30 };
 constexpr std::chrono::hours kQuarantineLifetime{ 24 };
 
--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -84,7 +84,7 @@
   static core::Task<bool> AcquirePermit(std::weak_ptr<State> aSelf, std::string aName);
   WorkerPtr MakeWorker(const OwnedReplica& aReplica);
   void Own(const OwnedReplica& aReplica);
-  void Retire(WorkerPtr aWorker);
+  void Retire(const WorkerPtr& aWorker);
   void Route(const PendingPartPtr& aPart);
   void Submit(const PendingPartPtr& aPart);
   void Refuse(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal);
@@ -184,9 +184,9 @@
     return;
   }
   if (it != workers.end()) {
-    WorkerPtr former = it->second;
+    const WorkerPtr former = it->second;
     workers.erase(it);
-    Retire(std::move(former));
+    Retire(former);
   }
   const WorkerPtr worker = MakeWorker(aReplica);
   workers.emplace(aReplica.declaration.name, worker);
@@ -194,7 +194,7 @@
 }
 
 void
-PartDispatcher::State::Retire(WorkerPtr aWorker)
+PartDispatcher::State::Retire(const WorkerPtr& aWorker)
 {
   retiring.push_back(aWorker);
   aWorker->Retire();
@@ -451,7 +451,7 @@
   }
   for (const std::string& name : lost) {
     auto node = mState->workers.extract(name);
-    mState->Retire(std::move(node.mapped()));
+    mState->Retire(node.mapped());
   }
   for (const OwnedReplica& replica : aReplicas) {
     mState->Own(replica);
@@ -557,7 +557,7 @@
   mState->isStopping = true;
   while (!mState->workers.empty()) {
     auto node = mState->workers.extract(mState->workers.begin());
-    mState->Retire(std::move(node.mapped()));
+    mState->Retire(node.mapped());
   }
   if (mState->IsIdle()) {
     co_return;
--- a/upstream/replica_lifecycle.cpp
+++ b/upstream/replica_lifecycle.cpp
@@ -64,6 +64,7 @@
 
   ReplicaState state = ReplicaState::Unknown;
 
+  // Boost.MSM looks the table up by this name. NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table
     : boost::mpl::vector16<Row<UnknownState, Answered, ColdState, none, SaysCold>,
                            Row<UnknownState, Answered, WarmingState, none, SaysWarm>,
@@ -98,6 +99,7 @@
 
   ReplicaState state = ReplicaState::Unknown;
 
+  // Boost.MSM looks the table up by this name. NOLINTNEXTLINE(readability-identifier-naming)
   struct transition_table
     : boost::mpl::vector20<Row<ServingState, ConnectionReset, ServingState, none, none>,
                            Row<ServingState, IncarnationChanged, ServingState, none, none>,
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -811,6 +811,9 @@
     case SearchOutcome::Shed:
       OnShed(aPart, aReply.shedReason);
       return;
+    case SearchOutcome::Failed:
+      Answer(aPart, PartStatus::Unknown, PartRefusal::ConnectionLost);
+      return;
     case SearchOutcome::Ended: {
       const bool wasCancelled = aPart->isCancelled || aReply.wasCancelled;
       Answer(aPart,
--- a/upstream/tests/crash_quarantine_test.cpp
+++ b/upstream/tests/crash_quarantine_test.cpp
@@ -91,9 +91,9 @@
 
 BOOST_AUTO_TEST_CASE(askers_at_one_owner_share_one_verdict)
 {
-  std::vector<std::string> ids;
-  for (int n = 0; n < 5; ++n) {
-    ids.push_back(SendPoison(1));
+  std::vector<std::string> ids(5);
+  for (std::string& id : ids) {
+    id = SendPoison(1);
   }
   RunFor(milliseconds{ 100 });
   BOOST_TEST(Crashes() == 1U);
@@ -211,9 +211,9 @@
 BOOST_AUTO_TEST_CASE(a_part_that_waits_is_judged_again_before_it_is_written)
 {
   MakeWarm("vm-1", "r1");
-  std::vector<std::string> ids;
-  for (int n = 0; n < 4; ++n) {
-    ids.push_back(SendHarmless());
+  std::vector<std::string> ids(4);
+  for (std::string& id : ids) {
+    id = SendHarmless();
   }
   RunFor(milliseconds{ 1 });
   const std::uint32_t begun = upstreams["r1"]->begun;
@@ -227,9 +227,9 @@
 {
   MakeWarm("vm-1", "r1");
   upstreams["r1"]->serviceTime = milliseconds{ 50 };
-  std::vector<std::string> ids;
-  for (int n = 0; n < 4; ++n) {
-    ids.push_back(SendHarmless());
+  std::vector<std::string> ids(4);
+  for (std::string& id : ids) {
+    id = SendHarmless();
   }
   RunFor(milliseconds{ 1 });
   BOOST_REQUIRE(upstreams["r1"]->Running() == 3U);
--- a/upstream/tests/dispatcher_fixture.h
+++ b/upstream/tests/dispatcher_fixture.h
@@ -118,6 +118,16 @@
     return Send(aVm, Request(aReplica, aDeadline));
   }
 
+  /** Sends several parts at once. */
+  std::vector<std::string> SendMany(int aCount, const std::string& aVm, const std::string& aReplica)
+  {
+    std::vector<std::string> ids(static_cast<std::size_t>(aCount));
+    for (std::string& id : ids) {
+      id = Send(aVm, aReplica);
+    }
+    return ids;
+  }
+
   /** Every lease runs out, as when its holder is paused. */
   void LapsePermits(core::Duration aLongestRun)
   {
--- a/upstream/tests/fake_upstream.cpp
+++ b/upstream/tests/fake_upstream.cpp
@@ -15,10 +15,11 @@
 
   ~Connection() override { mUpstream.mConnections.erase(this); }
 
-  core::Task<bool> Connect(core::Duration) override
+  core::Task<bool> Connect(core::Duration aTimeout) override
   {
-    co_await core::Sleep(mUpstream.mTimers, mUpstream.connectTime);
-    mIsOpen = !mUpstream.isDown;
+    const core::Duration span = std::min(mUpstream.connectTime, aTimeout);
+    co_await core::Sleep(mUpstream.mTimers, span);
+    mIsOpen = !mUpstream.isDown && span < aTimeout;
     if (mIsOpen) {
       mUpstream.mConnections.insert(this);
       const auto n = static_cast<std::uint32_t>(mUpstream.mConnections.size());
@@ -221,14 +222,18 @@
 void
 FakeUpstream::CancelSearch(const std::string& aPartId)
 {
-  for (const auto& search : mRunning) {
-    if (search->call.partId == aPartId) {
-      const std::shared_ptr<RunningSearch> found = search;
-      mTimers.Cancel(found->timer);
-      Finish(found, SearchOutcome::Ended);
-      return;
-    }
+  const auto isNamed = [&aPartId](const std::shared_ptr<RunningSearch>& aSearch) {
+    return aSearch->call.partId == aPartId;
+  };
+  const auto it = std::find_if(mRunning.begin(), mRunning.end(), isNamed);
+  if (it == mRunning.end()) {
+    return;
   }
+  // Finishing takes the search out of the set that holds it.
+  std::shared_ptr<RunningSearch> search;
+  search = *it;
+  mTimers.Cancel(search->timer);
+  Finish(search, SearchOutcome::Ended);
 }
 
 } // namespace skylarkwing::upstream::test
--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -281,10 +281,7 @@
 BOOST_AUTO_TEST_CASE(a_full_queue_gives_way_to_the_more_important)
 {
   MakeWarm("vm-1", "r1");
-  std::vector<std::string> ids;
-  for (int n = 0; n < 15; ++n) {
-    ids.push_back(Send("vm-1", "r1"));
-  }
+  const std::vector<std::string> ids = SendMany(15, "vm-1", "r1");
   const std::string refused = Send("vm-1", "r1");
   BOOST_TEST((RefusalOf(refused) == PartRefusal::Overloaded));
   PartRequest important = Request("r1", milliseconds{ 400 });
@@ -301,10 +298,7 @@
 {
   MakeWarm("vm-1", "r1");
   upstream.serviceTime = milliseconds{ 50 };
-  std::vector<std::string> ids;
-  for (int n = 0; n < 4; ++n) {
-    ids.push_back(Send("vm-1", "r1"));
-  }
+  const std::vector<std::string> ids = SendMany(4, "vm-1", "r1");
   RunFor(milliseconds{ 2 });
   dispatchers["vm-1"]->Cancel(ids[3]);
   BOOST_TEST((StatusOf(ids[3]) == PartStatus::NotRun));
@@ -319,10 +313,7 @@
 BOOST_AUTO_TEST_CASE(lost_ownership_finishes_what_runs)
 {
   MakeWarm("vm-1", "r1");
-  std::vector<std::string> ids;
-  for (int n = 0; n < 5; ++n) {
-    ids.push_back(Send("vm-1", "r1"));
-  }
+  const std::vector<std::string> ids = SendMany(5, "vm-1", "r1");
   RunFor(milliseconds{ 1 });
   dispatchers["vm-1"]->SetOwned({});
   BOOST_TEST((RefusalOf(ids[4]) == PartRefusal::NotOwner));
@@ -338,8 +329,9 @@
   const std::string id = Send("vm-1", "r1");
   RunFor(milliseconds{ 1 });
   bool isStopped = false;
-  boost::asio::co_spawn(
-    loop, dispatchers["vm-1"]->Stop(), [&isStopped](std::exception_ptr) { isStopped = true; });
+  boost::asio::co_spawn(loop, dispatchers["vm-1"]->Stop(), [&isStopped](const std::exception_ptr&) {
+    isStopped = true;
+  });
   RunFor(milliseconds{ 1 });
   BOOST_TEST(!isStopped);
   RunFor(milliseconds{ 50 });
--- a/upstream/tests/random_crash_test.cpp
+++ b/upstream/tests/random_crash_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,15 +35,13 @@
     RunFor(milliseconds{ 100 });
   }
 
-  ~Fleet() { ShutDown(); }
-
   static std::string Vm(int aNumber) { return "vm-" + std::to_string(aNumber); }
   static std::string Replica(int aNumber) { return "r" + std::to_string(aNumber); }
 
   /** A caller sends the request to that daemon, which asks the first replica in a fixed order. */
   void Ask(int aAsker)
   {
-    std::set<std::string>& known = mKnown[aAsker];
+    std::set<std::string>& known = mHeard->crashed[aAsker];
     for (const std::string& name : dispatchers[Vm(aAsker)]->CrashedReplicas(kPoison)) {
       known.insert(name);
     }
@@ -58,7 +57,7 @@
   void Replace(int aNumber)
   {
     dispatchers.erase(Vm(aNumber));
-    mKnown.erase(aNumber);
+    mHeard->crashed.erase(aNumber);
     LosePermits(Vm(aNumber));
     RunFor(milliseconds{ 1 });
     AddOwner(aNumber);
@@ -77,9 +76,14 @@
   }
 
 private:
-  std::map<int, std::set<std::string>> mKnown;
-  /** What each daemon has heard about each replica's state. */
-  std::map<int, std::map<std::string, ReplicaState>> mStates;
+  /** What the daemons have heard; callbacks share it, because they outlast the fleet. */
+  struct Heard
+  {
+    std::map<int, std::set<std::string>> crashed;
+    std::map<int, std::map<std::string, ReplicaState>> states;
+  };
+
+  std::shared_ptr<Heard> mHeard = std::make_shared<Heard>();
 
   /** The store knows processes and not VMs, so the leases of the lost one have to run out. */
   void LosePermits(const std::string& aVm)
@@ -96,10 +100,10 @@
   void AddOwner(int aNumber)
   {
     PartDispatcher& dispatcher = AddDispatcher(Vm(aNumber));
-    dispatcher.OnFactChange([this](const ReplicaFact& aFact) {
-      timers.Schedule(broadcastDelay, [this, aFact] {
+    dispatcher.OnFactChange([this, heard = mHeard](const ReplicaFact& aFact) {
+      timers.Schedule(broadcastDelay, [heard, aFact] {
         for (int n = 0; n < kDaemons; ++n) {
-          mStates[n][aFact.replica] = aFact.state;
+          heard->states[n][aFact.replica] = aFact.state;
         }
       });
     });
@@ -108,7 +112,7 @@
 
   bool MayGetWork(int aAsker, int aReplica)
   {
-    const ReplicaState state = mStates[aAsker][Replica(aReplica)];
+    const ReplicaState state = mHeard->states[aAsker][Replica(aReplica)];
     return state != ReplicaState::Gone && state != ReplicaState::Out;
   }
 
@@ -118,10 +122,12 @@
     request.search = R"({"poison":true})";
     request.fingerprint = kPoison;
     request.isCanary = true;
-    request.crashedReplicas.assign(mKnown[aAsker].begin(), mKnown[aAsker].end());
-    dispatchers[Vm(aOwner)]->Dispatch(std::move(request), [this, aAsker](PartAnswer aAnswer) {
-      mKnown[aAsker].insert(aAnswer.crashedReplicas.begin(), aAnswer.crashedReplicas.end());
-    });
+    request.crashedReplicas.assign(mHeard->crashed[aAsker].begin(), mHeard->crashed[aAsker].end());
+    dispatchers[Vm(aOwner)]->Dispatch(
+      std::move(request), [heard = mHeard, aAsker](const PartAnswer& aAnswer) {
+        heard->crashed[aAsker].insert(aAnswer.crashedReplicas.begin(),
+                                      aAnswer.crashedReplicas.end());
+      });
   }
 };
 
--- a/upstream/tests/random_schedule_test.cpp
+++ b/upstream/tests/random_schedule_test.cpp
@@ -36,9 +36,10 @@
   SlowAnswers,
   UsualAnswers,
   CancelLatest,
-  kCount,
 };
 
+constexpr int kFaults = static_cast<int>(Fault::CancelLatest) + 1;
+
 /** Two daemons and one replica under a schedule of faults. */
 class Schedule : public DispatcherFixture
 {
@@ -110,7 +111,6 @@
   {
     switch (aFault) {
       case Fault::None:
-      case Fault::kCount:
         return;
       case Fault::Restart:
         return upstream.Restart();
@@ -166,7 +166,7 @@
   Schedule schedule;
   const int steps = *rc::gen::inRange(1, 60);
   for (int n = 0; n < steps; ++n) {
-    const auto fault = static_cast<Fault>(*rc::gen::inRange(0, static_cast<int>(Fault::kCount)));
+    const auto fault = static_cast<Fault>(*rc::gen::inRange(0, kFaults));
     const auto parts = *rc::gen::inRange<std::uint32_t>(0, 8);
     const auto span = *rc::gen::inRange<std::uint32_t>(1, 30);
     const bool isExcluded = std::find(aExcluded.begin(), aExcluded.end(), fault) != aExcluded.end();
--- a/upstream/upstream_connection.cpp
+++ b/upstream/upstream_connection.cpp
@@ -133,48 +133,49 @@
   return reply;
 }
 
-bool
+void
 ReadOutcome(unsigned aStatus, const json& aBody, SearchReply& aReply)
 {
   if (aStatus == kStatusOk) {
     aReply.outcome = SearchOutcome::Answered;
     aReply.isComplete = FlagOf(aBody, "complete");
     aReply.hits = HitsOf(aBody);
-    return true;
+    return;
   }
   if (aStatus == kStatusShed && TextOf(aBody, "executed") == "no") {
     aReply.outcome = SearchOutcome::Shed;
     aReply.shedReason =
       kShedNames.ValueOf(TextOf(aBody, "reason")).value_or(ShedReason::Overloaded);
-    return true;
-  }
-  if (aStatus == kStatusShed || aStatus == kStatusEnded) {
-    aReply.outcome = SearchOutcome::Ended;
-    aReply.wasCancelled = TextOf(aBody, "reason") == "cancelled";
-    return true;
+    return;
   }
-  return false;
+  const bool isEnded = aStatus == kStatusShed || aStatus == kStatusEnded;
+  aReply.outcome = isEnded ? SearchOutcome::Ended : SearchOutcome::Failed;
+  aReply.wasCancelled = TextOf(aBody, "reason") == "cancelled";
 }
 
 SearchReply
-ReadSearchReply(const net::HttpReply& aHttp)
+ReadSearchReply(const net::HttpReply& aHttp, const std::string& aPartId)
 {
   if (aHttp.error != net::HttpClientError::None) {
     return FailedReply(ErrorOf(aHttp.error));
   }
   const json body = json::parse(aHttp.response.body, nullptr, false);
-  if (!body.is_object()) {
+  const unsigned status = aHttp.response.status;
+  const bool isError = status != kStatusOk && status != kStatusShed && status != kStatusEnded;
+  if (!body.is_object() && !isError) {
     return FailedReply(ExchangeError::Malformed);
   }
   SearchReply reply;
   reply.incarnation = aHttp.response.Header("Upstream-Incarnation").value_or("");
   reply.state = StateOf(aHttp.response);
   reply.partId = TextOf(body, "requestId");
+  if (isError && reply.partId.empty()) {
+    // An upstream that could not read the request can't name it.
+    reply.partId = aPartId;
+  }
   reply.snapshot = NumberOf(body, "snapshot");
   reply.shard = static_cast<std::uint32_t>(NumberOf(body, "shard"));
-  if (!ReadOutcome(aHttp.response.status, body, reply)) {
-    return FailedReply(ExchangeError::Malformed);
-  }
+  ReadOutcome(status, body, reply);
   return reply;
 }
 
@@ -238,7 +239,7 @@
     net::HttpRequest request = MakeRequest("POST", "/search");
     request.body = BodyOf(aCall);
     const net::HttpReply reply = co_await mConnection.Exchange(std::move(request), aTimeout);
-    SearchReply answer = ReadSearchReply(reply);
+    SearchReply answer = ReadSearchReply(reply, aCall.partId);
     if (answer.error != ExchangeError::None) {
       mConnection.Close();
     }
--- a/upstream/upstream_connection.h
+++ b/upstream/upstream_connection.h
@@ -84,6 +84,8 @@
   Shed,
   /** It ran past its deadline or was cancelled, so it may have run. */
   Ended,
+  /** The upstream answered with an error of its own, so it may have run. */
+  Failed,
 };
 
 /** What came of one search; the fields after the error hold only without an error. */
