--- a/bench/slope_probe.h
+++ b/bench/slope_probe.h
@@ -11,6 +11,8 @@
 {
   std::uint32_t fanOut = 0;
   std::uint64_t queries = 0;
+  /** Cores that all daemons together take while no query runs; left out of the next two. */
+  double idleCores = 0.0;
   /** Processor time of asker and owners. */
   double cpuMicrosecondsPerQuery = 0.0;
   double cpuMicrosecondsPerPart = 0.0;
@@ -55,7 +57,7 @@
 std::vector<ControlPoint>
 MeasureNodes(std::uint64_t aSeed);
 
-/** Measures the control cost of 8 daemons over 24, 96, 192 and 384 replicas. */
+/** Measures the control cost of 8 daemons over 24, 96, 192, 384 and 768 replicas. */
 std::vector<ControlPoint>
 MeasureReplicas(std::uint64_t aSeed);
 
