--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -85,6 +85,7 @@
   WorkerPtr MakeWorker(const OwnedReplica& aReplica);
   void Own(const OwnedReplica& aReplica);
   void Retire(const WorkerPtr& aWorker);
+  void RefuseWaiting(const std::string& aReplica);
   void Route(const PendingPartPtr& aPart);
   void Submit(const PendingPartPtr& aPart);
   void Refuse(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal);
@@ -198,6 +199,21 @@
 {
   retiring.push_back(aWorker);
   aWorker->Retire();
+  RefuseWaiting(aWorker->Replica().declaration.name);
+}
+
+void
+PartDispatcher::State::RefuseWaiting(const std::string& aReplica)
+{
+  std::vector<PendingPartPtr> waiting;
+  for (const auto& [id, part] : parts) {
+    if (part->request.replica == aReplica && gate->Remove(part)) {
+      waiting.push_back(part);
+    }
+  }
+  for (const PendingPartPtr& part : waiting) {
+    Refuse(part, PartStatus::NotRun, PartRefusal::NotOwner);
+  }
 }
 
 void
--- a/upstream/tests/crash_quarantine_test.cpp
+++ b/upstream/tests/crash_quarantine_test.cpp
@@ -173,6 +173,20 @@
   BOOST_TEST(permits.holders.count("fingerprint-000000000000029a") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(lost_ownership_refuses_what_waits_for_its_turn)
+{
+  upstreams["r1"]->poison.clear();
+  upstreams["r1"]->serviceTime = milliseconds{ 50 };
+  const std::string running = SendPoison(1);
+  const std::string waiting = SendPoison(1);
+  RunFor(milliseconds{ 10 });
+  BOOST_REQUIRE(upstreams["r1"]->Running() == 1U);
+  dispatchers["vm-1"]->SetOwned({});
+  BOOST_TEST((ended[waiting].answer.refusal == PartRefusal::NotOwner));
+  RunFor(milliseconds{ 100 });
+  BOOST_TEST((StatusOf(running) == PartStatus::Answered));
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_network_is_no_crash)
 {
   MakeWarm("vm-1", "r1");
