Give queries and new daemons the crash evidence that is known

The query engine's hook for crashed replicas was not set, so an asker began without what its own daemon had heard. A daemon that has just started now asks the first three members that it hears for their evidence.

--- a/daemon/caller_wiring.cpp
+++ b/daemon/caller_wiring.cpp
@@ -13,7 +13,9 @@
 constexpr core::Duration kIdentityEpoch = std::chrono::seconds{ 30 };
 
 query::QueryHooks
-MakeQueryHooks(upstream::PartRouter& aRouter, const IndexViewCache& aViews)
+MakeQueryHooks(upstream::PartRouter& aRouter,
+               const IndexViewCache& aViews,
+               const upstream::PartDispatcher& aDispatcher)
 {
   query::QueryHooks hooks;
   hooks.sendPart = [&aRouter](upstream::PartRequest aPart, upstream::PartCallback aCallback) {
@@ -23,6 +25,9 @@
     aRouter.Cancel(aReplica, aPartId);
   };
   hooks.indexView = [&aViews](const std::string& aIndex) { return aViews.View(aIndex); };
+  hooks.crashedReplicas = [&aDispatcher](std::uint64_t aFingerprint) {
+    return aDispatcher.CrashedReplicas(aFingerprint);
+  };
   return hooks;
 }
 
@@ -34,7 +39,7 @@
   query::QuerySettings querySettings;
   querySettings.failureDomain = settings.failureDomain;
   engine = std::make_unique<query::QueryEngine>(
-    timers, random, metrics, MakeQueryHooks(*router, views), querySettings);
+    timers, random, metrics, MakeQueryHooks(*router, views, *dispatcher), querySettings);
 
   caller::CallerHooks hooks;
   hooks.configuration = [this] { return keeper.InForce(); };
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -56,6 +56,7 @@
 
   // upstream_wiring.cpp
   void WireUpstream();
+  void AskForEvidence(const membership::Member& aMember);
   void RefreshOwnership();
   void RefreshHeld();
   void ReportReleased();
@@ -111,6 +112,8 @@
   std::set<std::string> releasing;
   /** The last known incarnation of each other VM. */
   std::map<std::string, std::string> memberIncarnations;
+  /** How many members were asked for the crash evidence that they know. */
+  int evidenceQueries = 0;
   /** The daemon stops and callers have been given time to go elsewhere. */
   bool isLeaving = false;
   /** Nothing new is taken any more. */
--- a/daemon/upstream_wiring.cpp
+++ b/daemon/upstream_wiring.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr const char* kCrashKind = "crash-evidence";
+constexpr const char* kCrashQueryKind = "crash-evidence-query";
+/** A daemon that has just started asks this many members which requests crash replicas. */
+constexpr int kEvidenceQueries = 3;
 /** How often replicas that were given up are looked at until nothing of them is left. */
 constexpr core::Duration kReleasePoll = std::chrono::milliseconds{ 5 };
 
@@ -29,6 +32,26 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvidenceMessage, fingerprint, kind, replica, incarnation, shard)
 
+EvidenceMessage
+MessageOf(const upstream::CrashEvidence& aEvidence)
+{
+  return { aEvidence.fingerprint,
+           static_cast<int>(aEvidence.kind),
+           aEvidence.replica,
+           aEvidence.incarnation,
+           aEvidence.shard };
+}
+
+upstream::CrashEvidence
+EvidenceOf(const EvidenceMessage& aMessage)
+{
+  return { aMessage.fingerprint,
+           static_cast<upstream::EvidenceKind>(aMessage.kind),
+           aMessage.replica,
+           aMessage.incarnation,
+           aMessage.shard };
+}
+
 void
 RefuseAsNotOwner(const upstream::PartRequest& aPart, const upstream::PartCallback& aCallback)
 {
@@ -49,11 +72,7 @@
   upstream::DispatcherHooks hooks;
   WirePermits(hooks);
   hooks.broadcastCrash = [this](const upstream::CrashEvidence& aEvidence) {
-    const EvidenceMessage message{ aEvidence.fingerprint,
-                                   static_cast<int>(aEvidence.kind),
-                                   aEvidence.replica,
-                                   aEvidence.incarnation,
-                                   aEvidence.shard };
+    const EvidenceMessage message = MessageOf(aEvidence);
     for (const std::string& vm : membership->Peers()) {
       bus->Send(vm, kCrashKind, message);
     }
@@ -66,15 +85,14 @@
     views.Update(std::move(fact));
   });
   bus->OnMessage(kCrashKind, [this](const net::PeerMessageOrigin&, const nlohmann::json& aBody) {
-    const auto message = aBody.get<EvidenceMessage>();
-    upstream::CrashEvidence evidence;
-    evidence.fingerprint = message.fingerprint;
-    evidence.kind = static_cast<upstream::EvidenceKind>(message.kind);
-    evidence.replica = message.replica;
-    evidence.incarnation = message.incarnation;
-    evidence.shard = message.shard;
-    dispatcher->Merge(evidence);
+    dispatcher->Merge(EvidenceOf(aBody.get<EvidenceMessage>()));
   });
+  bus->OnMessage(kCrashQueryKind,
+                 [this](const net::PeerMessageOrigin& aOrigin, const nlohmann::json&) {
+                   for (const upstream::CrashEvidence& evidence : dispatcher->Evidence()) {
+                     bus->Send(aOrigin.vm, kCrashKind, MessageOf(evidence));
+                   }
+                 });
 
   membership::HandoverHooks handoverHooks;
   handoverHooks.onAcquire = [this](const std::string& aReplica) {
@@ -108,6 +126,16 @@
     timers, metrics, *bus, settings.vm, std::move(routerHooks));
 }
 
+void
+Daemon::Parts::AskForEvidence(const membership::Member& aMember)
+{
+  if (aMember.state != membership::MemberState::Alive || evidenceQueries >= kEvidenceQueries) {
+    return;
+  }
+  ++evidenceQueries;
+  bus->Send(aMember.vm, kCrashQueryKind, nlohmann::json::object());
+}
+
 void
 Daemon::Parts::RefreshOwnership()
 {
