--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -13,8 +13,9 @@
   skylarkwing_options
   INTERFACE Threads::Threads Boost::log Boost::log_setup Boost::url nlohmann_json::nlohmann_json
             nng::nng prometheus-cpp::core)
-# GCC 12 reports a false positive inside Asio's coroutine frames.
-target_compile_options(skylarkwing_options INTERFACE -Wno-maybe-uninitialized)
+# GCC 12 reports false positives inside Asio's coroutine frames.
+target_compile_options(
+  skylarkwing_options INTERFACE -Wno-maybe-uninitialized -Wno-mismatched-new-delete)
 
 # One precompiled header serves every slice, because Asio and Beast cost seconds in each file.
 add_library(skylarkwing_pch STATIC "${CMAKE_SOURCE_DIR}/cmake/pch.cpp")
--- a/membership/promises.cpp
+++ b/membership/promises.cpp
@@ -111,9 +111,19 @@
 
 bool
 Promises::IsPromisedElsewhere(const std::string& aReplica) const
+{
+  const std::optional<core::TimePoint> until = PromisedElsewhereUntil(aReplica);
+  return until && *until > mTimers.Now();
+}
+
+std::optional<core::TimePoint>
+Promises::PromisedElsewhereUntil(const std::string& aReplica) const
 {
   const auto it = mMade.find(aReplica);
-  return it != mMade.end() && it->second.asker != SelfAsker() && it->second.until > mTimers.Now();
+  if (it == mMade.end() || it->second.asker == SelfAsker()) {
+    return std::nullopt;
+  }
+  return it->second.until;
 }
 
 bool
--- a/membership/promises.h
+++ b/membership/promises.h
@@ -60,6 +60,12 @@
   /** @return whether this daemon promised a replica to another; it must not warm it up itself. */
   bool IsPromisedElsewhere(const std::string& aReplica) const;
 
+  /**
+   * @return until when this daemon promised a replica to another that has not given it back, also
+   *         when that time has passed; nothing when it has made no such promise.
+   */
+  std::optional<core::TimePoint> PromisedElsewhereUntil(const std::string& aReplica) const;
+
 private:
   /** A promise that this daemon made. */
   struct Promise
--- a/store/tests/fake_store.h
+++ b/store/tests/fake_store.h
@@ -86,6 +86,7 @@
   std::multimap<Revision, KeyValue> mEvents;
   Revision mCompacted = 0;
   LeaseId mLastLease = 100;
+  bool mIsInTransaction = false;
 
   core::Task<net::HttpReply> Exchange(net::HttpRequest aRequest, core::Duration aTimeout);
   core::Task<StreamReply> Open(net::HttpRequest aRequest, core::Duration aTimeout);
