--- a/console/screen_page.cpp
+++ b/console/screen_page.cpp
@@ -10,6 +10,7 @@
 <meta charset="utf-8">
 <meta name="viewport" content="width=device-width, initial-scale=1">
 <title>skylarkwing</title>
+<link rel="icon" href="data:,">
 <style>
 :root {
   --ground: #0d1319; --panel: #17202a; --line: #3b4a59; --text: #f2f6f9; --quiet: #b4c1cd;
@@ -68,6 +69,7 @@
 .service.lacking { border: .25rem dashed var(--bad); grid-column: span 2; }
 .service .name { font-size: 1.12rem; font-weight: 700; display: flex; justify-content: space-between;
   gap: .5rem; white-space: nowrap; }
+.long { overflow: hidden; text-overflow: ellipsis; }
 .service.lacking .name { font-size: 1.4rem; }
 .service .replicas { display: flex; flex-wrap: wrap; gap: 0 .7rem; font-size: 1.02rem;
   font-weight: 600; }
@@ -256,17 +258,33 @@
   return "missing: " + names.join(", ") + (others > 0 ? " and " + others + " more" : "");
 }
 
-function renderHeader() {
-  byId("deployment").textContent = state.deployment || "skylarkwing";
-  byId("served").textContent = state.vm ? "served by " + state.vm : "";
+function renderForce() {
+  if (!state.generation) {
+    setFact("force", "s-ask", "busy", "no configuration is known");
+    return;
+  }
   const whole = state.inForce >= state.members;
   setFact("force", whole ? "s-tick" : "s-half", whole ? "good" : "busy",
     `generation ${state.generation} in force at ${state.inForce} of ${state.members}`,
     whole ? "" : missingText());
+}
+
+function renderCoverage() {
   const lacking = state.services.filter(lacksShards);
-  setFact("coverage", lacking.length ? "s-warn" : "s-tick", lacking.length ? "bad" : "good",
-    lacking.length ? `${lacking.length} of ${state.serviceCount} services lack shards`
-      : `all ${state.serviceCount} services hold every shard`);
+  if (!state.serviceCount) {
+    setFact("coverage", "s-ask", "busy", "no service is declared");
+  } else if (lacking.length) {
+    setFact("coverage", "s-warn", "bad", `${lacking.length} of ${state.serviceCount} services lack shards`);
+  } else {
+    setFact("coverage", "s-tick", "good", `all ${state.serviceCount} services hold every shard`);
+  }
+}
+
+function renderHeader() {
+  byId("deployment").textContent = state.deployment || "skylarkwing";
+  byId("served").textContent = state.vm ? "served by " + state.vm : "";
+  renderForce();
+  renderCoverage();
   setFact("store", state.storeReachable ? "s-tick" : "s-warn", state.storeReachable ? "good" : "busy",
     state.storeReachable ? "store reachable" : "store out");
 }
@@ -355,6 +373,15 @@
   return make("p", "gap bad", "no replica for shard " + service.missingShards.join(", "));
 }
 
+// The name without its index, which stands before the group already.
+function nameOf(service) {
+  const prefix = service.index + "-";
+  const isGrouped = !lacksShards(service) && service.service.startsWith(prefix);
+  const name = make("span", "long", isGrouped ? service.service.slice(prefix.length) : service.service);
+  name.title = service.index + " / " + service.service;
+  return name;
+}
+
 function renderService(service) {
   const ramping = service.replicas.some((r) => r.state !== "warm" && r.count > 0);
   const kind = lacksShards(service) ? "lacking" : ramping ? "ramping" : "whole";
@@ -363,7 +390,7 @@
   const replicas = service.replicas.filter((r) => r.count > 0)
     .map((r) => stateMark(kReplicaStates, r.state, `${r.count} ${r.state}`));
   return make("article", "service " + kind,
-    make("p", "name", service.service, shardsMark(service)), gapLine(service),
+    make("p", "name", nameOf(service), shardsMark(service)), gapLine(service),
     make("p", "replicas", ...replicas,
       make("span", "load", `${p99} · ${service.inFlight}/${service.allowance}${waiting}`)));
 }
