Judge urgency by what of a window's budget is spent

With 25 s of history after a start, three of four profiles were urgent (page) and the budget left was -3427 %: a window was judged as if it had burnt at that rate all along. The unknown part of a window counts as not spent now; the burn rates stay those of the known part, and the report says how much is known.

--- a/console/burn_report.cpp
+++ b/console/burn_report.cpp
@@ -187,14 +187,15 @@
   BurnRates coverageRates{};
   for (std::size_t n = 0; n < kBurnWindowCount; ++n) {
     const BurnCounts& counts = sum.windows[n];
-    latencyRates[n] = BurnRate(counts.slow, counts.total, report.latencyShare);
-    coverageRates[n] = BurnRate(counts.incomplete, counts.total, report.completeShare);
+    const double latencyBurn = BurnRate(counts.slow, counts.total, report.latencyShare);
+    const double coverageBurn = BurnRate(counts.incomplete, counts.total, report.completeShare);
     const BurnWindow window = kBurnWindows[n];
-    report.windows.push_back({ std::string(NameOf(window)),
-                               counts,
-                               latencyRates[n],
-                               coverageRates[n],
-                               KnownShare(window) });
+    const double known = KnownShare(window);
+    report.windows.push_back(
+      { std::string(NameOf(window)), counts, latencyBurn, coverageBurn, known });
+    // Seconds of history have not spent the budget of days, however fast they burnt.
+    latencyRates[n] = latencyBurn * known;
+    coverageRates[n] = coverageBurn * known;
   }
   report.latencyUrgency = NameOf(UrgencyOf(latencyRates));
   report.coverageUrgency = NameOf(UrgencyOf(coverageRates));
--- a/console/burn_report.h
+++ b/console/burn_report.h
@@ -49,12 +49,12 @@
   /** 99th percentile of the last 5 to 10 minutes, in milliseconds; 0 without answers. */
   double p99Milliseconds = 0.0;
   std::vector<WindowReport> windows;
-  /** The names of a BurnUrgency. */
+  /** The names of a BurnUrgency, judged by what of each window's budget is spent. */
   std::string latencyUrgency;
   std::string coverageUrgency;
   /**
-   * Share of the bad answers that the objective allows for the longest window's traffic and that
-   * were not spent; below 0 when more were spent.
+   * Share of the longest window's error budget that is not spent, below 0 when more was spent. What
+   * is not known of the window counts as not spent, as it does for the urgencies.
    */
   double latencyBudgetLeft = 1.0;
   double coverageBudgetLeft = 1.0;
