--- a/bench/slope_probe.cpp
+++ b/bench/slope_probe.cpp
@@ -384,7 +384,7 @@
 MeasureNodes(std::uint64_t aSeed)
 {
   constexpr std::uint32_t kServices = 16;
-  constexpr std::array kNodes{ 4U, 8U, 16U, 32U };
+  constexpr std::array kNodes{ 4U, 8U, 16U, 32U, 64U };
   std::vector<ControlPoint> points;
   points.reserve(kNodes.size());
   for (const std::uint32_t nodes : kNodes) {
--- a/bench/slope_probe.h
+++ b/bench/slope_probe.h
@@ -53,7 +53,7 @@
 std::vector<FanOutPoint>
 MeasureFanOut(std::uint64_t aSeed);
 
-/** Measures the control cost of 4, 8, 16 and 32 daemons over 48 replicas. */
+/** Measures the control cost of 4, 8, 16, 32 and 64 daemons over 48 replicas. */
 std::vector<ControlPoint>
 MeasureNodes(std::uint64_t aSeed);
 
