--- a/bench/load_driver.cpp
+++ b/bench/load_driver.cpp
@@ -239,7 +239,8 @@
       continue;
     }
     if (identity.empty()) {
-      identity = point->identityPrefix + ".c" + std::to_string(++lastToken);
+      identity = point->identityPrefix + ".c" + std::to_string(options.seed) + "-" +
+                 std::to_string(++lastToken);
     }
     net::HttpRequest request = MakeRequest(aQuery, identity, remaining);
     reply = co_await Exchange(point->address, std::move(request), remaining + kLatePatience);
@@ -372,6 +373,7 @@
   second.shardsAnswered += static_cast<double>(answered);
   second.shardsTotal += static_cast<double>(total);
   result.latenciesMs.push_back(ToMilliseconds(latency));
+  result.profileLatenciesMs[aQuery.stream.profile].push_back(ToMilliseconds(latency));
   second.latenciesMs.push_back(ToMilliseconds(latency));
 }
 
