Count refusals by reason, and poll a warm idle replica slowly

A warm replica without traffic was polled every 300 ms, as one that is not settled; it is polled every second now, as a busy one. Refused parts were counted without their reason.

--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -49,6 +49,7 @@
   std::function<void()> stopWaiter;
   bool isStopping = false;
   std::vector<prometheus::Counter*> endedParts;
+  std::vector<prometheus::Counter*> refusedParts;
   prometheus::Counter& crashes;
 
   State(boost::asio::any_io_executor aExecutor,
@@ -65,21 +66,13 @@
     , crashes(aMetrics.Counter("skylarkwing_upstream_crashes_total",
                                "Parts whose replica went away while it ran them."))
   {
-    const PartStatus statuses[] = { PartStatus::Answered,
-                                    PartStatus::NotRun,
-                                    PartStatus::Unknown,
-                                    PartStatus::Crashed,
-                                    PartStatus::Quarantined };
-    for (const PartStatus status : statuses) {
-      endedParts.push_back(&aMetrics.Counter("skylarkwing_upstream_parts_total",
-                                             "Parts that ended at their replica's owner.",
-                                             { { "status", std::string(NameOf(status)) } }));
-    }
+    RegisterCounters();
     if (!hooks.connect) {
       hooks.connect = MakeHttpConnectionFactory(executor);
     }
   }
 
+  void RegisterCounters();
   void MakeGate();
   static core::Task<bool> AcquirePermit(std::weak_ptr<State> aSelf, std::string aName);
   WorkerPtr MakeWorker(const OwnedReplica& aReplica);
@@ -101,6 +94,23 @@
   bool IsIdle() const;
 };
 
+void
+PartDispatcher::State::RegisterCounters()
+{
+  for (int n = 0; n <= static_cast<int>(PartStatus::Quarantined); ++n) {
+    const std::string status(NameOf(static_cast<PartStatus>(n)));
+    endedParts.push_back(&metrics.Counter("skylarkwing_upstream_parts_total",
+                                          "Parts that ended at their replica's owner.",
+                                          { { "status", status } }));
+  }
+  for (int n = 0; n <= static_cast<int>(PartRefusal::Cancelled); ++n) {
+    const std::string refusal(NameOf(static_cast<PartRefusal>(n)));
+    refusedParts.push_back(&metrics.Counter("skylarkwing_upstream_refusals_total",
+                                            "Parts that were not answered, by reason.",
+                                            { { "refusal", refusal } }));
+  }
+}
+
 void
 PartDispatcher::State::MakeGate()
 {
@@ -312,6 +322,9 @@
     hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {}, aPart->request.shard });
   }
   endedParts[static_cast<std::size_t>(aAnswer.status)]->Increment();
+  if (aAnswer.refusal != PartRefusal::None) {
+    refusedParts[static_cast<std::size_t>(aAnswer.refusal)]->Increment();
+  }
   aAnswer.crashedReplicas = ledger.CrashedReplicas(fingerprint);
   const PartStatus status = aAnswer.status;
   aCallback(std::move(aAnswer));
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds kAnswerGrace{ 250 };
 constexpr milliseconds kReconnectPause{ 200 };
 constexpr milliseconds kPollInterval{ 1000 };
-constexpr milliseconds kQuietPollInterval{ 300 };
+constexpr milliseconds kUnsettledPollInterval{ 300 };
 constexpr seconds kLaneIdleCheck{ 5 };
 constexpr seconds kPermitIdleTime{ 5 };
 constexpr double kJitterShare = 0.25;
@@ -532,8 +532,10 @@
 core::Duration
 ReplicaWorker::PollInterval() const
 {
-  const bool isQuiet = !mHealth.HasRecentAnswer() || mHoldings.Holdings().empty();
-  return Jittered(mRandom, isQuiet ? kQuietPollInterval : kPollInterval);
+  const bool isSettled =
+    mHealth.State() == ReplicaState::Warm || mHealth.State() == ReplicaState::Out;
+  const bool isKnown = isSettled && !mHoldings.Holdings().empty();
+  return Jittered(mRandom, isKnown ? kPollInterval : kUnsettledPollInterval);
 }
 
 std::size_t
