--- a/membership/comparison.cpp
+++ b/membership/comparison.cpp
@@ -17,7 +17,7 @@
 /** More than this in one comparison is much. */
 constexpr std::size_t kMuchNew = 8;
 constexpr std::size_t kMostMembers = 128;
-constexpr std::size_t kMostFactBytes = 16 * 1024;
+constexpr std::size_t kMostFactBytes = std::size_t{ 16 } * 1024;
 
 std::uint64_t
 LastingHashOf(const Member& aMember)
--- a/membership/tests/fake_cluster.cpp
+++ b/membership/tests/fake_cluster.cpp
@@ -66,7 +66,7 @@
 
 } // namespace
 
-FakeDaemon::FakeDaemon(FakeNetwork& aNetwork, boost::asio::io_context& aLoop, Member aSelf)
+FakeDaemon::FakeDaemon(FakeNetwork& aNetwork, boost::asio::io_context& aLoop, const Member& aSelf)
   : process(aNetwork.Timers())
   , random(HashOf(aSelf.incarnation))
   , bus(aNetwork, process, aSelf.vm, aSelf.incarnation, aSelf.peerAddress)
@@ -102,7 +102,7 @@
   self.region = "region-" + std::to_string(aNumber % kDomains);
   self.callerAddress = "10.0.0." + std::to_string(aNumber) + ":7100";
   self.peerAddress = aAddress.empty() ? "10.0.0." + std::to_string(aNumber) + ":7200" : aAddress;
-  daemons[aNumber] = std::make_unique<FakeDaemon>(network, loop, std::move(self));
+  daemons[aNumber] = std::make_unique<FakeDaemon>(network, loop, self);
   FakeDaemon& daemon = *daemons[aNumber];
   daemon.service.Start();
   if (mDeclaration) {
--- a/membership/tests/fake_cluster.h
+++ b/membership/tests/fake_cluster.h
@@ -23,7 +23,7 @@
 /** One daemon of a fake cluster; it dies with this object. */
 struct FakeDaemon
 {
-  FakeDaemon(FakeNetwork& aNetwork, boost::asio::io_context& aLoop, Member aSelf);
+  FakeDaemon(FakeNetwork& aNetwork, boost::asio::io_context& aLoop, const Member& aSelf);
   ~FakeDaemon();
 
   FakeProcess process;
