Show a burn's urgency on the screens, and states in one order

The screens called a profile urgent by its bare burn rates while the report counted the known part of the windows; both use the report's urgency now. Real facts came in the order of the alphabet.

--- a/console/burn_report_json.cpp
+++ b/console/burn_report_json.cpp
@@ -55,6 +55,8 @@
   ProfileStatus status;
   status.profile = aReport.profile;
   status.p99Milliseconds = aReport.p99Milliseconds;
+  status.latencyUrgency = aReport.latencyUrgency;
+  status.coverageUrgency = aReport.coverageUrgency;
   for (const WindowReport& window : aReport.windows) {
     if (window.window == NameOf(BurnWindow::FiveMinutes)) {
       const double seconds = static_cast<double>(SpanOf(BurnWindow::FiveMinutes).count());
--- a/console/cluster_status.cpp
+++ b/console/cluster_status.cpp
@@ -49,6 +49,8 @@
                                                 latencyBurn1h,
                                                 coverageBurn5m,
                                                 coverageBurn1h,
+                                                latencyUrgency,
+                                                coverageUrgency,
                                                 p99Milliseconds)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClusterStatus,
                                                 deployment,
--- a/console/cluster_status.h
+++ b/console/cluster_status.h
@@ -104,6 +104,9 @@
   double latencyBurn1h = 0.0;
   double coverageBurn5m = 0.0;
   double coverageBurn1h = 0.0;
+  /** The names of a BurnUrgency. */
+  std::string latencyUrgency;
+  std::string coverageUrgency;
   /** Slow answer time in milliseconds; 0 without traffic. */
   double p99Milliseconds = 0.0;
 };
--- a/console/screen_page.cpp
+++ b/console/screen_page.cpp
@@ -238,6 +238,13 @@
   return make("span", tone, shape(symbol), text);
 }
 
+function stateMarks(table, counts) {
+  const order = Object.keys(table);
+  return counts.filter((c) => c.count > 0)
+    .sort((a, b) => order.indexOf(a.state) - order.indexOf(b.state))
+    .map((c) => stateMark(table, c.state, `${c.count} ${c.state}`));
+}
+
 function clock(milliseconds) {
   return new Date(milliseconds).toLocaleTimeString("en-GB");
 }
@@ -329,9 +336,8 @@
   card.word.replaceChildren(shape(domain.out ? "s-cross" : "s-tick"), domain.out ? "OUT" : "IN");
   card.why.className = domain.out ? "why" : "why quiet";
   card.why.textContent = domain.out ? "Taken out: " + (domain.reason || "no reason given") : domain.region;
-  const counts = domain.upstreams.filter((u) => u.count > 0);
-  card.upstreams.replaceChildren(...counts.map((u) => stateMark(kReplicaStates, u.state, `${u.count} ${u.state}`)));
-  if (!counts.length) card.upstreams.textContent = "no upstreams";
+  const marks = stateMarks(kReplicaStates, domain.upstreams);
+  card.upstreams.replaceChildren(...(marks.length ? marks : ["no upstreams"]));
   const more = domain.vmCount - domain.vms.length;
   card.vms.replaceChildren(...domain.vms.map(renderVm));
   if (more > 0) card.vms.append(make("li", "off", `and ${more} more VMs`));
@@ -387,11 +393,9 @@
   const kind = lacksShards(service) ? "lacking" : ramping ? "ramping" : "whole";
   const p99 = service.p99Milliseconds > 0 ? `${Math.round(service.p99Milliseconds)} ms` : "no traffic";
   const waiting = service.queued > 0 ? ` +${service.queued}` : "";
-  const replicas = service.replicas.filter((r) => r.count > 0)
-    .map((r) => stateMark(kReplicaStates, r.state, `${r.count} ${r.state}`));
   return make("article", "service " + kind,
     make("p", "name", nameOf(service), shardsMark(service)), gapLine(service),
-    make("p", "replicas", ...replicas,
+    make("p", "replicas", ...stateMarks(kReplicaStates, service.replicas),
       make("span", "load", `${p99} · ${service.inFlight}/${service.allowance}${waiting}`)));
 }
 
@@ -410,10 +414,10 @@
   byId("services").replaceChildren(...parts);
 }
 
-function burnCell(short, long) {
-  const tone = short >= 14.4 && long >= 14.4 ? "bad" : short >= 1 ? "busy" : "good";
-  const symbol = { bad: "s-warn", busy: "s-half", good: "s-tick" }[tone];
-  const word = { bad: "urgent", busy: "spending", good: "within budget" }[tone];
+function burnCell(short, long, urgency) {
+  const isSpending = short >= 1 || urgency === "ticket";
+  const [symbol, tone, word] = urgency === "page" ? ["s-warn", "bad", "urgent"]
+    : isSpending ? ["s-half", "busy", "spending"] : ["s-tick", "good", "within budget"];
   return make("td", "burn " + tone, shape(symbol, word), ` ${short.toFixed(1)} · ${long.toFixed(1)}`);
 }
 
@@ -423,7 +427,8 @@
     name.scope = "row";
     return make("tr", "", name, make("td", "", p.queriesPerSecond.toFixed(p.queriesPerSecond < 10 ? 1 : 0)),
       make("td", "", p.p99Milliseconds > 0 ? Math.round(p.p99Milliseconds) + " ms" : "–"),
-      burnCell(p.latencyBurn5m, p.latencyBurn1h), burnCell(p.coverageBurn5m, p.coverageBurn1h));
+      burnCell(p.latencyBurn5m, p.latencyBurn1h, p.latencyUrgency),
+      burnCell(p.coverageBurn5m, p.coverageBurn1h, p.coverageUrgency));
   }));
 }
 
--- a/console/status_text.cpp
+++ b/console/status_text.cpp
@@ -97,7 +97,8 @@
         << " queries/s, p99 " << Fixed(profile.p99Milliseconds, 0) << " ms, latency "
         << Fixed(profile.latencyBurn5m, 2) << " and " << Fixed(profile.latencyBurn1h, 2)
         << ", coverage " << Fixed(profile.coverageBurn5m, 2) << " and "
-        << Fixed(profile.coverageBurn1h, 2) << '\n';
+        << Fixed(profile.coverageBurn1h, 2) << "; urgency " << profile.latencyUrgency << " and "
+        << profile.coverageUrgency << '\n';
   }
   for (const QuarantineStatus& entry : aStatus.quarantine) {
     out << "quarantined " << entry.fingerprint << " on " << entry.index << ": crashed "
--- a/console/tests/burn_test.cpp
+++ b/console/tests/burn_test.cpp
@@ -133,6 +133,10 @@
   timers.Advance(minutes{ 10 });
   Record(100, milliseconds{ 500 });
   BOOST_TEST(Report().profiles[0].latencyUrgency == "page");
+  const ProfileStatus shown = ToProfileStatus(Report().profiles[0]);
+  BOOST_TEST(shown.latencyUrgency == "page");
+  BOOST_TEST(shown.latencyBurn1h == 100.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(shown.queriesPerSecond == 100.0 / 300.0, boost::test_tools::tolerance(1e-9));
   timers.Advance(hours{ 36 } - minutes{ 10 } - seconds{ 30 });
   Record(9800, milliseconds{ 10 });
   const ProfileReport report = Report().profiles[0];
