--- a/console/status_feed.cpp
+++ b/console/status_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkwing::console {
@@ -25,10 +26,18 @@
 void
 StatusFeed::Refresh()
 {
-  if (mReadAt && mTimers.Now() - *mReadAt < kReadingInterval) {
+  const core::TimePoint now = mTimers.Now();
+  if (mReadAt && now - *mReadAt < mInterval) {
     return;
   }
-  mReadAt = mTimers.Now();
+  mReadAt = now;
+  Read();
+  mInterval = std::clamp(kReadingShare * (mTimers.Now() - now), kReadingInterval, kLongestInterval);
+}
+
+void
+StatusFeed::Read()
+{
   ClusterStatus status = mRead();
   BoundStatus(status);
   const nlohmann::json whole = ToJson(status);
--- a/console/status_feed.h
+++ b/console/status_feed.h
@@ -20,8 +20,12 @@
 class StatusFeed
 {
 public:
-  /** A status is read again when it is older than this. */
+  /** A status is read again when it is older than this, */
   static constexpr core::Duration kReadingInterval = std::chrono::milliseconds{ 400 };
+  /** or than so many times what reading it took, so that it takes at most 1 % of a core, */
+  static constexpr int kReadingShare = 100;
+  /** and at the latest after this. */
+  static constexpr core::Duration kLongestInterval = std::chrono::milliseconds{ 1200 };
 
   StatusFeed(core::TimerService& aTimers, std::function<ClusterStatus()> aRead);
 
@@ -54,8 +58,10 @@
   std::function<ClusterStatus()> mRead;
   std::map<std::string, Section> mSections;
   std::optional<core::TimePoint> mReadAt;
+  core::Duration mInterval = kReadingInterval;
   std::uint64_t mVersion = 0;
 
+  void Read();
   std::string ObjectSince(std::uint64_t aVersion) const;
 };
 
