Send a declaration as a JSON object

As text inside JSON each quote of a declaration was escaped, and its indentation was sent: 235 bytes a replica in deployments/adebayo.json against 134 compact. The operators' API takes both forms.

--- a/console/change_json.cpp
+++ b/console/change_json.cpp
@@ -38,6 +38,13 @@
     return field->get<std::string>();
   }
 
+  /** A JSON document, as an object or as its text. */
+  std::string Document(const char* aName)
+  {
+    const json* field = Find(aName, true);
+    return field != nullptr && field->is_object() ? field->dump() : Text(aName, true);
+  }
+
   bool Flag(const char* aName, bool aIsRequired)
   {
     const json* field = Find(aName, aIsRequired);
@@ -168,7 +175,7 @@
 {
   FieldReader reader(aText);
   DeclarationBody body;
-  body.declaration = reader.Text("declaration", true);
+  body.declaration = reader.Document("declaration");
   body.terms = ReadTerms(reader);
   reader.RefuseOthers({ "declaration", "expectedGeneration", "author", "reason", "force" });
   return Finish(std::move(body), reader);
--- a/console/change_json.h
+++ b/console/change_json.h
@@ -33,7 +33,10 @@
   ChangeTerms terms;
 };
 
-/** Reads {"declaration", "expectedGeneration", "author", "reason", "force"}. */
+/**
+ * Reads {"declaration", "expectedGeneration", "author", "reason", "force"}; the declaration is an
+ * object or its text.
+ */
 BodyReading<DeclarationBody>
 ReadDeclarationBody(const std::string& aText);
 
--- a/console/operator_commands.cpp
+++ b/console/operator_commands.cpp
@@ -298,12 +298,13 @@
 Apply(const OperatorOptions& aOptions)
 {
   const std::string& path = aOptions.arguments[0];
-  const std::optional<std::string> text = ReadFile(path);
-  if (!text || !ReadDeclarationFile(path, aOptions.json)) {
+  const auto wanted = ReadDeclarationFile(path, aOptions.json);
+  if (!wanted) {
     return kExitFailed;
   }
   return WithClient(aOptions, [&](OperatorClient& aClient) {
-    return SubmitChange(aClient, "/v1/configuration", { { "declaration", *text } }, aOptions);
+    return SubmitChange(
+      aClient, "/v1/configuration", { { "declaration", declaration::ToJson(*wanted) } }, aOptions);
   });
 }
 
