--- a/standin/tests/store_standin_test.cpp
+++ b/standin/tests/store_standin_test.cpp
@@ -22,6 +22,14 @@
 
   StoreFixture() { BOOST_REQUIRE(store.Start()); }
 
+  /** Opens a watch on the key; its lines are collected in a text. */
+  std::shared_ptr<std::string> Watch(const char* aStartRevision)
+  {
+    auto text = std::make_shared<std::string>();
+    core::Start(loop.get_executor(), RunWatch(NewConnection(), aStartRevision, text));
+    return text;
+  }
+
   json Ask(const std::string& aTarget, const json& aBody)
   {
     const net::HttpReply reply = Call(store.Address(), aTarget, aBody);
@@ -40,33 +48,32 @@
                  { "success", json::array({ { { "request_put", put } } }) },
                  { "failure", json::array({ { { "request_range", { { "key", kKey } } } } }) } });
   }
-};
 
-/** Opens a watch and collects its first lines. */
-core::Task<void>
-Watch(std::shared_ptr<net::HttpConnection> aConnection,
-      std::string aAddress,
-      json aCreate,
-      std::shared_ptr<std::string> aText)
-{
-  constexpr core::Duration kTimeout = std::chrono::seconds{ 20 };
-  const bool isConnected = co_await aConnection->Connect(std::move(aAddress), kTimeout);
-  if (!isConnected) {
-    co_return;
-  }
-  net::HttpRequest request;
-  request.method = "POST";
-  request.target = "/v3/watch";
-  request.body = json{ { "create_request", aCreate } }.dump();
-  const net::HttpReply head = co_await aConnection->OpenStream(std::move(request), kTimeout);
-  while (head.error == net::HttpClientError::None) {
-    const std::optional<std::string> piece = co_await aConnection->ReadPiece(kTimeout);
-    if (!piece) {
+private:
+  core::Task<void> RunWatch(std::shared_ptr<net::HttpConnection> aConnection,
+                            const char* aStartRevision,
+                            std::shared_ptr<std::string> aText)
+  {
+    constexpr core::Duration kTimeout = std::chrono::seconds{ 20 };
+    const json create = { { "key", kKey }, { "start_revision", aStartRevision } };
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/v3/watch";
+    request.body = json{ { "create_request", create } }.dump();
+    const bool isConnected = co_await aConnection->Connect(store.Address(), kTimeout);
+    if (!isConnected) {
       co_return;
     }
-    *aText += *piece;
+    const net::HttpReply head = co_await aConnection->OpenStream(std::move(request), kTimeout);
+    while (head.error == net::HttpClientError::None) {
+      const std::optional<std::string> piece = co_await aConnection->ReadPiece(kTimeout);
+      if (!piece) {
+        co_return;
+      }
+      *aText += *piece;
+    }
   }
-}
+};
 
 } // namespace
 
@@ -127,10 +134,7 @@
 BOOST_AUTO_TEST_CASE(DeliversEventsToAWatch)
 {
   PutIf("0");
-  auto text = std::make_shared<std::string>();
-  const json create = { { "key", kKey }, { "start_revision", "2" } };
-  auto connection = NewConnection();
-  core::Start(loop.get_executor(), Watch(connection, store.Address(), create, text));
+  const auto text = Watch("2");
   while (std::count(text->begin(), text->end(), '\n') < 2) {
     loop.run_one();
   }
@@ -149,10 +153,7 @@
   PutIf("0");
   PutIf("2");
   store.Compact();
-  auto text = std::make_shared<std::string>();
-  const json create = { { "key", kKey }, { "start_revision", "2" } };
-  auto connection = NewConnection();
-  core::Start(loop.get_executor(), Watch(connection, store.Address(), create, text));
+  const auto text = Watch("2");
   while (text->find("compact_revision") == std::string::npos) {
     loop.run_one();
   }
