Let only the holder of a permit send to replicas that are not shown warm

Cause: permits were granted unasked. Change: permits are leases in the store, or promises of all members while it is out.

--- a/daemon/store_wiring.cpp
+++ b/daemon/store_wiring.cpp
@@ -3,6 +3,8 @@
 #include "membership/store_watchers.h"
 #include "store/store_endpoint.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace skylarkwing::daemon {
@@ -32,9 +34,50 @@
 void
 Daemon::Parts::WirePermits(upstream::DispatcherHooks& aHooks)
 {
-  aHooks.acquirePermit = [](std::string) -> core::Task<bool> { co_return true; };
-  aHooks.isPermitHeld = [](const std::string&) { return true; };
-  aHooks.releasePermit = [](const std::string&) {};
+  membership::PromiseHooks promiseHooks;
+  promiseHooks.holdsPermit = [this](const std::string& aReplica) {
+    return permits->MayHold(aReplica);
+  };
+  promises = std::make_unique<membership::Promises>(
+    timers, random, metrics, *membership, std::move(promiseHooks));
+
+  store::WarmupPermitHooks permitHooks;
+  permitHooks.longestDeadline = [this] { return LongestDeadline(); };
+  permitHooks.members = [this] { return LiveMembers(); };
+  permitHooks.promisesOfAllMembers = [this](std::string aReplica) {
+    return promises->AskAll(std::move(aReplica));
+  };
+  permitHooks.promisedElsewhereUntil = [this](const std::string& aReplica) {
+    return promises->PromisedElsewhereUntil(aReplica);
+  };
+  permitHooks.releasePromises = [this](const std::string& aReplica) {
+    promises->Release(aReplica);
+  };
+  permits = std::make_unique<store::WarmupPermits>(loop.get_executor(),
+                                                   timers,
+                                                   random,
+                                                   metrics,
+                                                   *storeClient,
+                                                   settings.vm + "." + incarnation,
+                                                   std::move(permitHooks));
+
+  aHooks.acquirePermit = [this](std::string aName) { return permits->Acquire(std::move(aName)); };
+  aHooks.isPermitHeld = [this](const std::string& aName) { return permits->IsHeld(aName); };
+  aHooks.releasePermit = [this](const std::string& aName) { permits->Release(aName); };
+}
+
+core::Duration
+Daemon::Parts::LongestDeadline() const
+{
+  core::Duration longest = std::chrono::seconds{ 1 };
+  const auto configuration = keeper.InForce();
+  if (!configuration) {
+    return longest;
+  }
+  for (const auto& profile : configuration->declaration.profiles) {
+    longest = std::max<core::Duration>(longest, profile.longestDeadline);
+  }
+  return longest;
 }
 
 } // namespace skylarkwing::daemon
--- a/daemon/upstream_wiring.cpp
+++ b/daemon/upstream_wiring.cpp
@@ -94,6 +94,13 @@
                    }
                  });
 
+  WireHandover();
+  WireRouter();
+}
+
+void
+Daemon::Parts::WireHandover()
+{
   membership::HandoverHooks handoverHooks;
   handoverHooks.onAcquire = [this](const std::string& aReplica) {
     held.insert(aReplica);
@@ -111,7 +118,11 @@
   };
   handover = std::make_unique<membership::Handover>(
     timers, random, metrics, *membership, std::move(handoverHooks));
+}
 
+void
+Daemon::Parts::WireRouter()
+{
   upstream::PartRouterHooks routerHooks;
   routerHooks.ownerOf = [this](const std::string& aReplica) { return views.OwnerOf(aReplica); };
   routerHooks.dispatch = [this](upstream::PartRequest aPart, upstream::PartCallback aCallback) {
