--- a/membership/tests/promises_test.cpp
+++ b/membership/tests/promises_test.cpp
@@ -56,6 +56,8 @@
   BOOST_TEST(!Ask(cluster, 1, "r-1").has_value());
   BOOST_TEST(Ask(cluster, 1, "r-2").has_value());
   cluster.Advance(kPromiseTtl);
+  BOOST_TEST(!cluster.At(5).promises.IsPromisedElsewhere("r-1"));
+  BOOST_TEST(cluster.At(5).promises.PromisedElsewhereUntil("r-1").has_value());
   BOOST_TEST(Ask(cluster, 1, "r-1").has_value());
 }
 
