Let a daemon warm replicas up only under their permit

Cause: the daemon used a stub that granted every permit, so that two owners could warm one replica up while member lists differ. A daemon that needed the store's word was asked for by the contact that its answer changes, so that it would have stopped asking as soon as it was answered.

Change: the daemon's wiring builds the promises and the permits.

--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -15,12 +15,14 @@
 #include "membership/handover.h"
 #include "membership/isolation.h"
 #include "membership/membership_service.h"
+#include "membership/promises.h"
 #include "net/http_server.h"
 #include "net/nng_peer_bus.h"
 #include "query/query_engine.h"
 #include "store/configuration_store.h"
 #include "store/configuration_watch.h"
 #include "store/store_client.h"
+#include "store/warmup_permits.h"
 #include "upstream/part_dispatcher.h"
 #include "upstream/part_router.h"
 
@@ -53,6 +55,7 @@
   // store_wiring.cpp
   void WireStore();
   void WirePermits(upstream::DispatcherHooks& aHooks);
+  core::Duration LongestDeadline() const;
 
   // upstream_wiring.cpp
   void WireUpstream();
@@ -96,6 +99,8 @@
   std::unique_ptr<membership::ConfigurationSpread> spread;
   std::unique_ptr<membership::Isolation> isolation;
   std::unique_ptr<membership::Handover> handover;
+  std::unique_ptr<membership::Promises> promises;
+  std::unique_ptr<store::WarmupPermits> permits;
   std::unique_ptr<upstream::PartDispatcher> dispatcher;
   std::unique_ptr<upstream::PartRouter> router;
   std::unique_ptr<query::QueryEngine> engine;
--- a/daemon/store_wiring.cpp
+++ b/daemon/store_wiring.cpp
@@ -3,6 +3,7 @@
 #include "membership/store_watchers.h"
 #include "store/store_endpoint.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkwing::daemon {
@@ -20,10 +21,7 @@
 
   store::ConfigurationWatchHooks hooks;
   hooks.isWatcher = [this] { return membership::IsStoreWatcher(membership->Table()); };
-  hooks.isConfirmationNeeded = [this] {
-    const membership::Contact contact = isolation->Present();
-    return contact == membership::Contact::Minority || contact == membership::Contact::Nobody;
-  };
+  hooks.isConfirmationNeeded = [this] { return isolation->NeedsStore(); };
   hooks.members = [this] { return LiveMembers(); };
   configurationWatch = std::make_unique<store::ConfigurationWatch>(
     timers, random, metrics, *storeClient, *configurationStore, keeper, std::move(hooks));
@@ -32,9 +30,54 @@
 void
 Daemon::Parts::WirePermits(upstream::DispatcherHooks& aHooks)
 {
-  aHooks.acquirePermit = [](std::string) -> core::Task<bool> { co_return true; };
-  aHooks.isPermitHeld = [](const std::string&) { return true; };
-  aHooks.releasePermit = [](const std::string&) {};
+  membership::PromiseHooks promiseHooks;
+  promiseHooks.holdsPermit = [this](const std::string& aReplica) {
+    return permits && permits->MayHold(aReplica);
+  };
+  promises = std::make_unique<membership::Promises>(
+    timers, random, metrics, *membership, std::move(promiseHooks));
+
+  store::WarmupPermitHooks permitHooks;
+  permitHooks.longestDeadline = [this] { return LongestDeadline(); };
+  permitHooks.members = [this] { return LiveMembers(); };
+  permitHooks.mayPromisesBeOut = [this] {
+    return isolation->NeedsStore() || !storeClient->IsReachable();
+  };
+  permitHooks.promisesOfAllMembers = [this](std::string aReplica) {
+    return promises->AskAll(std::move(aReplica));
+  };
+  permitHooks.promisedElsewhereUntil = [this](const std::string& aReplica) {
+    return promises->PromisedElsewhereUntil(aReplica);
+  };
+  permitHooks.releasePromises = [this](const std::string& aReplica) {
+    promises->Release(aReplica);
+  };
+  permits = std::make_unique<store::WarmupPermits>(loop.get_executor(),
+                                                   timers,
+                                                   random,
+                                                   metrics,
+                                                   *storeClient,
+                                                   settings.vm + "." + incarnation,
+                                                   std::move(permitHooks));
+
+  aHooks.acquirePermit = [this](std::string aReplica) {
+    return permits->Acquire(std::move(aReplica));
+  };
+  aHooks.isPermitHeld = [this](const std::string& aReplica) { return permits->IsHeld(aReplica); };
+  aHooks.releasePermit = [this](const std::string& aReplica) { permits->Release(aReplica); };
+}
+
+core::Duration
+Daemon::Parts::LongestDeadline() const
+{
+  std::chrono::milliseconds longest{ 0 };
+  const auto inForce = keeper.InForce();
+  if (inForce) {
+    for (const declaration::ProfileDeclaration& profile : inForce->declaration.profiles) {
+      longest = std::max(longest, profile.longestDeadline);
+    }
+  }
+  return longest;
 }
 
 } // namespace skylarkwing::daemon
--- a/membership/isolation.cpp
+++ b/membership/isolation.cpp
@@ -57,6 +57,12 @@
   return isMajorityRecent || IsStoreRecent();
 }
 
+bool
+Isolation::NeedsStore() const
+{
+  return !mMajorityAt || mTimers.Now() - *mMajorityAt > core::Duration(kMajorityAgreement) / 3;
+}
+
 void
 Isolation::Judge()
 {
--- a/membership/isolation.h
+++ b/membership/isolation.h
@@ -53,6 +53,12 @@
   /** @return whether this daemon may begin new work; a refusal is "not run". */
   bool MayTakeNewWork() const;
 
+  /**
+   * @return whether this daemon should ask the store now, because its peers have lately not shown
+   *         that it is up to date; true early enough for the answer to come before it is needed.
+   */
+  bool NeedsStore() const;
+
   /** @return whom this daemon reaches, as of the last judgement. */
   Contact Present() const { return mContact; }
 
--- a/store/tests/warmup_permits_test.cpp
+++ b/store/tests/warmup_permits_test.cpp
@@ -45,6 +45,7 @@
   core::Metrics metrics;
   bool reachesStore = true;
   bool arePeersHeard = true;
+  bool mayPromisesBeOut = true;
   std::vector<Node*> peers;
   Promises promises;
   StoreClient client;
@@ -113,6 +114,7 @@
     WarmupPermitHooks hooks;
     hooks.longestDeadline = [] { return core::Duration(kLongestDeadline); };
     hooks.members = [this] { return peers.size() + 1; };
+    hooks.mayPromisesBeOut = [this] { return mayPromisesBeOut; };
     hooks.promisesOfAllMembers = [this](std::string) { return AskAll(); };
     hooks.promisedElsewhereUntil = [this](const std::string&) {
       std::optional<core::TimePoint> last;
@@ -369,6 +371,11 @@
   Node fresh(loop, fake, "fresh", 3);
   BOOST_TEST((TimeToAcquire(fresh) >= seconds{ 5 } + kLongestDeadline));
   BOOST_TEST(fresh.IsHeld());
+  fresh.permits.Release(kReplica);
+  loop.Run(seconds{ 1 });
+  Node sure(loop, fake, "sure", 4);
+  sure.mayPromisesBeOut = false;
+  BOOST_TEST(sure.Acquire());
 }
 
 BOOST_AUTO_TEST_CASE(without_the_store_all_members_must_promise)
--- a/store/warmup_permits.cpp
+++ b/store/warmup_permits.cpp
@@ -172,11 +172,19 @@
 bool
 WarmupPermits::IsPromisedElsewhere(const std::string& aReplica) const
 {
-  const auto until =
-    mHooks.promisedElsewhereUntil ? mHooks.promisedElsewhereUntil(aReplica) : std::nullopt;
+  const auto until = LastPromiseElsewhere(aReplica);
   return until && mTimers.Now() < *until;
 }
 
+std::optional<core::TimePoint>
+WarmupPermits::LastPromiseElsewhere(const std::string& aReplica) const
+{
+  if (!mHooks.promisedElsewhereUntil) {
+    return std::nullopt;
+  }
+  return mHooks.promisedElsewhereUntil(aReplica);
+}
+
 bool
 WarmupPermits::MayTry(const std::string& aReplica) const
 {
@@ -204,12 +212,15 @@
 {
   const core::TimePoint now = mTimers.Now();
   const core::Duration longest = mHooks.longestDeadline();
-  const auto promised =
-    mHooks.promisedElsewhereUntil ? mHooks.promisedElsewhereUntil(aReplica) : std::nullopt;
+  core::TimePoint end = aMustWait ? now + longest : now;
+  if (const auto promised = LastPromiseElsewhere(aReplica)) {
+    end = std::max(end, *promised + longest);
+  }
   // The process before this one may have made a promise that ended just now.
-  const core::TimePoint lastPromise =
-    std::max(mStartedAt + kSettleTime, promised.value_or(now - longest));
-  return std::max(aMustWait ? now + longest : now, lastPromise + longest);
+  if (!mHooks.mayPromisesBeOut || mHooks.mayPromisesBeOut()) {
+    end = std::max(end, mStartedAt + kSettleTime + longest);
+  }
+  return end;
 }
 
 core::Task<WarmupPermits::Attempt>
--- a/store/warmup_permits.h
+++ b/store/warmup_permits.h
@@ -31,6 +31,11 @@
   std::function<core::Duration()> longestDeadline;
   /** How many daemons there are, this one included. */
   std::function<std::size_t()> members;
+  /**
+   * Whether somebody may lately have warmed replicas up by promises, so that a new process has to
+   * wait for the end of promises that it does not know; unset counts as true.
+   */
+  std::function<bool()> mayPromisesBeOut;
   /**
    * Asks every other member not shown as gone to leave a replica to this daemon.
    *
@@ -170,6 +175,7 @@
   bool IsValid(const Permit& aPermit) const;
   bool IsUsable(const std::string& aReplica, const Permit& aPermit) const;
   bool IsPromisedElsewhere(const std::string& aReplica) const;
+  std::optional<core::TimePoint> LastPromiseElsewhere(const std::string& aReplica) const;
   bool MayTry(const std::string& aReplica) const;
   bool Take(const std::string& aReplica);
   core::TimePoint EndOfEarlierWork(const std::string& aReplica, bool aMustWait) const;
