--- a/upstream/part_dispatcher.cpp
+++ b/upstream/part_dispatcher.cpp
@@ -49,6 +49,7 @@
   std::function<void()> stopWaiter;
   bool isStopping = false;
   std::vector<prometheus::Counter*> endedParts;
+  std::vector<prometheus::Counter*> refusedParts;
   prometheus::Counter& crashes;
 
   State(boost::asio::any_io_executor aExecutor,
@@ -65,26 +66,19 @@
     , crashes(aMetrics.Counter("skylarkwing_upstream_crashes_total",
                                "Parts whose replica went away while it ran them."))
   {
-    const PartStatus statuses[] = { PartStatus::Answered,
-                                    PartStatus::NotRun,
-                                    PartStatus::Unknown,
-                                    PartStatus::Crashed,
-                                    PartStatus::Quarantined };
-    for (const PartStatus status : statuses) {
-      endedParts.push_back(&aMetrics.Counter("skylarkwing_upstream_parts_total",
-                                             "Parts that ended at their replica's owner.",
-                                             { { "status", std::string(NameOf(status)) } }));
-    }
+    RegisterCounters();
     if (!hooks.connect) {
       hooks.connect = MakeHttpConnectionFactory(executor);
     }
   }
 
+  void RegisterCounters();
   void MakeGate();
   static core::Task<bool> AcquirePermit(std::weak_ptr<State> aSelf, std::string aName);
   WorkerPtr MakeWorker(const OwnedReplica& aReplica);
   void Own(const OwnedReplica& aReplica);
-  void Retire(WorkerPtr aWorker);
+  void Retire(const WorkerPtr& aWorker);
+  void RefuseWaiting(const std::string& aReplica);
   void Route(const PendingPartPtr& aPart);
   void Submit(const PendingPartPtr& aPart);
   void Refuse(const PendingPartPtr& aPart, PartStatus aStatus, PartRefusal aRefusal);
@@ -100,6 +94,23 @@
   bool IsIdle() const;
 };
 
+void
+PartDispatcher::State::RegisterCounters()
+{
+  for (int n = 0; n <= static_cast<int>(PartStatus::Quarantined); ++n) {
+    const std::string status(NameOf(static_cast<PartStatus>(n)));
+    endedParts.push_back(&metrics.Counter("skylarkwing_upstream_parts_total",
+                                          "Parts that ended at their replica's owner.",
+                                          { { "status", status } }));
+  }
+  for (int n = 0; n <= static_cast<int>(PartRefusal::Cancelled); ++n) {
+    const std::string refusal(NameOf(static_cast<PartRefusal>(n)));
+    refusedParts.push_back(&metrics.Counter("skylarkwing_upstream_refusals_total",
+                                            "Parts that were not answered, by reason.",
+                                            { { "refusal", refusal } }));
+  }
+}
+
 void
 PartDispatcher::State::MakeGate()
 {
@@ -184,9 +195,9 @@
     return;
   }
   if (it != workers.end()) {
-    WorkerPtr former = it->second;
+    const WorkerPtr former = it->second;
     workers.erase(it);
-    Retire(std::move(former));
+    Retire(former);
   }
   const WorkerPtr worker = MakeWorker(aReplica);
   workers.emplace(aReplica.declaration.name, worker);
@@ -194,10 +205,25 @@
 }
 
 void
-PartDispatcher::State::Retire(WorkerPtr aWorker)
+PartDispatcher::State::Retire(const WorkerPtr& aWorker)
 {
   retiring.push_back(aWorker);
   aWorker->Retire();
+  RefuseWaiting(aWorker->Replica().declaration.name);
+}
+
+void
+PartDispatcher::State::RefuseWaiting(const std::string& aReplica)
+{
+  std::vector<PendingPartPtr> waiting;
+  for (const auto& [id, part] : parts) {
+    if (part->request.replica == aReplica && gate->Remove(part)) {
+      waiting.push_back(part);
+    }
+  }
+  for (const PendingPartPtr& part : waiting) {
+    Refuse(part, PartStatus::NotRun, PartRefusal::NotOwner);
+  }
 }
 
 void
@@ -296,6 +322,9 @@
     hooks.broadcastCrash({ fingerprint, EvidenceKind::Harmless, {}, {}, aPart->request.shard });
   }
   endedParts[static_cast<std::size_t>(aAnswer.status)]->Increment();
+  if (aAnswer.refusal != PartRefusal::None) {
+    refusedParts[static_cast<std::size_t>(aAnswer.refusal)]->Increment();
+  }
   aAnswer.crashedReplicas = ledger.CrashedReplicas(fingerprint);
   const PartStatus status = aAnswer.status;
   aCallback(std::move(aAnswer));
@@ -451,7 +480,7 @@
   }
   for (const std::string& name : lost) {
     auto node = mState->workers.extract(name);
-    mState->Retire(std::move(node.mapped()));
+    mState->Retire(node.mapped());
   }
   for (const OwnedReplica& replica : aReplicas) {
     mState->Own(replica);
@@ -557,7 +586,7 @@
   mState->isStopping = true;
   while (!mState->workers.empty()) {
     auto node = mState->workers.extract(mState->workers.begin());
-    mState->Retire(std::move(node.mapped()));
+    mState->Retire(node.mapped());
   }
   if (mState->IsIdle()) {
     co_return;
