--- a/daemon/store_wiring.cpp
+++ b/daemon/store_wiring.cpp
@@ -4,7 +4,6 @@
 #include "store/store_endpoint.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace skylarkwing::daemon {
@@ -22,10 +21,7 @@
 
   store::ConfigurationWatchHooks hooks;
   hooks.isWatcher = [this] { return membership::IsStoreWatcher(membership->Table()); };
-  hooks.isConfirmationNeeded = [this] {
-    const membership::Contact contact = isolation->Present();
-    return contact == membership::Contact::Minority || contact == membership::Contact::Nobody;
-  };
+  hooks.isConfirmationNeeded = [this] { return isolation->NeedsStore(); };
   hooks.members = [this] { return LiveMembers(); };
   configurationWatch = std::make_unique<store::ConfigurationWatch>(
     timers, random, metrics, *storeClient, *configurationStore, keeper, std::move(hooks));
@@ -36,7 +32,7 @@
 {
   membership::PromiseHooks promiseHooks;
   promiseHooks.holdsPermit = [this](const std::string& aReplica) {
-    return permits->MayHold(aReplica);
+    return permits && permits->MayHold(aReplica);
   };
   promises = std::make_unique<membership::Promises>(
     timers, random, metrics, *membership, std::move(promiseHooks));
@@ -44,6 +40,9 @@
   store::WarmupPermitHooks permitHooks;
   permitHooks.longestDeadline = [this] { return LongestDeadline(); };
   permitHooks.members = [this] { return LiveMembers(); };
+  permitHooks.mayPromisesBeOut = [this] {
+    return isolation->NeedsStore() || !storeClient->IsReachable();
+  };
   permitHooks.promisesOfAllMembers = [this](std::string aReplica) {
     return promises->AskAll(std::move(aReplica));
   };
@@ -61,21 +60,22 @@
                                                    settings.vm + "." + incarnation,
                                                    std::move(permitHooks));
 
-  aHooks.acquirePermit = [this](std::string aName) { return permits->Acquire(std::move(aName)); };
-  aHooks.isPermitHeld = [this](const std::string& aName) { return permits->IsHeld(aName); };
-  aHooks.releasePermit = [this](const std::string& aName) { permits->Release(aName); };
+  aHooks.acquirePermit = [this](std::string aReplica) {
+    return permits->Acquire(std::move(aReplica));
+  };
+  aHooks.isPermitHeld = [this](const std::string& aReplica) { return permits->IsHeld(aReplica); };
+  aHooks.releasePermit = [this](const std::string& aReplica) { permits->Release(aReplica); };
 }
 
 core::Duration
 Daemon::Parts::LongestDeadline() const
 {
-  core::Duration longest = std::chrono::seconds{ 1 };
-  const auto configuration = keeper.InForce();
-  if (!configuration) {
-    return longest;
-  }
-  for (const auto& profile : configuration->declaration.profiles) {
-    longest = std::max<core::Duration>(longest, profile.longestDeadline);
+  std::chrono::milliseconds longest{ 0 };
+  const auto inForce = keeper.InForce();
+  if (inForce) {
+    for (const declaration::ProfileDeclaration& profile : inForce->declaration.profiles) {
+      longest = std::max(longest, profile.longestDeadline);
+    }
   }
   return longest;
 }
