Declare the daemon's wiring again after the merge of two wirings of the permits

Before: the tier took 11 s from its start until it answered, because the permits waited for promises that nobody could have made.

--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -55,10 +55,13 @@
   // store_wiring.cpp
   void WireStore();
   void WirePermits(upstream::DispatcherHooks& aHooks);
+  /** @return how long a part of the slowest profile may run. */
   core::Duration LongestDeadline() const;
 
   // upstream_wiring.cpp
   void WireUpstream();
+  void WireHandover();
+  void WireRouter();
   void AskForEvidence(const membership::Member& aMember);
   void RefreshOwnership();
   void RefreshHeld();
