Meet the linter in the query and caller slices

Hashes are XXH3 as elsewhere; test callbacks take their results by reference; sizes are computed as sizes.

--- a/caller/caller_query.cpp
+++ b/caller/caller_query.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::string_view kQueryPath = "/v1/query/";
-constexpr std::size_t kMostBodyBytes = 256 * 1024;
+constexpr std::size_t kMostBodyBytes = std::size_t{ 256 } * 1024;
 constexpr int kMostDepth = 64;
 constexpr std::uint64_t kMostHits = 1000;
 
--- a/caller/tests/admission_test.cpp
+++ b/caller/tests/admission_test.cpp
@@ -24,7 +24,7 @@
 constexpr double
 CapacityOf(std::uint32_t aServers)
 {
-  return aServers * (1s / kServiceTime);
+  return aServers * (std::chrono::duration<double>(1s) / kServiceTime);
 }
 
 /** Upstreams that run so many queries at a time and keep the rest waiting, first come first served.
@@ -221,10 +221,11 @@
   std::vector<AdmissionVerdict> verdicts;
   const auto enter = [&](core::Duration aPatience) {
     AdmissionRequest request{ "catalogue", profile, timers.Now() + aPatience };
-    boost::asio::co_spawn(
-      loop, gate.Enter(std::move(request)), [&](std::exception_ptr, AdmissionVerdict aVerdict) {
-        verdicts.push_back(std::move(aVerdict));
-      });
+    boost::asio::co_spawn(loop,
+                          gate.Enter(std::move(request)),
+                          [&](const std::exception_ptr&, const AdmissionVerdict& aVerdict) {
+                            verdicts.push_back(aVerdict);
+                          });
     loop.restart();
     loop.poll();
   };
@@ -253,10 +254,11 @@
   int refused = 0;
   for (int n = 0; n < 5; ++n) {
     AdmissionRequest request{ "catalogue", profile, timers.Now() + 100ms };
-    boost::asio::co_spawn(
-      loop, gate.Enter(std::move(request)), [&](std::exception_ptr, AdmissionVerdict aVerdict) {
-        (aVerdict.isAdmitted ? admitted : refused) += 1;
-      });
+    boost::asio::co_spawn(loop,
+                          gate.Enter(std::move(request)),
+                          [&](const std::exception_ptr&, const AdmissionVerdict& aVerdict) {
+                            (aVerdict.isAdmitted ? admitted : refused) += 1;
+                          });
   }
   loop.poll();
   BOOST_TEST(admitted == 2);
@@ -287,11 +289,12 @@
   std::map<std::string, int> refused;
   const auto enter = [&](const std::shared_ptr<declaration::ProfileDeclaration>& aProfile) {
     AdmissionRequest request{ "catalogue", aProfile, timers.Now() + 10s };
-    boost::asio::co_spawn(loop,
-                          gate.Enter(std::move(request)),
-                          [&refused, aProfile](std::exception_ptr, AdmissionVerdict aVerdict) {
-                            refused[aProfile->name] += aVerdict.isAdmitted ? 0 : 1;
-                          });
+    boost::asio::co_spawn(
+      loop,
+      gate.Enter(std::move(request)),
+      [&refused, aProfile](const std::exception_ptr&, const AdmissionVerdict& aVerdict) {
+        refused[aProfile->name] += aVerdict.isAdmitted ? 0 : 1;
+      });
     loop.restart();
     loop.poll();
   };
@@ -324,7 +327,7 @@
     boost::asio::co_spawn(
       loop,
       gate.Enter(std::move(request)),
-      [&importantAdmitted, profile](std::exception_ptr, AdmissionVerdict aVerdict) {
+      [&importantAdmitted, profile](const std::exception_ptr&, const AdmissionVerdict& aVerdict) {
         importantAdmitted += profile->priority == 0 && aVerdict.isAdmitted ? 1 : 0;
       });
   }
--- a/caller/tests/caller_fixture.cpp
+++ b/caller/tests/caller_fixture.cpp
@@ -104,7 +104,7 @@
   boost::asio::co_spawn(
     loop,
     nodes.at(aVm)->front->Handle(std::move(aRequest)),
-    [this, n](std::exception_ptr aError, net::HttpResponse aResponse) {
+    [this, n](const std::exception_ptr& aError, const net::HttpResponse& aResponse) {
       if (aError) {
         std::rethrow_exception(aError);
       }
@@ -165,14 +165,6 @@
   return hooks;
 }
 
-core::Task<query::QueryResult>
-CallerFixture::Run(query::QueryRequest aRequest)
-{
-  ++runs[aRequest.search];
-  co_await core::Sleep(timers, runTime);
-  co_return result;
-}
-
 bool
 CallerFixture::Carry(const std::string& aFrom,
                      const std::string& aTo,
--- a/query/canary_order.cpp
+++ b/query/canary_order.cpp
@@ -19,7 +19,7 @@
       continue;
     }
     const std::uint64_t weight =
-      XXH64(replica.replica.data(), replica.replica.size(), aFingerprint);
+      XXH3_64bits_withSeed(replica.replica.data(), replica.replica.size(), aFingerprint);
     if (first == nullptr || weight > firstWeight) {
       first = &replica;
       firstWeight = weight;
--- a/query/fingerprint.cpp
+++ b/query/fingerprint.cpp
@@ -25,7 +25,7 @@
 FingerprintOf(const std::string& aIndex, const std::string& aSearch)
 {
   const std::string text = aIndex + '\n' + CanonicalText(aSearch);
-  return XXH64(text.data(), text.size(), 0);
+  return XXH3_64bits(text.data(), text.size());
 }
 
 } // namespace skylarkwing::query
--- a/query/tests/query_differential_test.cpp
+++ b/query/tests/query_differential_test.cpp
@@ -130,6 +130,7 @@
 IdsOf(const std::vector<upstream::Hit>& aHits)
 {
   std::vector<std::string> ids;
+  ids.reserve(aHits.size());
   for (const upstream::Hit& hit : aHits) {
     ids.push_back(hit.id);
   }
--- a/query/tests/query_fixture.cpp
+++ b/query/tests/query_fixture.cpp
@@ -17,8 +17,8 @@
   profile.indexes = { "catalogue" };
   behaviour = [](const upstream::PartRequest&) { return PartBehaviour{}; };
   QueryHooks hooks;
-  hooks.sendPart = [this](upstream::PartRequest aRequest, upstream::PartCallback aCallback) {
-    Send(std::move(aRequest), std::move(aCallback));
+  hooks.sendPart = [this](const upstream::PartRequest& aRequest, upstream::PartCallback aCallback) {
+    Send(aRequest, std::move(aCallback));
   };
   hooks.cancelPart = [this](const std::string&, const std::string& aPartId) { Cancel(aPartId); };
   hooks.indexView = [this](const std::string& aIndex) {
@@ -86,7 +86,7 @@
   const core::TimePoint start = timers.Now();
   boost::asio::co_spawn(loop,
                         engine->Run(std::move(request)),
-                        [this, start](std::exception_ptr aError, QueryResult aResult) {
+                        [this, start](const std::exception_ptr& aError, QueryResult aResult) {
                           if (aError) {
                             std::rethrow_exception(aError);
                           }
@@ -148,7 +148,7 @@
 }
 
 void
-QueryFixture::Send(upstream::PartRequest aRequest, upstream::PartCallback aCallback)
+QueryFixture::Send(const upstream::PartRequest& aRequest, upstream::PartCallback aCallback)
 {
   const PartBehaviour part = behaviour(aRequest);
   sent.push_back({ aRequest, timers.Now(), std::nullopt });
--- a/query/tests/query_fixture.h
+++ b/query/tests/query_fixture.h
@@ -86,7 +86,7 @@
 
 private:
   void Settle();
-  void Send(upstream::PartRequest aRequest, upstream::PartCallback aCallback);
+  void Send(const upstream::PartRequest& aRequest, upstream::PartCallback aCallback);
   void Cancel(const std::string& aPartId);
   void End(const std::string& aPartId, upstream::PartAnswer aAnswer);
 
