Mend what the linter finds in the store, declaration and settings slices

Cause: clang-tidy named moved values that a check macro could read twice, two products in a narrower type, two needless copies and a list of texts that looks as if it lacked a comma.

Change: results are bound before they are checked, constants are computed in their own type, and the expected lines are put together from named parts. No check is weaker than before.

--- a/declaration/tests/declaration_diff_test.cpp
+++ b/declaration/tests/declaration_diff_test.cpp
@@ -49,19 +49,19 @@
   to.profiles[0].defaultDeadline = std::chrono::milliseconds{ 400 };
   to.profiles.pop_back();
   const std::vector<std::string> lines = ToLines(DescribeChanges(from, to));
+  const std::string index = "index dealer-catalogue";
+  const std::string shareOfService = " (touches a share of service catalogue-0 of " + index + ")";
+  const std::string shards = " with 2 replicas (touches its shards of " + index + ")";
+  const std::string quickQuote = "profile quick-quote";
   const std::vector<std::string> expected{
-    "index dealer-catalogue: limits of each replica change, slots from 3 to 4 (touches queries to "
-    "index dealer-catalogue, 4 replicas of 2 services)",
-    "replica catalogue-0-a moves from 10.0.0.1:7000 to 10.0.0.9:7000 (touches a share of service "
-    "catalogue-0 of index dealer-catalogue)",
-    "replica catalogue-0-c is removed from Trans-Amadi (touches a share of service catalogue-0 of "
-    "index dealer-catalogue)",
-    "service catalogue-2 of index dealer-catalogue is added with 2 replicas (touches its shards of "
-    "index dealer-catalogue)",
-    "service catalogue-1 of index dealer-catalogue is removed with 2 replicas (touches its shards "
-    "of index dealer-catalogue)",
-    "profile quick-quote changes, default deadline from 500 ms to 400 ms, retry budget from 0.1 to "
-    "0.2 (touches queries of profile quick-quote)",
+    index + ": limits of each replica change, slots from 3 to 4 (touches queries to " + index +
+      ", 4 replicas of 2 services)",
+    "replica catalogue-0-a moves from 10.0.0.1:7000 to 10.0.0.9:7000" + shareOfService,
+    "replica catalogue-0-c is removed from Trans-Amadi" + shareOfService,
+    "service catalogue-2 of " + index + " is added" + shards,
+    "service catalogue-1 of " + index + " is removed" + shards,
+    quickQuote + " changes, default deadline from 500 ms to 400 ms, retry budget from 0.1 to 0.2" +
+      " (touches queries of " + quickQuote + ")",
     "profile order is removed, its queries are refused (touches queries of profile order)"
   };
   BOOST_TEST(lines == expected, boost::test_tools::per_element());
--- a/declaration/tests/declaration_schema_test.cpp
+++ b/declaration/tests/declaration_schema_test.cpp
@@ -121,7 +121,7 @@
   const auto at = *rc::gen::inRange<std::size_t>(0, places.size());
   const auto kind = *rc::gen::inRange(0, 4);
   const auto value = *rc::gen::inRange<std::size_t>(0, Replacements().size());
-  const json::json_pointer place = places[at];
+  const json::json_pointer& place = places[at];
   json& parent = aDocument[place.parent_pointer()];
   if (kind == 0 && parent.is_object()) {
     parent.erase(place.back());
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -23,7 +23,7 @@
 using core::TextRule;
 
 constexpr std::size_t kLongestPath = 4096;
-constexpr std::size_t kLargestFileBytes = 64 * 1024;
+constexpr std::size_t kLargestFileBytes = 64UL * 1024;
 constexpr IntegerRange kStopGraceSeconds{ 1, 3600 };
 constexpr IntegerRange kRandomSeed{ 0, std::numeric_limits<std::uint64_t>::max() };
 constexpr core::NameTable<core::LogLevel, 4> kLogLevels{ { "debug", "info", "warning", "error" } };
--- a/store/configuration_store.cpp
+++ b/store/configuration_store.cpp
@@ -220,7 +220,7 @@
   if (aStored.status == StoredStatus::Unreadable) {
     return Make(WriteOutcome::Unavailable, "the store gave no answer; nothing was written");
   }
-  const std::optional<WriteResult> fault = FindStoredFault(aStored);
+  std::optional<WriteResult> fault = FindStoredFault(aStored);
   if (fault && !aChange.isRepair) {
     return fault;
   }
--- a/store/tests/configuration_store_test.cpp
+++ b/store/tests/configuration_store_test.cpp
@@ -82,7 +82,8 @@
   // Another operator goes on from the write whose answer is still missing.
   ConfigurationChange other = Change(2, 1);
   other.declaration.failureDomains[0].out = true;
-  BOOST_TEST((Write(std::move(other)).outcome == WriteOutcome::Accepted));
+  const WriteResult later = Write(std::move(other));
+  BOOST_TEST((later.outcome == WriteOutcome::Accepted));
   loop.Run(seconds{ 10 });
   BOOST_REQUIRE(first->has_value());
   BOOST_TEST((first->value().outcome == WriteOutcome::Accepted));
@@ -145,7 +146,8 @@
 
   ConfigurationChange unreadable = Change(0);
   unreadable.declaration.failureDomains[0].reason = std::string(2000, 'x');
-  BOOST_TEST((Write(std::move(unreadable)).outcome == WriteOutcome::Refused));
+  const WriteResult notWritten = Write(std::move(unreadable));
+  BOOST_TEST((notWritten.outcome == WriteOutcome::Refused));
 
   ConfigurationChange large = Change(0);
   auto& services = large.declaration.indexes[0].services;
@@ -167,7 +169,8 @@
     ConfigurationChange change = Change(n);
     change.declaration.failureDomains[0].out = n % 2 == 1;
     loop.Run(seconds{ 1 });
-    BOOST_REQUIRE((Write(std::move(change)).outcome == WriteOutcome::Accepted));
+    const WriteResult result = Write(std::move(change));
+    BOOST_REQUIRE((result.outcome == WriteOutcome::Accepted));
   }
   const StoredConfiguration stored = Read();
   BOOST_TEST(stored.configuration.history.size() == kLongestHistory);
@@ -195,7 +198,8 @@
   BOOST_TEST((Write(Change(0)).outcome == WriteOutcome::Refused));
   ConfigurationChange again = Change(3);
   again.isRepair = true;
-  BOOST_TEST(Write(std::move(again)).generation == 4);
+  const WriteResult restored = Write(std::move(again));
+  BOOST_TEST(restored.generation == 4);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/store/tests/warmup_permits_test.cpp
+++ b/store/tests/warmup_permits_test.cpp
@@ -115,7 +115,7 @@
     hooks.longestDeadline = [] { return core::Duration(kLongestDeadline); };
     hooks.members = [this] { return peers.size() + 1; };
     hooks.mayPromisesBeOut = [this] { return mayPromisesBeOut; };
-    hooks.promisesOfAllMembers = [this](std::string) { return AskAll(); };
+    hooks.promisesOfAllMembers = [this](const std::string&) { return AskAll(); };
     hooks.promisedElsewhereUntil = [this](const std::string&) {
       std::optional<core::TimePoint> last;
       for (const auto& [asker, until] : promises.until) {
--- a/store/watch_stream.cpp
+++ b/store/watch_stream.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** A value of a megabyte in base64, with room for its envelope. */
-constexpr std::size_t kLongestLineBytes = 2 * 1024 * 1024;
+constexpr std::size_t kLongestLineBytes = 2UL * 1024 * 1024;
 
 } // namespace
 
