--- a/caller/caller_front.cpp
+++ b/caller/caller_front.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::string_view kEntryPointsPath = "/v1/entry-points";
 constexpr std::string_view kQueryPath = "/v1/query/";
+/** A caller that found the daemon full of connections may come back after this long. */
+constexpr core::Duration kCrowdedRetryAfter = std::chrono::seconds{ 1 };
 
 Refusal
 NoSuchPath()
@@ -51,6 +53,20 @@
   co_return response;
 }
 
+net::HttpResponse
+CallerFront::RefuseUnread(net::HttpServerFault aFault)
+{
+  Refusal refusal;
+  refusal.kind = aFault == net::HttpServerFault::BodyTooLarge ? RefusalKind::BodyTooLarge
+                                                              : RefusalKind::Malformed;
+  refusal.reason = "the request could not be read: " + std::string(net::NameOf(aFault));
+  if (aFault == net::HttpServerFault::TooManyConnections) {
+    refusal.kind = RefusalKind::Overloaded;
+    refusal.retryAfter = kCrowdedRetryAfter;
+  }
+  return mState->Refuse(refusal);
+}
+
 void
 CallerFront::ListenOn(net::PeerBus& aBus)
 {
--- a/caller/caller_front.h
+++ b/caller/caller_front.h
@@ -9,6 +9,7 @@
 #include "core/task.h"
 #include "declaration/declaration.h"
 #include "net/http_message.h"
+#include "net/http_server.h"
 #include "net/peer_bus.h"
 #include "query/query_request.h"
 #include "query/query_result.h"
@@ -94,6 +95,9 @@
   /** Answers one request of a caller; it never throws and always has a typed response. */
   core::Task<net::HttpResponse> Handle(net::HttpRequest aRequest);
 
+  /** @return the refusal of a request that could not be read; nothing of it ran. */
+  net::HttpResponse RefuseUnread(net::HttpServerFault aFault);
+
   /** Takes the messages of other daemons' caller fronts. */
   void ListenOn(net::PeerBus& aBus);
 
--- a/caller/tests/caller_edge_test.cpp
+++ b/caller/tests/caller_edge_test.cpp
@@ -118,6 +118,26 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(requests_that_could_not_be_read_get_a_typed_refusal_and_a_count)
+{
+  CallerFixture fixture;
+  fixture.StartNode("vm-1", "a");
+  CallerFront& front = *fixture.nodes.at("vm-1")->front;
+  const auto read = [&front](net::HttpServerFault aFault) {
+    const net::HttpResponse response = front.RefuseUnread(aFault);
+    return Reply{ response.status, nlohmann::json::parse(response.body) };
+  };
+  CheckRefused(read(net::HttpServerFault::Malformed), "malformed");
+  CheckRefused(read(net::HttpServerFault::TooSlow), "malformed");
+  CheckRefused(read(net::HttpServerFault::BodyTooLarge), "body_too_large");
+  const Reply crowded = read(net::HttpServerFault::TooManyConnections);
+  CheckRefused(crowded, "overloaded");
+  BOOST_TEST(crowded.body["retryAfterMs"] == 1000);
+  const std::string text = fixture.nodes.at("vm-1")->metrics.Render();
+  BOOST_TEST(text.find("skylarkwing_caller_refusals_total{kind=\"malformed\"} 2") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_get_a_typed_response)
 {
   const bool isHeld = rc::check([] {
--- a/daemon/console_wiring.cpp
+++ b/daemon/console_wiring.cpp
@@ -92,7 +92,7 @@
 void
 Daemon::Parts::WireConsole()
 {
-  burn = std::make_unique<console::BurnTracker>(timers);
+  burn = std::make_unique<console::BurnTracker>(timers, &metrics);
   BurnExchangeHooks burnHooks;
   burnHooks.peers = [this] { return membership->Peers(); };
   burnExchange =
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -15,6 +15,8 @@
 constexpr core::Duration kStopPoll = std::chrono::milliseconds{ 20 };
 /** By then every daemon knows of a leaving one and hands its address out no more. */
 constexpr core::Duration kNoticeMargin = std::chrono::seconds{ 2 };
+/** A declaration as an operator writes it; what is stored of it is smaller. */
+constexpr std::size_t kLargestDeclarationBytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr core::Duration kLastMessages = std::chrono::milliseconds{ 200 };
 
 std::uint64_t
@@ -46,6 +48,23 @@
   return front->Running() > 0 || callerServer->ActiveRequests() > 0 || isHandingOver;
 }
 
+void
+Daemon::Parts::WireServers()
+{
+  callerServer = std::make_unique<net::HttpServer>(
+    loop, net::HttpServerLimits{}, [this](net::HttpRequest aRequest) {
+      return front->Handle(std::move(aRequest));
+    });
+  callerServer->SetFaultHandler(
+    [this](net::HttpServerFault aFault) { return front->RefuseUnread(aFault); });
+  net::HttpServerLimits operatorLimits;
+  operatorLimits.bodyBytes = kLargestDeclarationBytes;
+  operatorServer =
+    std::make_unique<net::HttpServer>(loop, operatorLimits, [this](net::HttpRequest aRequest) {
+      return operators->Handle(std::move(aRequest));
+    });
+}
+
 bool
 Daemon::Parts::Listen()
 {
@@ -90,14 +109,7 @@
   parts.WireUpstream();
   parts.WireCaller();
   parts.WireConsole();
-  parts.callerServer = std::make_unique<net::HttpServer>(
-    parts.loop, net::HttpServerLimits{}, [&parts](net::HttpRequest aRequest) {
-      return parts.front->Handle(std::move(aRequest));
-    });
-  parts.operatorServer = std::make_unique<net::HttpServer>(
-    parts.loop, net::HttpServerLimits{}, [&parts](net::HttpRequest aRequest) {
-      return parts.operators->Handle(std::move(aRequest));
-    });
+  parts.WireServers();
   return parts.Listen();
 }
 
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -44,6 +44,7 @@
   Parts(boost::asio::io_context& aLoop, settings::Settings aSettings, DaemonOptions aOptions);
 
   // daemon.cpp
+  void WireServers();
   bool Listen();
   /** @return whether work of callers or of other daemons still runs here. */
   bool IsBusy() const;
