Write the small store's exchange straight down

Cause: the analyzer reported a null executor in Asio's headers by way of the small store's exchange.

Change: one place loses an answer, by a deadline.

--- a/store/tests/fake_store.cpp
+++ b/store/tests/fake_store.cpp
@@ -119,30 +119,29 @@
 FakeStore::Exchange(net::HttpRequest aRequest, core::Duration aTimeout)
 {
   ++calls[aRequest.target];
+  const core::TimePoint deadline = mTimers.Now() + aTimeout;
+  const bool isWrite = IsWrite(aRequest.target);
   net::HttpReply reply;
   if (isDown) {
     reply.error = net::HttpClientError::ConnectFailed;
     co_return reply;
   }
-  if (delay >= aTimeout || (IsWrite(aRequest.target) && writesToLose > 0)) {
-    writesToLose -= delay >= aTimeout ? 0 : 1;
-    co_await core::Sleep(mTimers, aTimeout);
-    reply.error = net::HttpClientError::TimedOut;
-    co_return reply;
-  }
-  if (delay > core::Duration::zero()) {
+  const bool isTooSlow = delay >= aTimeout;
+  const bool isWriteLost = !isTooSlow && isWrite && writesToLose > 0;
+  writesToLose -= isWriteLost ? 1 : 0;
+  bool isLost = isTooSlow || isWriteLost;
+  if (!isLost) {
     co_await core::Sleep(mTimers, delay);
-  }
-  const json body = json::parse(aRequest.body);
-  reply.response.body = Handle(aRequest.target, body, reply.response.status).dump();
-  if (answerDelay > core::Duration::zero()) {
+    const json body = json::parse(aRequest.body);
+    reply.response.body = Handle(aRequest.target, body, reply.response.status).dump();
     co_await core::Sleep(mTimers, answerDelay);
+    isLost = isWrite && answersToLose > 0;
+    answersToLose -= isLost ? 1 : 0;
   }
-  if (IsWrite(aRequest.target) && answersToLose > 0) {
-    --answersToLose;
-    co_await core::Sleep(mTimers, aTimeout - delay);
-    reply = net::HttpReply{};
+  if (isLost) {
+    co_await core::Sleep(mTimers, deadline - mTimers.Now());
     reply.error = net::HttpClientError::TimedOut;
+    reply.response.body.clear();
   }
   co_return reply;
 }
