Keep trying to send answers to a daemon that cannot be reached yet

Cause: a daemon that has just joined sends parts and requests before the daemons it asks have a way back to it; their answers were dropped and the work ended as unknown. Provoked by an_answer_waits_until_its_asker_can_be_reached, which fails without the change.

--- a/daemon/caller_wiring.cpp
+++ b/daemon/caller_wiring.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon_parts.h"
 
+#include "caller/home_messages.h"
 #include "membership/entry_points.h"
 
 #include <chrono>
@@ -11,6 +12,8 @@
 
 /** Request identities of one epoch are handed out for this long. */
 constexpr core::Duration kIdentityEpoch = std::chrono::seconds{ 30 };
+/** A daemon that has just joined may pass requests on before the reply can reach it. */
+constexpr core::Duration kReplyPatience = std::chrono::seconds{ 2 };
 
 query::QueryHooks
 MakeQueryHooks(upstream::PartRouter& aRouter,
@@ -54,9 +57,10 @@
   hooks.liveMembers = [this] { return LiveMembers(); };
   hooks.incarnationOf = [this](const std::string& aVm) { return IncarnationOf(aVm); };
   hooks.identityEpoch = [this] { return IdentityEpoch(); };
-  hooks.sendToPeer = [this](const std::string& aVm,
-                            std::string_view aKind,
-                            const nlohmann::json& aBody) { return bus->Send(aVm, aKind, aBody); };
+  hooks.sendToPeer =
+    [this](const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody) {
+      return SendOfCaller(aVm, aKind, aBody);
+    };
   hooks.start = [this](core::Task<void> aTask) {
     core::Start(loop.get_executor(), std::move(aTask));
   };
@@ -85,6 +89,18 @@
   burn->Record(record);
 }
 
+bool
+Daemon::Parts::SendOfCaller(const std::string& aVm,
+                            std::string_view aKind,
+                            const nlohmann::json& aBody)
+{
+  if (aKind != caller::kHomeReplyKind) {
+    return bus->Send(aVm, aKind, aBody);
+  }
+  replySender->Send(aVm, std::string(aKind), aBody, kReplyPatience);
+  return true;
+}
+
 std::uint64_t
 Daemon::Parts::IdentityEpoch() const
 {
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -101,6 +101,7 @@
                                     parts.settings.vm,
                                     parts.incarnation };
   parts.bus = std::make_unique<net::NngPeerBus>(parts.loop, parts.timers, parts.metrics, identity);
+  parts.replySender = std::make_unique<net::PersistentSender>(parts.timers, *parts.bus);
   if (parts.options.sendFilter) {
     parts.bus->SetSendFilter(parts.options.sendFilter);
   }
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -18,6 +18,7 @@
 #include "membership/promises.h"
 #include "net/http_server.h"
 #include "net/nng_peer_bus.h"
+#include "net/persistent_sender.h"
 #include "query/query_engine.h"
 #include "store/configuration_store.h"
 #include "store/configuration_watch.h"
@@ -71,6 +72,7 @@
 
   // caller_wiring.cpp
   void WireCaller();
+  bool SendOfCaller(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody);
   void RecordOutcome(const caller::QueryOutcome& aOutcome);
   std::uint64_t IdentityEpoch() const;
   std::size_t LiveMembers() const;
@@ -97,6 +99,7 @@
   declaration::ConfigurationKeeper keeper;
   IndexViewCache views;
   std::unique_ptr<net::NngPeerBus> bus;
+  std::unique_ptr<net::PersistentSender> replySender;
   std::unique_ptr<store::StoreClient> storeClient;
   std::unique_ptr<store::ConfigurationStore> configurationStore;
   std::unique_ptr<store::ConfigurationWatch> configurationWatch;
--- a/upstream/part_router.cpp
+++ b/upstream/part_router.cpp
@@ -19,6 +19,9 @@
 /** An owner answers by the deadline; this much later its answer is lost. */
 constexpr core::Duration kAnswerGrace = std::chrono::milliseconds{ 20 };
 
+/** An asker that has just joined may send parts before answers can reach it. */
+constexpr core::Duration kAnswerPatience = std::chrono::seconds{ 2 };
+
 } // namespace
 
 PartRouter::PartRouter(core::TimerService& aTimers,
@@ -28,6 +31,7 @@
                        PartRouterHooks aHooks)
   : mTimers(aTimers)
   , mBus(aBus)
+  , mAnswerSender(aTimers, aBus)
   , mSelf(std::move(aSelf))
   , mHooks(std::move(aHooks))
   , mLocalParts(aMetrics.Counter("skylarkwing_upstream_routed_parts_total",
@@ -149,7 +153,8 @@
     mBus.Send(aVm, kCancelsKind, json{ { "parts", aOutgoing.cancels } });
   }
   if (!aOutgoing.answers.empty()) {
-    mBus.Send(aVm, kAnswersKind, json{ { "answers", aOutgoing.answers } });
+    mAnswerSender.Send(
+      aVm, kAnswersKind, json{ { "answers", aOutgoing.answers } }, kAnswerPatience);
   }
 }
 
--- /dev/null
+++ b/upstream/tests/part_router_test.cpp
@@ -0,0 +1,202 @@
+#include "core/virtual_timer_service.h"
+#include "upstream/part_router.h"
+#include "upstream/upstream_messages.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class FakeBus;
+using Network = std::map<std::string, FakeBus*>;
+
+/** Delivers at once, but for ways that are cut. */
+class FakeBus : public net::PeerBus
+{
+public:
+  FakeBus(Network& aNetwork, std::string aVm)
+    : mNetwork(aNetwork)
+    , mVm(std::move(aVm))
+  {
+    mNetwork[mVm] = this;
+  }
+
+  void Connect(const std::string&, const std::string&) override {}
+  void Disconnect(const std::string&) override {}
+
+  bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody) override
+  {
+    if (cutTo.contains(aVm)) {
+      return false;
+    }
+    ++sent;
+    net::PeerMessageOrigin origin;
+    origin.vm = mVm;
+    origin.age = age;
+    mNetwork.at(aVm)->mHandlers.at(std::string(aKind))(origin, aBody);
+    return true;
+  }
+
+  void OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler) override
+  {
+    mHandlers[aKind] = std::move(aHandler);
+  }
+
+  std::set<std::string> cutTo;
+  core::Duration age{};
+  int sent = 0;
+
+private:
+  Network& mNetwork;
+  std::string mVm;
+  std::map<std::string, net::PeerMessageHandler> mHandlers;
+};
+
+/** One daemon's router over a dispatcher that the test answers for. */
+struct Node
+{
+  Node(core::VirtualTimerService& aTimers, Network& aNetwork, const std::string& aVm)
+    : bus(aNetwork, aVm)
+    , router(aTimers, metrics, bus, aVm, MakeHooks())
+  {
+  }
+
+  PartRouterHooks MakeHooks()
+  {
+    PartRouterHooks hooks;
+    hooks.ownerOf = [](const std::string& aReplica) {
+      return aReplica == "orphan" ? std::string() : "vm-" + aReplica;
+    };
+    hooks.dispatch = [this](PartRequest aPart, PartCallback aCallback) {
+      parts.push_back(std::move(aPart));
+      callbacks.push_back(std::move(aCallback));
+    };
+    hooks.cancel = [this](const std::string& aPartId) { cancelled.push_back(aPartId); };
+    return hooks;
+  }
+
+  core::Metrics metrics;
+  FakeBus bus;
+  std::vector<PartRequest> parts;
+  std::vector<PartCallback> callbacks;
+  std::vector<std::string> cancelled;
+  PartRouter router;
+};
+
+struct Fixture
+{
+  void Send(const std::string& aId, const std::string& aReplica)
+  {
+    PartRequest part;
+    part.partId = aId;
+    part.replica = aReplica;
+    part.search = R"({"q":1})";
+    part.snapshot = 7;
+    part.deadline = timers.Now() + 100ms;
+    asker.router.Send(std::move(part),
+                      [this](PartAnswer aAnswer) { answers.push_back(std::move(aAnswer)); });
+  }
+
+  static PartAnswer Answered(const std::string& aId)
+  {
+    PartAnswer answer;
+    answer.partId = aId;
+    answer.status = PartStatus::Answered;
+    answer.hits = { { "h", 0.5, "{}" } };
+    return answer;
+  }
+
+  core::VirtualTimerService timers;
+  Network network;
+  Node asker{ timers, network, "vm-a" };
+  Node owner{ timers, network, "vm-b" };
+  std::vector<PartAnswer> answers;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(part_router, Fixture)
+
+BOOST_AUTO_TEST_CASE(parts_of_one_turn_share_a_message_and_lose_their_age)
+{
+  asker.bus.age = 30ms;
+  Send("p1", "b");
+  Send("p2", "b");
+  timers.Advance(0ms);
+  BOOST_TEST(asker.bus.sent == 1);
+  BOOST_REQUIRE(owner.parts.size() == 2U);
+  BOOST_TEST(owner.parts[1].search == R"({"q":1})");
+  BOOST_TEST((owner.parts[0].deadline == timers.Now() + 70ms));
+  owner.callbacks[0](Answered("p1"));
+  timers.Advance(0ms);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].hits[0].id == "h");
+}
+
+BOOST_AUTO_TEST_CASE(what_was_not_handed_over_did_not_run)
+{
+  asker.bus.cutTo.insert("vm-b");
+  Send("p1", "b");
+  Send("p2", "orphan");
+  timers.Advance(0ms);
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST(NameOf(answers[0].status) == "not_run");
+  BOOST_TEST(NameOf(answers[1].status) == "not_run");
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_owner_or_a_passed_deadline_leaves_parts_unknown)
+{
+  Send("p1", "b");
+  Send("p2", "b");
+  timers.Advance(10ms);
+  asker.router.OnMemberGone("vm-b");
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST(NameOf(answers[0].status) == "unknown");
+  Send("p3", "b");
+  timers.Advance(1s);
+  BOOST_REQUIRE(answers.size() == 3U);
+  BOOST_TEST(NameOf(answers[2].status) == "unknown");
+  owner.callbacks[2](Answered("p3"));
+  timers.Advance(0ms);
+  BOOST_TEST(answers.size() == 3U);
+  BOOST_TEST(asker.router.Outstanding() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_waits_until_its_asker_can_be_reached)
+{
+  owner.bus.cutTo.insert("vm-a");
+  Send("p1", "b");
+  timers.Advance(10ms);
+  owner.callbacks[0](Answered("p1"));
+  timers.Advance(30ms);
+  BOOST_TEST(answers.empty());
+  owner.bus.cutTo.clear();
+  timers.Advance(20ms);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(NameOf(answers[0].status) == "answered");
+}
+
+BOOST_AUTO_TEST_CASE(a_cancel_goes_to_the_owner)
+{
+  Send("p1", "b");
+  timers.Advance(0ms);
+  asker.router.Cancel("b", "p1");
+  timers.Advance(0ms);
+  BOOST_REQUIRE(owner.cancelled.size() == 1U);
+  BOOST_TEST(owner.cancelled[0] == "p1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::upstream
--- a/upstream/tests/upstream_connection_test.cpp
+++ b/upstream/tests/upstream_connection_test.cpp
@@ -38,10 +38,14 @@
 
   ~Fixture()
   {
-    connection->Close();
-    server.Close();
-    loop.restart();
-    loop.poll();
+    try {
+      connection->Close();
+      server.Close();
+      loop.restart();
+      loop.poll();
+    } catch (const std::exception& error) {
+      BOOST_ERROR(error.what());
+    }
   }
 
   core::Task<net::HttpResponse> Answer(net::HttpRequest aRequest)
@@ -61,7 +65,7 @@
   T Run(core::Task<T> aTask)
   {
     std::optional<T> result;
-    boost::asio::co_spawn(loop, std::move(aTask), [&result](std::exception_ptr, T aResult) {
+    boost::asio::co_spawn(loop, std::move(aTask), [&result](const std::exception_ptr&, T aResult) {
       result = std::move(aResult);
     });
     loop.restart();
