--- a/membership/tests/failures_test.cpp
+++ b/membership/tests/failures_test.cpp
@@ -217,6 +217,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(nobody_takes_a_leaving_daemon_for_gone_while_it_works)
+{
+  // More members than a daemon has monitors, as while VMs are being replaced.
+  Start(12);
+  cluster.At(4).service.AnnounceLeaving();
+  for (int n = 0; n < 30; ++n) {
+    cluster.Advance(seconds{ 1 });
+    BOOST_TEST(cluster.CountHolding(VmOf(4), MemberState::Gone) == 0U);
+  }
+  BOOST_TEST(cluster.CountHolding(VmOf(4), MemberState::Leaving) >= 11U);
+  cluster.Kill(4);
+  cluster.Advance(seconds{ 20 });
+  BOOST_TEST(cluster.CountHolding(VmOf(4), MemberState::Gone) == 11U);
+}
+
 BOOST_AUTO_TEST_CASE(all_vms_are_replaced_one_after_another)
 {
   Start(8);
