--- a/bench/bench_command.cpp
+++ b/bench/bench_command.cpp
@@ -5,6 +5,7 @@
 #include "bench/experiment.h"
 #include "bench/report_writer.h"
 #include "bench/slope_probe.h"
+#include "core/exit_code.h"
 #include "core/log.h"
 #include "declaration/declaration_parser.h"
 
@@ -25,8 +26,9 @@
 
 namespace {
 
-constexpr int kExitDone = 0;
-constexpr int kExitFailed = 1;
+using core::kExitDone;
+using core::kExitFailed;
+
 constexpr std::uint64_t kLongestSeconds = 3600;
 constexpr std::uint64_t kMostNodes = 64;
 constexpr std::uint64_t kMostPercent = 10'000;
--- a/bench/command_options.cpp
+++ b/bench/command_options.cpp
@@ -1,5 +1,7 @@
 #include "bench/command_options.h"
 
+#include "core/exit_code.h"
+
 #include <charconv>
 #include <iomanip>
 #include <iostream>
@@ -23,10 +25,9 @@
 int
 FailUsage(std::string_view aCommand, const std::string& aWhat)
 {
-  constexpr int kExitUsage = 2;
   std::cerr << "skylarkwing " << aCommand << ": " << aWhat << "; see skylarkwing " << aCommand
             << " --help\n";
-  return kExitUsage;
+  return core::kExitUsage;
 }
 
 ExperimentProgress
--- a/bench/demo_command.cpp
+++ b/bench/demo_command.cpp
@@ -3,6 +3,7 @@
 #include "bench/builtin_deployment.h"
 #include "bench/command_options.h"
 #include "bench/experiment.h"
+#include "core/exit_code.h"
 #include "core/log.h"
 
 #include <nlohmann/json.hpp>
@@ -20,8 +21,9 @@
 
 namespace {
 
-constexpr int kExitDone = 0;
-constexpr int kExitFailed = 1;
+using core::kExitDone;
+using core::kExitFailed;
+
 constexpr std::uint64_t kLongestSeconds = 3600;
 constexpr double kPercent = 100.0;
 
--- a/caller/tests/admission_test.cpp
+++ b/caller/tests/admission_test.cpp
@@ -177,6 +177,15 @@
   std::vector<core::Duration> mImportantLatencies;
 };
 
+/** Moves time past every deadline: a task that still waits would keep itself and its mailbox. */
+void
+EndWaiting(core::VirtualTimerService& aTimers, boost::asio::io_context& aLoop)
+{
+  aTimers.Advance(1min);
+  aLoop.restart();
+  aLoop.poll();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(admission)
@@ -308,6 +317,7 @@
   }
   BOOST_TEST(refused["p0"] == 0);
   BOOST_TEST(refused["p1"] > before);
+  EndWaiting(timers, loop);
 }
 
 BOOST_AUTO_TEST_CASE(less_important_queries_leave_room_for_the_most_important)
@@ -333,6 +343,7 @@
   }
   loop.poll();
   BOOST_TEST(importantAdmitted == 1);
+  EndWaiting(timers, loop);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/console/operator_commands.cpp
+++ b/console/operator_commands.cpp
@@ -6,6 +6,7 @@
 #include "console/operator_client.h"
 #include "console/operator_options.h"
 #include "console/status_text.h"
+#include "core/exit_code.h"
 #include "declaration/declaration_diff.h"
 #include "declaration/declaration_parser.h"
 #include "declaration/harm_check.h"
@@ -23,10 +24,10 @@
 
 using nlohmann::json;
 
-constexpr int kExitDone = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-constexpr int kExitUnknown = 3;
+using core::kExitDone;
+using core::kExitFailed;
+using core::kExitUnknown;
+using core::kExitUsage;
 
 constexpr std::chrono::milliseconds kStatusInterval{ 250 };
 
--- a/main/exit_code.h
+++ b/core/exit_code.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace skylarkwing {
+namespace skylarkwing::core {
 
 /** Exit codes of every subcommand. */
 constexpr int kExitDone = 0;
@@ -11,4 +11,4 @@
 /** Whether it took effect is unknown. */
 constexpr int kExitUnknown = 3;
 
-} // namespace skylarkwing
+} // namespace skylarkwing::core
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,5 +1,5 @@
+#include "core/exit_code.h"
 #include "main/command_table.h"
-#include "main/exit_code.h"
 
 #include <iomanip>
 #include <iostream>
@@ -9,6 +9,9 @@
 
 namespace {
 
+using core::kExitDone;
+using core::kExitUsage;
+
 void
 PrintHelp(std::ostream& aOut)
 {
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -1,9 +1,9 @@
 #include "main/serve_command.h"
 
+#include "core/exit_code.h"
 #include "core/log.h"
 #include "core/task.h"
 #include "daemon/daemon.h"
-#include "main/exit_code.h"
 #include "settings/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +22,9 @@
 namespace {
 
 namespace asio = boost::asio;
+using core::kExitDone;
+using core::kExitFailed;
+using core::kExitUsage;
 
 constexpr const char* kHelp =
   "Usage: skylarkwing serve --settings FILE\n"
