--- a/membership/membership_service.cpp
+++ b/membership/membership_service.cpp
@@ -372,7 +372,8 @@
   const auto& peers = mRing.Peers();
   for (std::size_t i = 0; i < kVitalsPerHeartbeat && !peers.empty(); ++i) {
     const MemberEntry* entry = mTable.Find(peers[mRandom.Below(peers.size())]);
-    // A leaving member works until its end, and whoever does not watch it hears of it only this way.
+    // A leaving member works until its end, and whoever does not watch it hears of it only this
+    // way.
     const bool isRunning = entry != nullptr && (entry->member.state == MemberState::Alive ||
                                                 entry->member.state == MemberState::Leaving);
     if (isRunning) {
