--- a/main/main.cpp
+++ b/main/main.cpp
@@ -37,7 +37,8 @@
     PrintHelp(std::cout);
     return kExitDone;
   }
-  if (name == "--version") {
+  const bool isVersionOfCommand = aCount == 3 && std::string_view(aArguments[2]) == "--version";
+  if (name == "--version" || (isVersionOfCommand && FindCommand(name))) {
     std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
     return kExitDone;
   }
