--- a/net/tests/http_test.cpp
+++ b/net/tests/http_test.cpp
@@ -65,10 +65,15 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
     co_await socket.async_connect(endpoint, asio::use_awaitable);
     co_await asio::async_write(socket, asio::buffer(aBytes), asTuple);
+    if (isHalfClosing) {
+      socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    }
     co_await asio::async_read(socket, asio::dynamic_buffer(aReceived), asTuple);
     server->Close();
   }
 
+  /** Whether a plain client ends its side of the connection after its bytes. */
+  bool isHalfClosing = false;
   asio::io_context loop;
   HttpServerLimits limits;
   std::unique_ptr<HttpServer> server;
@@ -191,6 +196,24 @@
   BOOST_TEST(answer.find("too_slow") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(half_closed_clients_get_their_answer)
+{
+  Fixture fixture;
+  fixture.isHalfClosing = true;
+  const std::string answer = fixture.Raw("GET /path HTTP/1.1\r\n\r\n");
+  BOOST_TEST(answer.find("200") != std::string::npos);
+  BOOST_TEST(answer.find("GET /path") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(half_closed_clients_do_not_hold_a_connection_with_half_a_request)
+{
+  Fixture fixture;
+  fixture.isHalfClosing = true;
+  const std::string answer = fixture.Raw("GET /path HTT");
+  BOOST_TEST(answer.find("400") != std::string::npos);
+  BOOST_TEST(fixture.server->OpenConnections() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::net
