Share the bus that delivers at once between two tests, and drop what nobody uses

Cause: the tests of the part router and of the burn exchange had a copy each of the same fake bus; a factory type and an include were left over. Change: net/tests/instant_bus.h serves both; no assertion changes. After: daemon and upstream tests pass.

--- a/bench/entry_node.h
+++ b/bench/entry_node.h
@@ -3,8 +3,6 @@
 #include "declaration/declaration.h"
 
 #include <cstdint>
-#include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -54,7 +52,4 @@
   virtual void Kill() = 0;
 };
 
-/** Makes one entry process; callers at other places are named so that it can hand them out. */
-using EntryNodeFactory = std::function<std::unique_ptr<EntryNode>(const NodePlace& aPlace)>;
-
 } // namespace skylarkwing::bench
--- a/daemon/tests/burn_exchange_test.cpp
+++ b/daemon/tests/burn_exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/burn_exchange.h"
 
 #include "core/virtual_timer_service.h"
+#include "net/tests/instant_bus.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -17,45 +18,7 @@
 
 using namespace std::chrono_literals;
 
-class FakeBus;
-using Network = std::map<std::string, FakeBus*>;
-
-/** Delivers at once to the buses of one network. */
-class FakeBus : public net::PeerBus
-{
-public:
-  FakeBus(Network& aNetwork, std::string aVm)
-    : mNetwork(aNetwork)
-    , mVm(std::move(aVm))
-  {
-    mNetwork[mVm] = this;
-  }
-
-  void Connect(const std::string&, const std::string&) override {}
-  void Disconnect(const std::string&) override {}
-
-  bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody) override
-  {
-    const auto it = mNetwork.find(aVm);
-    if (it == mNetwork.end()) {
-      return false;
-    }
-    net::PeerMessageOrigin origin;
-    origin.vm = mVm;
-    it->second->mHandlers.at(std::string(aKind))(origin, aBody);
-    return true;
-  }
-
-  void OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler) override
-  {
-    mHandlers[aKind] = std::move(aHandler);
-  }
-
-private:
-  Network& mNetwork;
-  std::string mVm;
-  std::map<std::string, net::PeerMessageHandler> mHandlers;
-};
+using net::test::InstantBus;
 
 declaration::Configuration
 MakeConfiguration()
@@ -73,7 +36,7 @@
 /** One daemon's counts and its exchange. */
 struct Node
 {
-  Node(core::VirtualTimerService& aTimers, Network& aNetwork, const std::string& aVm)
+  Node(core::VirtualTimerService& aTimers, InstantBus::Network& aNetwork, const std::string& aVm)
     : bus(aNetwork, aVm)
     , tracker(aTimers)
     , exchange(aTimers, bus, aVm, tracker, keeper, { [this] { return peers; } })
@@ -90,7 +53,7 @@
     tracker.Record(outcome);
   }
 
-  FakeBus bus;
+  InstantBus bus;
   declaration::ConfigurationKeeper keeper;
   console::BurnTracker tracker;
   std::vector<std::string> peers;
@@ -104,7 +67,7 @@
 BOOST_AUTO_TEST_CASE(a_report_adds_all_daemons_and_names_the_silent)
 {
   core::VirtualTimerService timers;
-  Network network;
+  InstantBus::Network network;
   Node a(timers, network, "vm-a");
   Node b(timers, network, "vm-b");
   a.peers = { "vm-b", "vm-silent" };
@@ -128,7 +91,7 @@
 BOOST_AUTO_TEST_CASE(screens_have_counts_collected_only_while_somebody_looks)
 {
   core::VirtualTimerService timers;
-  Network network;
+  InstantBus::Network network;
   Node a(timers, network, "vm-a");
   a.Record(90ms);
   BOOST_TEST(a.exchange.Recent().empty());
--- a/daemon/upstream_wiring.cpp
+++ b/daemon/upstream_wiring.cpp
@@ -6,7 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <utility>
 
 namespace skylarkwing::daemon {
--- a/upstream/tests/part_router_test.cpp
+++ b/upstream/tests/part_router_test.cpp
@@ -1,4 +1,5 @@
 #include "core/virtual_timer_service.h"
+#include "net/tests/instant_bus.h"
 #include "upstream/part_router.h"
 #include "upstream/upstream_messages.h"
 
@@ -18,55 +19,12 @@
 
 using namespace std::chrono_literals;
 
-class FakeBus;
-using Network = std::map<std::string, FakeBus*>;
-
-/** Delivers at once, but for ways that are cut. */
-class FakeBus : public net::PeerBus
-{
-public:
-  FakeBus(Network& aNetwork, std::string aVm)
-    : mNetwork(aNetwork)
-    , mVm(std::move(aVm))
-  {
-    mNetwork[mVm] = this;
-  }
-
-  void Connect(const std::string&, const std::string&) override {}
-  void Disconnect(const std::string&) override {}
-
-  bool Send(const std::string& aVm, std::string_view aKind, const nlohmann::json& aBody) override
-  {
-    if (cutTo.contains(aVm)) {
-      return false;
-    }
-    ++sent;
-    net::PeerMessageOrigin origin;
-    origin.vm = mVm;
-    origin.age = age;
-    mNetwork.at(aVm)->mHandlers.at(std::string(aKind))(origin, aBody);
-    return true;
-  }
-
-  void OnMessage(const std::string& aKind, net::PeerMessageHandler aHandler) override
-  {
-    mHandlers[aKind] = std::move(aHandler);
-  }
-
-  std::set<std::string> cutTo;
-  core::Duration age{};
-  int sent = 0;
-
-private:
-  Network& mNetwork;
-  std::string mVm;
-  std::map<std::string, net::PeerMessageHandler> mHandlers;
-};
+using net::test::InstantBus;
 
 /** One daemon's router over a dispatcher that the test answers for. */
 struct Node
 {
-  Node(core::VirtualTimerService& aTimers, Network& aNetwork, const std::string& aVm)
+  Node(core::VirtualTimerService& aTimers, InstantBus::Network& aNetwork, const std::string& aVm)
     : bus(aNetwork, aVm)
     , router(aTimers, metrics, bus, aVm, MakeHooks())
   {
@@ -87,7 +45,7 @@
   }
 
   core::Metrics metrics;
-  FakeBus bus;
+  InstantBus bus;
   std::vector<PartRequest> parts;
   std::vector<PartCallback> callbacks;
   std::vector<std::string> cancelled;
@@ -118,7 +76,7 @@
   }
 
   core::VirtualTimerService timers;
-  Network network;
+  InstantBus::Network network;
   Node asker{ timers, network, "vm-a" };
   Node owner{ timers, network, "vm-b" };
   std::vector<PartAnswer> answers;
