--- /dev/null
+++ b/caller/entry_admission.cpp
@@ -0,0 +1,48 @@
+#include "caller/entry_admission.h"
+
+#include <algorithm>
+
+namespace skylarkwing::caller {
+
+namespace {
+
+/** How long a measured lag counts. */
+constexpr core::Duration kLagMemory = std::chrono::milliseconds{ 100 };
+
+/** A request of the next lower priority is refused at this share of the bounds. */
+constexpr double kPriorityStep = 0.85;
+
+/** Priorities below this one are treated alike. */
+constexpr std::uint32_t kLowestPriority = 4;
+
+/** When a refused caller may come again: about the time in which an overload of this size ends. */
+constexpr core::Duration kRetryAfter = std::chrono::milliseconds{ 150 };
+
+} // namespace
+
+void
+EntryAdmission::RecordLag(core::Duration aLag, core::TimePoint aNow)
+{
+  if (aNow - mLagAt > kLagMemory || aLag > mLag) {
+    mLag = aLag;
+    mLagAt = aNow;
+  }
+}
+
+std::optional<core::Duration>
+EntryAdmission::Refuse(std::uint32_t aPriority, core::TimePoint aNow) const
+{
+  double share = 1.0;
+  for (std::uint32_t n = 0; n < std::min(aPriority, kLowestPriority); ++n) {
+    share *= kPriorityStep;
+  }
+  const bool isLagging =
+    aNow - mLagAt <= kLagMemory && mLag > std::chrono::duration_cast<core::Duration>(mLimits.lag * share);
+  const bool isFull = static_cast<double>(mRunning) >= static_cast<double>(mLimits.requests) * share;
+  if (!isLagging && !isFull) {
+    return std::nullopt;
+  }
+  return kRetryAfter;
+}
+
+} // namespace skylarkwing::caller
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -6,11 +6,16 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
 #include <ctime>
@@ -42,6 +47,44 @@
   return boost::log::trivial::error;
 }
 
+/**
+ * Writes lines to standard output and never waits: a reader that has stopped must not stop the
+ * service. What doesn't fit is dropped, and the number of dropped lines is told with the next one.
+ */
+class OutputBackend
+  : public boost::log::sinks::basic_formatted_sink_backend<char,
+                                                           boost::log::sinks::concurrent_feeding>
+{
+public:
+  OutputBackend()
+  {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags != -1) {
+      fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+
+  void consume([[maybe_unused]] const boost::log::record_view& aRecord, const std::string& aLine)
+  {
+    std::string line = mRest + aLine + '\n';
+    const ssize_t n = write(STDOUT_FILENO, line.data(), line.size());
+    if (n < 0) {
+      mDropped += 1;
+      return;
+    }
+    // The rest of a line that was cut goes out before the next one.
+    mRest = line.substr(static_cast<std::size_t>(n));
+    if (mDropped > 0 && mRest.empty()) {
+      mRest = R"({"event":"output_lines_dropped","count":")" + std::to_string(mDropped) + "\"}\n";
+      mDropped = 0;
+    }
+  }
+
+private:
+  std::string mRest;
+  std::uint64_t mDropped = 0;
+};
+
 std::string
 Timestamp()
 {
@@ -97,10 +140,17 @@
 }
 
 void
-InitializeLog(LogLevel aLeast, LogFormat aFormat)
+InitializeLog(LogLevel aLeast, LogFormat aFormat, LogTarget aTarget)
 {
   sFormat = aFormat;
-  boost::log::add_console_log(std::clog, boost::log::keywords::format = "%Message%");
+  if (aTarget == LogTarget::Output) {
+    using Sink = boost::log::sinks::unlocked_sink<OutputBackend>;
+    const auto sink = boost::make_shared<Sink>();
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+  } else {
+    boost::log::add_console_log(std::clog, boost::log::keywords::format = "%Message%");
+  }
   boost::log::core::get()->set_filter(boost::log::trivial::severity >= ToSeverity(aLeast));
 }
 
--- a/core/log.h
+++ b/core/log.h
@@ -22,6 +22,15 @@
   Json,
 };
 
+/** Where log lines go. */
+enum class LogTarget
+{
+  /** Standard error. */
+  Error,
+  /** Standard output, without ever waiting for its reader: lines that don't fit are dropped. */
+  Output,
+};
+
 /** One named value of a log line. */
 struct LogField
 {
@@ -33,9 +42,9 @@
 std::string_view
 NameOf(LogLevel aLevel);
 
-/** Sets up the process's log on standard error; to be called once, before any line. */
+/** Sets up the process's log; to be called once, before any line. */
 void
-InitializeLog(LogLevel aLeast, LogFormat aFormat);
+InitializeLog(LogLevel aLeast, LogFormat aFormat, LogTarget aTarget = LogTarget::Error);
 
 /**
  * Writes one line about a change of state. Steady conditions are counted in metrics instead.
--- a/main/command_table.cpp
+++ b/main/command_table.cpp
@@ -1,10 +1,14 @@
 #include "main/command_table.h"
 
-#include "bench/bench_command.h"
-#include "bench/demo_command.h"
 #include "console/operator_commands.h"
+#include "main/platform_command.h"
 #include "main/serve_command.h"
 
+#ifndef SKYLARKWING_SERVICE_ONLY
+#include "bench/bench_command.h"
+#include "bench/demo_command.h"
+#endif
+
 namespace skylarkwing {
 
 const std::vector<Command>&
@@ -12,6 +16,7 @@
 {
   static const std::vector<Command> commands{
     { "serve", "run the daemon of one entry VM", RunServe },
+    { "platform", "run the daemon of one entry VM on the division's platform", RunPlatform },
     { "check", "check a declaration and name every fault", console::RunCheck },
     { "diff", "compare a declaration with what is in force", console::RunDiff },
     { "apply", "put a declaration in force", console::RunApply },
@@ -19,8 +24,10 @@
     { "domain", "take a failure domain out, or back in", console::RunDomain },
     { "history", "show who changed what, when and why", console::RunHistory },
     { "report", "report on service-level burn", console::RunReport },
+#ifndef SKYLARKWING_SERVICE_ONLY
     { "demo", "run daemons, stand-ins and callers in one process", bench::RunDemo },
     { "bench", "run scenarios under two policies and compare them", bench::RunBench },
+#endif
   };
   return commands;
 }
--- /dev/null
+++ b/main/platform_command.cpp
@@ -0,0 +1,175 @@
+#include "main/platform_command.h"
+
+#include "core/exit_code.h"
+#include "core/log.h"
+#include "core/task.h"
+#include "platform/boot_settings.h"
+#include "platform/platform_daemon.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <getopt.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <utility>
+
+namespace skylarkwing {
+
+namespace {
+
+namespace asio = boost::asio;
+using core::kExitDone;
+using core::kExitFailed;
+using core::kExitUsage;
+
+/** Names the settings file on the platform. */
+constexpr const char* kSettingsVariable = "SKYLARKWING_NODE_FILE";
+
+constexpr const char* kHelp =
+  "Usage: skylarkwing platform [--settings FILE]\n"
+  "\n"
+  "Runs the daemon of one entry VM on the division's platform until SIGTERM or SIGINT, then\n"
+  "stops gracefully. SIGHUP reads the settings again.\n"
+  "\n"
+  "  --settings FILE   the process's own settings, in JSON, as platform/settings.json.template\n"
+  "                    makes them; the file that SKYLARKWING_NODE_FILE names if absent\n"
+  "  --check           read the settings, say whether they are right, and exit\n"
+  "  --help            show this text\n"
+  "  --version         show the version\n"
+  "\n"
+  "Exit codes: 0 stopped, 1 failed, 2 wrong usage or settings.\n";
+
+/** What the command line says. */
+struct PlatformOptions
+{
+  std::string settingsFile;
+  bool onlyCheck = false;
+  /** Set when the command ends here, with this exit code. */
+  int exitCode = -1;
+};
+
+constexpr int kSettings = 's';
+constexpr int kCheck = 'c';
+constexpr int kHelpOption = 'h';
+constexpr int kVersion = 'v';
+
+PlatformOptions
+ParseOptions(int aCount, char** aArguments)
+{
+  const std::array<option, 5> known{ { { "settings", required_argument, nullptr, kSettings },
+                                       { "check", no_argument, nullptr, kCheck },
+                                       { "help", no_argument, nullptr, kHelpOption },
+                                       { "version", no_argument, nullptr, kVersion },
+                                       {} } };
+  PlatformOptions options;
+  optind = 1;
+  int name = 0;
+  while ((name = getopt_long(aCount, aArguments, "", known.data(), nullptr)) != -1) {
+    switch (name) {
+      case kSettings:
+        options.settingsFile = optarg;
+        break;
+      case kCheck:
+        options.onlyCheck = true;
+        break;
+      case kHelpOption:
+        std::cout << kHelp;
+        options.exitCode = kExitDone;
+        return options;
+      case kVersion:
+        std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
+        options.exitCode = kExitDone;
+        return options;
+      default:
+        options.exitCode = kExitUsage;
+        return options;
+    }
+  }
+  const char* variable = std::getenv(kSettingsVariable);
+  if (options.settingsFile.empty() && variable != nullptr) {
+    options.settingsFile = variable;
+  }
+  if (options.settingsFile.empty() || optind != aCount) {
+    std::cerr << "skylarkwing platform: a settings file is needed; see --help\n";
+    options.exitCode = kExitUsage;
+  }
+  return options;
+}
+
+/** Reads the settings again at each SIGHUP; faulty ones change nothing. */
+core::Task<void>
+ReloadAtSignal(asio::io_context& aLoop, platform::PlatformDaemon& aDaemon, std::string aPath)
+{
+  asio::signal_set signals(aLoop, SIGHUP);
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    const platform::BootResult read = platform::LoadBootSettings(aPath);
+    if (read.settings) {
+      aDaemon.Reload(*read.settings);
+      continue;
+    }
+    for (const std::string& fault : read.faults) {
+      core::LogChange(
+        core::LogLevel::Error, "platform", "settings_refused", { { "fault", fault } });
+    }
+  }
+}
+
+/** Stops the daemon at the first signal; later ones are ignored, because work still runs. */
+core::Task<void>
+StopAtSignal(asio::io_context& aLoop, platform::PlatformDaemon& aDaemon)
+{
+  asio::signal_set signals(aLoop, SIGTERM, SIGINT);
+  co_await signals.async_wait(asio::use_awaitable);
+  co_await aDaemon.Stop();
+  aLoop.stop();
+}
+
+int
+Serve(platform::BootSettings aSettings, const std::string& aPath)
+{
+  core::InitializeLog(core::LogLevel::Info, core::LogFormat::Json, core::LogTarget::Output);
+  asio::io_context loop(1);
+  platform::PlatformDaemon daemon(loop, std::move(aSettings));
+  if (!daemon.Setup()) {
+    std::cerr << "skylarkwing platform: " << daemon.LastError() << '\n';
+    return kExitFailed;
+  }
+  core::Start(loop.get_executor(), StopAtSignal(loop, daemon));
+  core::Start(loop.get_executor(), ReloadAtSignal(loop, daemon, aPath));
+  daemon.Start();
+  loop.run();
+  // What still runs refers to the daemon, so nothing of it is taken down piece by piece.
+  std::cout.flush();
+  std::_Exit(kExitDone);
+}
+
+} // namespace
+
+int
+RunPlatform(int aCount, char** aArguments)
+{
+  const PlatformOptions options = ParseOptions(aCount, aArguments);
+  if (options.exitCode >= 0) {
+    return options.exitCode;
+  }
+  platform::BootResult loaded = platform::LoadBootSettings(options.settingsFile);
+  if (!loaded.settings) {
+    for (const std::string& fault : loaded.faults) {
+      std::cerr << fault << '\n';
+    }
+    return kExitUsage;
+  }
+  if (options.onlyCheck) {
+    std::cout << options.settingsFile << ": right\n";
+    return kExitDone;
+  }
+  return Serve(std::move(*loaded.settings), options.settingsFile);
+}
+
+} // namespace skylarkwing
--- /dev/null
+++ b/membership/entry_lease.cpp
@@ -0,0 +1,90 @@
+#include "membership/entry_lease.h"
+
+#include "core/log.h"
+
+#include <utility>
+
+namespace skylarkwing::membership {
+
+namespace {
+
+using store::StoreStatus;
+
+/** Keeps daemons that started together from calling the store together. */
+constexpr double kJitterShare = 0.1;
+
+} // namespace
+
+EntryLease::EntryLease(store::KeyValueStore& aStore,
+                       core::TimerService& aTimers,
+                       core::RandomSource& aRandom,
+                       EntryLeaseSettings aSettings)
+  : mStore(aStore)
+  , mTimers(aTimers)
+  , mRandom(aRandom)
+  , mSettings(std::move(aSettings))
+{
+}
+
+core::Task<void>
+EntryLease::Run()
+{
+  const auto self = shared_from_this();
+  while (!mIsLeaving) {
+    co_await Renew();
+    const double spread = mRandom.Around(1.0, kJitterShare);
+    co_await core::Sleep(mTimers,
+                         std::chrono::duration_cast<core::Duration>(mSettings.renewal * spread));
+  }
+}
+
+core::Task<void>
+EntryLease::Renew()
+{
+  if (mLease != 0 && mIsWritten) {
+    const StoreStatus kept = co_await mStore.KeepLease(mLease);
+    if (kept != StoreStatus::Absent) {
+      co_return;
+    }
+    core::LogChange(core::LogLevel::Warning,
+                    "membership",
+                    "entry_lease_ended",
+                    { { "lease", std::to_string(mLease) } });
+    mLease = 0;
+  }
+  if (mLease == 0) {
+    const store::LeaseGrant grant = co_await mStore.GrantLease(mSettings.lifetime);
+    if (grant.status != StoreStatus::Done) {
+      core::LogChange(core::LogLevel::Warning,
+                      "membership",
+                      "entry_lease_failed",
+                      { { "status", std::string(store::NameOf(grant.status)) } });
+      co_return;
+    }
+    mLease = grant.lease;
+  }
+  if (mIsLeaving) {
+    co_return;
+  }
+  const StoreStatus put = co_await mStore.Put(mSettings.key, mSettings.value, mLease);
+  mIsWritten = put == StoreStatus::Done;
+  if (put == StoreStatus::Absent) {
+    mLease = 0;
+  }
+  core::LogChange(mIsWritten ? core::LogLevel::Info : core::LogLevel::Warning,
+                  "membership",
+                  "entry_written",
+                  { { "status", std::string(store::NameOf(put)) },
+                    { "lease", std::to_string(mLease) } });
+}
+
+core::Task<void>
+EntryLease::Leave()
+{
+  mIsLeaving = true;
+  if (mLease != 0) {
+    co_await mStore.EndLease(mLease);
+  }
+}
+
+} // namespace skylarkwing::membership
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -54,7 +54,11 @@
   message.target(aRequest.target);
   message.set(http::field::host, "skylarkwing");
   for (const HttpHeader& header : aRequest.headers) {
-    message.set(header.name, header.value);
+    if (beast::iequals(header.name, "host")) {
+      message.set(http::field::host, header.value);
+    } else {
+      message.insert(header.name, header.value);
+    }
   }
   message.body() = std::move(aRequest.body);
   message.prepare_payload();
@@ -104,6 +108,7 @@
 
   bool IsClosedByPeer();
   core::Task<HttpClientError> Send(HttpRequest aRequest, core::Duration aTimeout);
+  core::Task<HttpReply> ReadReply();
 };
 
 bool
@@ -138,6 +143,25 @@
   co_return ec == beast::error::timeout ? HttpClientError::TimedOut : HttpClientError::Broken;
 }
 
+core::Task<HttpReply>
+HttpConnection::State::ReadReply()
+{
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kLargestAnswerBytes);
+  const auto [ec, n] = co_await http::async_read(stream, buffer, parser, kAsTuple);
+  if (ec) {
+    Close();
+    co_return Fail(ReadErrorOf(ec));
+  }
+  if (!parser.get().keep_alive()) {
+    Close();
+  }
+  HttpReply reply;
+  reply.response = ToResponse(parser.get());
+  reply.response.body = std::move(parser.get().body());
+  co_return reply;
+}
+
 HttpConnection::HttpConnection(asio::any_io_executor aExecutor)
   : mState(std::make_shared<State>(std::move(aExecutor)))
 {
@@ -177,20 +201,18 @@
   if (sendError != HttpClientError::None) {
     co_return Fail(sendError);
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kLargestAnswerBytes);
-  const auto [ec, n] = co_await http::async_read(state->stream, state->buffer, parser, kAsTuple);
-  if (ec) {
-    state->Close();
-    co_return Fail(ReadErrorOf(ec));
-  }
-  if (!parser.get().keep_alive()) {
-    state->Close();
+  co_return co_await state->ReadReply();
+}
+
+core::Task<HttpReply>
+HttpConnection::ReadNext(core::Duration aTimeout)
+{
+  const auto state = mState;
+  if (!state->isOpen) {
+    co_return Fail(HttpClientError::Broken);
   }
-  HttpReply reply;
-  reply.response = ToResponse(parser.get());
-  reply.response.body = std::move(parser.get().body());
-  co_return reply;
+  state->stream.expires_after(aTimeout);
+  co_return co_await state->ReadReply();
 }
 
 core::Task<HttpReply>
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -58,6 +58,9 @@
   /** Sends a request and reads its whole answer. After any error the connection is closed. */
   core::Task<HttpReply> Exchange(HttpRequest aRequest, core::Duration aTimeout);
 
+  /** Reads one more answer, for when the last one belonged to no request of this connection. */
+  core::Task<HttpReply> ReadNext(core::Duration aTimeout);
+
   /** Sends a request and reads the head of a streamed answer; ReadPiece() reads the rest. */
   core::Task<HttpReply> OpenStream(HttpRequest aRequest, core::Duration aTimeout);
 
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -4,6 +4,8 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <utility>
+
 namespace skylarkwing::net {
 
 namespace {
@@ -22,6 +24,19 @@
 
 } // namespace
 
+void
+HttpClientWatch::SetGone()
+{
+  if (mIsGone) {
+    return;
+  }
+  mIsGone = true;
+  if (mCallback) {
+    const std::function<void()> callback = std::exchange(mCallback, nullptr);
+    callback();
+  }
+}
+
 std::optional<std::string>
 HttpRequest::Header(std::string_view aName) const
 {
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -3,6 +3,7 @@
 #include "core/task.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,30 @@
   std::string value;
 };
 
+/** Tells the handler of a request whether its client still waits for the answer. */
+class HttpClientWatch
+{
+public:
+  HttpClientWatch() = default;
+  HttpClientWatch(const HttpClientWatch&) = delete;
+  HttpClientWatch& operator=(const HttpClientWatch&) = delete;
+  virtual ~HttpClientWatch() = default;
+
+  /** @return whether the client has closed its connection. */
+  bool IsGone() const { return mIsGone; }
+
+  /** Sets what is called once when the client closes its connection; replaces an earlier one. */
+  void OnGone(std::function<void()> aCallback) { mCallback = std::move(aCallback); }
+
+protected:
+  /** Notes that the client has gone and calls the callback. */
+  void SetGone();
+
+private:
+  bool mIsGone = false;
+  std::function<void()> mCallback;
+};
+
 /** An HTTP request, whole. */
 struct HttpRequest
 {
@@ -26,6 +51,8 @@
   std::string body;
   /** IP address and port of the peer; set by the server only. */
   std::string clientAddress;
+  /** Set by a server that watches its clients; null otherwise. */
+  std::shared_ptr<HttpClientWatch> client;
 
   /** @return the value of a header field, by its name without regard to case. */
   std::optional<std::string> Header(std::string_view aName) const;
@@ -61,6 +88,7 @@
 struct HttpResponse
 {
   unsigned status = 200;
+  /** Empty when the headers hold it, or there is none. */
   std::string contentType = "application/json";
   std::vector<HttpHeader> headers;
   std::string body;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -74,9 +74,11 @@
 void
 FillHead(http::response<Body>& aMessage, const HttpResponse& aResponse, bool aKeepAlive)
 {
-  aMessage.set(http::field::content_type, aResponse.contentType);
+  if (!aResponse.contentType.empty()) {
+    aMessage.set(http::field::content_type, aResponse.contentType);
+  }
   for (const HttpHeader& header : aResponse.headers) {
-    aMessage.set(header.name, header.value);
+    aMessage.insert(header.name, header.value);
   }
   aMessage.keep_alive(aKeepAlive);
 }
@@ -114,6 +116,50 @@
   return static_cast<unsigned>(http::status::bad_request);
 }
 
+/** Watches the socket of a client while its request is handled. */
+class SocketWatch
+  : public HttpClientWatch
+  , public std::enable_shared_from_this<SocketWatch>
+{
+public:
+  explicit SocketWatch(std::shared_ptr<beast::tcp_stream> aStream)
+    : mStream(std::move(aStream))
+  {
+  }
+
+  void Start()
+  {
+    mStream->socket().async_wait(
+      asio::socket_base::wait_read,
+      [self = shared_from_this()](const beast::error_code& aError) { self->OnReadable(aError); });
+  }
+
+  void Stop()
+  {
+    mIsStopped = true;
+    beast::error_code ec;
+    mStream->socket().cancel(ec);
+  }
+
+private:
+  void OnReadable(const beast::error_code& aError)
+  {
+    if (aError || mIsStopped) {
+      return;
+    }
+    char byte = 0;
+    beast::error_code ec;
+    mStream->socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    // Bytes here belong to a next request that was sent early; it is read after the answer.
+    if (ec && ec != asio::error::would_block) {
+      SetGone();
+    }
+  }
+
+  std::shared_ptr<beast::tcp_stream> mStream;
+  bool mIsStopped = false;
+};
+
 /**
  * Cancels what a stream does after a time. A timeout of the stream itself would close it, and the
  * client would not learn why.
@@ -137,7 +183,8 @@
 IsClientGone(const beast::error_code& aError)
 {
   return aError == http::error::end_of_stream || aError == asio::error::connection_reset ||
-         aError == asio::error::operation_aborted || aError == asio::error::bad_descriptor;
+         aError == asio::error::operation_aborted || aError == asio::error::bad_descriptor ||
+         aError == asio::error::broken_pipe || aError == asio::error::timed_out;
 }
 
 } // namespace
@@ -164,7 +211,15 @@
   HttpHandler handler;
   HttpFaultHandler faultHandler;
   asio::ip::tcp::acceptor acceptor;
-  std::unordered_map<std::uint64_t, std::shared_ptr<beast::tcp_stream>> streams;
+  /** One open connection. */
+  struct Connection
+  {
+    std::shared_ptr<beast::tcp_stream> stream;
+    /** Whether a request has begun to arrive and isn't answered yet. */
+    bool isBusy = false;
+  };
+
+  std::unordered_map<std::uint64_t, Connection> streams;
   std::uint64_t lastStream = 0;
   std::size_t active = 0;
   bool isClosing = false;
@@ -174,12 +229,18 @@
   core::Task<void> Serve(std::shared_ptr<State> aSelf,
                          std::uint64_t aId,
                          std::shared_ptr<beast::tcp_stream> aStream);
-  core::Task<bool> ServeOne(std::shared_ptr<beast::tcp_stream> aStream,
+  core::Task<bool> ServeOne(std::uint64_t aId,
+                            std::shared_ptr<beast::tcp_stream> aStream,
                             std::shared_ptr<beast::flat_buffer> aBuffer,
                             std::string aClientAddress);
-  core::Task<beast::error_code> Read(std::shared_ptr<beast::tcp_stream> aStream,
+  core::Task<HttpResponse> Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest);
+  core::Task<beast::error_code> Read(std::uint64_t aId,
+                                     std::shared_ptr<beast::tcp_stream> aStream,
                                      beast::flat_buffer& aBuffer,
                                      Parser& aParser);
+  core::Task<beast::error_code> AwaitFirstByte(std::shared_ptr<beast::tcp_stream> aStream,
+                                               beast::flat_buffer& aBuffer);
+  void MarkBusy(std::uint64_t aId, bool aIsBusy);
   core::Task<bool> Respond(beast::tcp_stream& aStream, HttpResponse aResponse, bool aKeepAlive);
   core::Task<bool> RespondInPieces(beast::tcp_stream& aStream, HttpResponse aResponse);
   core::Task<void> RefuseAndLinger(beast::tcp_stream& aStream, HttpServerFault aFault);
@@ -203,7 +264,7 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const std::uint64_t id = ++lastStream;
     auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
-    streams.emplace(id, stream);
+    streams.emplace(id, Connection{ stream, false });
     core::Start(loop.get_executor(), Serve(aSelf, id, std::move(stream)));
   }
 }
@@ -222,7 +283,8 @@
     auto buffer = std::make_shared<beast::flat_buffer>();
     bool isOpen = true;
     while (isOpen && !isClosed) {
-      isOpen = co_await ServeOne(aStream, buffer, clientAddress);
+      isOpen = co_await ServeOne(aId, aStream, buffer, clientAddress);
+      MarkBusy(aId, false);
     }
   }
   aStream->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
@@ -230,15 +292,25 @@
   streams.erase(aId);
 }
 
+void
+HttpServer::State::MarkBusy(std::uint64_t aId, bool aIsBusy)
+{
+  const auto it = streams.find(aId);
+  if (it != streams.end()) {
+    it->second.isBusy = aIsBusy;
+  }
+}
+
 core::Task<bool>
-HttpServer::State::ServeOne(std::shared_ptr<beast::tcp_stream> aStream,
+HttpServer::State::ServeOne(std::uint64_t aId,
+                            std::shared_ptr<beast::tcp_stream> aStream,
                             std::shared_ptr<beast::flat_buffer> aBuffer,
                             std::string aClientAddress)
 {
   Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
   parser.body_limit(limits.bodyBytes);
-  const beast::error_code ec = co_await Read(aStream, *aBuffer, parser);
+  const beast::error_code ec = co_await Read(aId, aStream, *aBuffer, parser);
   if (IsClientGone(ec)) {
     co_return false;
   }
@@ -250,7 +322,7 @@
   const bool isKeepAlive = parser.get().keep_alive();
   aStream->expires_never();
   ++active;
-  HttpResponse response = co_await handler(std::move(request));
+  HttpResponse response = co_await Handle(aStream, std::move(request));
   bool isOpen = false;
   if (response.stream) {
     isOpen = co_await RespondInPieces(*aStream, std::move(response));
@@ -261,23 +333,57 @@
   co_return isOpen;
 }
 
+core::Task<HttpResponse>
+HttpServer::State::Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest)
+{
+  if (!limits.watchClients) {
+    co_return co_await handler(std::move(aRequest));
+  }
+  const auto watch = std::make_shared<SocketWatch>(std::move(aStream));
+  aRequest.client = watch;
+  watch->Start();
+  HttpResponse response = co_await handler(std::move(aRequest));
+  watch->Stop();
+  co_return response;
+}
+
+core::Task<beast::error_code>
+HttpServer::State::AwaitFirstByte(std::shared_ptr<beast::tcp_stream> aStream,
+                                  beast::flat_buffer& aBuffer)
+{
+  const core::TimePoint start = std::chrono::steady_clock::now();
+  while (true) {
+    auto isLate = std::make_shared<bool>(false);
+    asio::steady_timer limit(loop);
+    CancelAfter(
+      limit, limits.idleTimeout - (std::chrono::steady_clock::now() - start), aStream, isLate);
+    auto room = aBuffer.prepare(limits.headerBytes);
+    const auto [ec, n] = co_await aStream->async_read_some(room, kAsTuple);
+    aBuffer.commit(n);
+    // The limits may have become longer while the connection was idle.
+    if (*isLate && ec && std::chrono::steady_clock::now() - start < limits.idleTimeout) {
+      continue;
+    }
+    co_return ec == asio::error::eof ? beast::error_code(http::error::end_of_stream) : ec;
+  }
+}
+
 core::Task<beast::error_code>
-HttpServer::State::Read(std::shared_ptr<beast::tcp_stream> aStream,
+HttpServer::State::Read(std::uint64_t aId,
+                        std::shared_ptr<beast::tcp_stream> aStream,
                         beast::flat_buffer& aBuffer,
                         Parser& aParser)
 {
   // The first byte may take as long as a client keeps an idle connection; the rest may not.
-  auto isLate = std::make_shared<bool>(false);
-  asio::steady_timer limit(loop);
   if (aBuffer.size() == 0) {
-    CancelAfter(limit, limits.idleTimeout, aStream, isLate);
-    auto room = aBuffer.prepare(limits.headerBytes);
-    const auto [ec, n] = co_await aStream->async_read_some(room, kAsTuple);
-    aBuffer.commit(n);
+    const beast::error_code ec = co_await AwaitFirstByte(aStream, aBuffer);
     if (ec) {
-      co_return ec == asio::error::eof ? beast::error_code(http::error::end_of_stream) : ec;
+      co_return ec;
     }
   }
+  MarkBusy(aId, true);
+  auto isLate = std::make_shared<bool>(false);
+  asio::steady_timer limit(loop);
   CancelAfter(limit, limits.requestTimeout, aStream, isLate);
   const auto [ec, n] = co_await http::async_read(*aStream, aBuffer, aParser, kAsTuple);
   co_return *isLate&& ec ? beast::error_code(beast::error::timeout) : ec;
@@ -356,6 +462,12 @@
   mState->faultHandler = std::move(aHandler);
 }
 
+void
+HttpServer::SetLimits(HttpServerLimits aLimits)
+{
+  mState->limits = aLimits;
+}
+
 bool
 HttpServer::Listen(const std::string& aAddress)
 {
@@ -406,6 +518,19 @@
   mState->isClosing = true;
 }
 
+void
+HttpServer::CloseIdle()
+{
+  StopAccepting();
+  mState->isClosing = true;
+  for (auto& [id, connection] : mState->streams) {
+    if (!connection.isBusy) {
+      beast::error_code ec;
+      connection.stream->socket().close(ec);
+    }
+  }
+}
+
 std::size_t
 HttpServer::OpenConnections() const
 {
@@ -423,9 +548,9 @@
 {
   StopAccepting();
   mState->isClosed = true;
-  for (auto& [id, stream] : mState->streams) {
+  for (auto& [id, connection] : mState->streams) {
     beast::error_code ec;
-    stream->socket().close(ec);
+    connection.stream->socket().close(ec);
   }
 }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -23,6 +23,8 @@
   std::size_t connections = 4096;
   core::Duration idleTimeout = std::chrono::seconds{ 60 };
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
+  /** Gives handlers a watch on their client. A client that closes its half counts as gone. */
+  bool watchClients = false;
 };
 
 /** Why a request never reached its handler. */
@@ -57,6 +59,9 @@
   /** Replaces the plain response to requests that cannot be read. */
   void SetFaultHandler(HttpFaultHandler aHandler);
 
+  /** Takes other limits; connections that wait for a request keep the longer idle timeout. */
+  void SetLimits(HttpServerLimits aLimits);
+
   /**
    * Binds and accepts.
    *
@@ -77,6 +82,9 @@
   /** Marks every further response as the last of its connection, so that clients move away. */
   void CloseAfterResponses();
 
+  /** Closes connections on which no request has begun, and stops accepting. */
+  void CloseIdle();
+
   /** @return how many connections are open. */
   std::size_t OpenConnections() const;
 
--- /dev/null
+++ b/query/gather_policy.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <cstddef>
+
+namespace skylarkwing::query {
+
+/** Where a query over shards stands. */
+struct GatherProgress
+{
+  std::size_t shards = 0;
+  /** Fewest shards that make an answer. */
+  std::size_t least = 0;
+  std::size_t answered = 0;
+  /** Shards that can't answer any more. */
+  std::size_t failed = 0;
+  /** Time since the request arrived. */
+  core::Duration age{};
+  core::Duration objective{};
+  /** Time from arrival to the deadline. */
+  core::Duration limit{};
+};
+
+/** What to do with a query now. */
+enum class GatherStep
+{
+  Wait,
+  /** Answer with the shards that are there. */
+  Answer,
+  /** Too few shards can answer. */
+  Fail,
+};
+
+/** How long before the objective an answer leaves, to be with the caller in time. */
+constexpr core::Duration kDeliveryTime = std::chrono::milliseconds{ 14 };
+
+/** How long before the deadline the last answer leaves. */
+constexpr core::Duration kDeadlineMargin = std::chrono::milliseconds{ 20 };
+
+/** An attempt this many times as old as a usual exchange is a straggler. */
+constexpr double kStragglerFactor = 2.5;
+
+/** No attempt is a straggler before this: a hedge costs as much as a part. */
+constexpr core::Duration kLeastHedgeDelay = std::chrono::milliseconds{ 18 };
+
+/** The latest hedge, as a share of the objective, leaves it time to answer. */
+constexpr double kLatestHedgeShare = 0.4;
+
+/**
+ * Decides whether a query goes on, is answered as it is, or fails.
+ *
+ * Answers the load of stragglers: near the objective a query with enough shards goes out partial,
+ * since its caller is served better by most of the answer in time than by all of it late.
+ */
+GatherStep
+NextStep(const GatherProgress& aProgress);
+
+/** @return when NextStep() may change with no further part: a time since arrival. */
+core::Duration
+NextReview(const GatherProgress& aProgress);
+
+/**
+ * @return how old an attempt must be to get a hedge.
+ * @param aUsual how long an exchange with its replica usually takes.
+ */
+core::Duration
+HedgeDelay(core::Duration aUsual, core::Duration aObjective);
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/part_attempts.cpp
@@ -0,0 +1,225 @@
+#include "query/part_attempts.h"
+
+#include "query/gather_policy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwing::query {
+
+namespace {
+
+using upstream::AttemptResult;
+using upstream::AttemptStatus;
+using upstream::ExtraAttempt;
+using upstream::SendRefusal;
+
+/** Attempts for which no connection was made; they cost the replicas nothing. */
+constexpr std::size_t kMostNothingSent = 3;
+
+/** An attempt isn't worth a start with less time than this. */
+constexpr core::Duration kLeastTime = std::chrono::milliseconds{ 10 };
+
+} // namespace
+
+PartAttempts::PartAttempts(upstream::ReplicaSet& aReplicas,
+                           core::TimerService& aTimers,
+                           PartPlan aPlan,
+                           std::function<void()> aOnChange)
+  : mReplicas(aReplicas)
+  , mTimers(aTimers)
+  , mPlan(std::move(aPlan))
+  , mOnChange(std::move(aOnChange))
+{
+}
+
+void
+PartAttempts::Start()
+{
+  mReplicas.RecordFirst(mPlan.service);
+  SendOrWait();
+}
+
+void
+PartAttempts::HedgeIfDue()
+{
+  const auto due = HedgeDue();
+  if (!due || mTimers.Now() < *due) {
+    return;
+  }
+  mWasHedged = true;
+  const core::Duration left = mPlan.deadline - mTimers.Now();
+  if (left < kLeastTime || !mReplicas.TakeExtra(mPlan.service, ExtraAttempt::Hedge)) {
+    return;
+  }
+  TrySend(left);
+}
+
+std::optional<core::TimePoint>
+PartAttempts::HedgeDue() const
+{
+  const bool isHedgeable = mState == PartState::Running && !mWasHedged && !mIsAbandoned &&
+                           mPlan.route->isIdempotent && mSent < mPlan.route->maxAttempts;
+  if (!isHedgeable || mAttempts.empty() || !mAttempts.back().attempt) {
+    return std::nullopt;
+  }
+  const upstream::Attempt& latest = *mAttempts.back().attempt;
+  return latest.Start() + HedgeDelay(latest.Usual(), mPlan.route->objective);
+}
+
+void
+PartAttempts::Abandon()
+{
+  mIsAbandoned = true;
+  mReplicas.StopWaiting(mPlan.service, mWaiter);
+  mWaiter = 0;
+}
+
+void
+PartAttempts::CancelRunning()
+{
+  Abandon();
+  for (Sent& sent : mAttempts) {
+    if (!sent.status && sent.attempt) {
+      sent.attempt->Cancel();
+    }
+  }
+}
+
+bool
+PartAttempts::MayHaveRun() const
+{
+  return std::any_of(mAttempts.begin(), mAttempts.end(), [](const Sent& aSent) {
+    return !aSent.status || !upstream::IsCertainlyNotRun(*aSent.status);
+  });
+}
+
+bool
+PartAttempts::IsRunning() const
+{
+  return std::any_of(
+    mAttempts.begin(), mAttempts.end(), [](const Sent& aSent) { return !aSent.status; });
+}
+
+std::string
+PartAttempts::Story() const
+{
+  std::string story = mPlan.service + ":";
+  for (const Sent& sent : mAttempts) {
+    story += ' ' + sent.replica + '=';
+    story += sent.status ? NameOf(*sent.status) : std::string_view("running");
+  }
+  if (mAttempts.empty()) {
+    story += ' ';
+    story += NameOf(mRefusal);
+  }
+  return story;
+}
+
+bool
+PartAttempts::TrySend(core::Duration aFasterThan)
+{
+  upstream::AttemptOrder order;
+  order.service = mPlan.service;
+  order.regions = &mPlan.route->regions;
+  order.tried = &mTried;
+  order.deadline = mPlan.deadline;
+  order.fasterThan = aFasterThan;
+  const std::size_t index = mAttempts.size();
+  mAttempts.emplace_back();
+  ++mSent;
+  upstream::Placement placement =
+    mReplicas.Send(order, mPlan.request, [self = shared_from_this(), index](AttemptResult aResult) {
+      self->OnResult(index, std::move(aResult));
+    });
+  if (!placement.attempt) {
+    mAttempts.pop_back();
+    --mSent;
+    mRefusal = placement.refusal;
+    return false;
+  }
+  mAttempts[index].replica = placement.attempt->Replica();
+  mTried.push_back(placement.attempt->Replica());
+  mAttempts[index].attempt = std::move(placement.attempt);
+  return true;
+}
+
+void
+PartAttempts::SendOrWait()
+{
+  if (mPlan.deadline - mTimers.Now() < kLeastTime) {
+    Fail();
+    return;
+  }
+  mState = PartState::Running;
+  if (TrySend(core::Duration::zero())) {
+    return;
+  }
+  if (mRefusal == SendRefusal::NoReplica) {
+    Fail();
+    return;
+  }
+  mState = PartState::Waiting;
+  mWaiter = mReplicas.Wait(mPlan.service, mPlan.route->priority, [self = shared_from_this()] {
+    self->mWaiter = 0;
+    if (!self->mIsAbandoned) {
+      self->SendOrWait();
+    }
+  });
+}
+
+void
+PartAttempts::OnResult(std::size_t aIndex, AttemptResult aResult)
+{
+  Sent& sent = mAttempts[aIndex];
+  sent.status = aResult.status;
+  sent.attempt.reset();
+  if (aResult.status == AttemptStatus::NothingSent) {
+    --mSent;
+    ++mNothingSent;
+  }
+  if (mIsAbandoned || mState == PartState::Answered || mState == PartState::Failed) {
+    return;
+  }
+  const AttemptStatus status = aResult.status;
+  if (status == AttemptStatus::Answered || status == AttemptStatus::Failed) {
+    mResult = std::move(aResult);
+  }
+  if (status == AttemptStatus::Answered) {
+    mState = PartState::Answered;
+    mOnChange();
+    return;
+  }
+  if (IsRunning()) {
+    return;
+  }
+  if (MayRetry(status)) {
+    SendOrWait();
+    return;
+  }
+  Fail();
+}
+
+bool
+PartAttempts::MayRetry(AttemptStatus aStatus)
+{
+  if (mPlan.deadline - mTimers.Now() < kLeastTime) {
+    return false;
+  }
+  if (aStatus == AttemptStatus::NothingSent) {
+    return mNothingSent < kMostNothingSent && (mPlan.route->isIdempotent || !MayHaveRun());
+  }
+  if (mSent >= mPlan.route->maxAttempts || (!mPlan.route->isIdempotent && MayHaveRun())) {
+    return false;
+  }
+  return mReplicas.TakeExtra(mPlan.service, ExtraAttempt::Retry);
+}
+
+void
+PartAttempts::Fail()
+{
+  mState = PartState::Failed;
+  mOnChange();
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/part_attempts.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "declaration/routing_table.h"
+#include "upstream/replica_set.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::query {
+
+/** One piece of work for one service. */
+struct PartPlan
+{
+  std::string service;
+  /** How it is served; lives as long as the table. */
+  const declaration::Route* route = nullptr;
+  std::shared_ptr<const declaration::RoutingTable> table;
+  std::shared_ptr<const upstream::ForwardedRequest> request;
+  core::TimePoint deadline;
+};
+
+/** Where a part stands. */
+enum class PartState
+{
+  /** It waits for a replica with room. */
+  Waiting,
+  Running,
+  Answered,
+  /** No attempt is left. */
+  Failed,
+};
+
+/**
+ * The attempts at one part: the first one, a hedge for a straggler, a retry after a failure.
+ *
+ * Repeats only what may be repeated, only within the budget, and never at a replica already tried.
+ */
+class PartAttempts : public std::enable_shared_from_this<PartAttempts>
+{
+public:
+  /** @param aOnChange called when the part is answered or has failed. */
+  PartAttempts(upstream::ReplicaSet& aReplicas,
+               core::TimerService& aTimers,
+               PartPlan aPlan,
+               std::function<void()> aOnChange);
+
+  /** Sends the first attempt, or waits for room. */
+  void Start();
+
+  /** Sends a hedge when the running attempt has become a straggler. */
+  void HedgeIfDue();
+
+  /** @return when HedgeIfDue() may act, nothing when it never will. */
+  std::optional<core::TimePoint> HedgeDue() const;
+
+  /** Starts nothing more and reports nothing more. Running attempts go on. */
+  void Abandon();
+
+  /** Closes the connections of running attempts. */
+  void CancelRunning();
+
+  PartState State() const { return mState; }
+
+  /** @return the answer, or the replica's own failure when there is one. */
+  upstream::AttemptResult& Result() { return mResult; }
+
+  /** @return whether any attempt may have run. */
+  bool MayHaveRun() const;
+
+  /** @return whether an attempt runs at a replica now. */
+  bool IsRunning() const;
+
+  /** @return how many attempts were sent. */
+  std::size_t SentCount() const { return mSent; }
+
+  /** @return a few words on how the attempts ended, for the log. */
+  std::string Story() const;
+
+private:
+  struct Sent
+  {
+    std::string replica;
+    std::shared_ptr<upstream::Attempt> attempt;
+    std::optional<upstream::AttemptStatus> status;
+  };
+
+  upstream::ReplicaSet& mReplicas;
+  core::TimerService& mTimers;
+  PartPlan mPlan;
+  std::function<void()> mOnChange;
+  PartState mState = PartState::Waiting;
+  std::vector<Sent> mAttempts;
+  std::vector<std::string> mTried;
+  std::size_t mSent = 0;
+  std::size_t mNothingSent = 0;
+  upstream::ReplicaSet::WaiterId mWaiter = 0;
+  upstream::SendRefusal mRefusal = upstream::SendRefusal::None;
+  upstream::AttemptResult mResult;
+  bool mIsAbandoned = false;
+  bool mWasHedged = false;
+
+  bool TrySend(core::Duration aFasterThan);
+  void SendOrWait();
+  void OnResult(std::size_t aIndex, upstream::AttemptResult aResult);
+  bool MayRetry(upstream::AttemptStatus aStatus);
+  void Fail();
+};
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/query/request_run.cpp
@@ -0,0 +1,213 @@
+#include "query/request_run.h"
+
+#include "query/gather_policy.h"
+#include "query/record_merge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwing::query {
+
+namespace {
+
+/** How long work for a caller that left may go on: most of it ends by itself before. */
+constexpr core::Duration kAbandonedWorkTime = std::chrono::milliseconds{ 250 };
+
+/** When a request that found no replica may come again: about the time of a replica's restart. */
+constexpr core::Duration kRetryAfterNotRun = std::chrono::milliseconds{ 300 };
+
+/** Parts whose attempts are told in a log line. */
+constexpr std::size_t kMostStories = 3;
+
+} // namespace
+
+RequestRun::RequestRun(upstream::ReplicaSet& aReplicas,
+                       core::TimerService& aTimers,
+                       RequestPlan aPlan,
+                       RequestCallback aCallback)
+  : mReplicas(aReplicas)
+  , mTimers(aTimers)
+  , mPlan(std::move(aPlan))
+  , mCallback(std::move(aCallback))
+{
+}
+
+void
+RequestRun::Start()
+{
+  mParts.reserve(mPlan.services.size());
+  for (const std::string& service : mPlan.services) {
+    PartPlan plan{ service, mPlan.route, mPlan.table, mPlan.request, mPlan.deadline };
+    mParts.push_back(std::make_shared<PartAttempts>(
+      mReplicas, mTimers, std::move(plan), [self = weak_from_this()] {
+        if (const auto run = self.lock()) {
+          run->Review();
+        }
+      }));
+  }
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    part->Start();
+  }
+  mIsStarting = false;
+  Review();
+}
+
+void
+RequestRun::CallerGone()
+{
+  if (mIsDone) {
+    return;
+  }
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    part->Abandon();
+  }
+  mTimers.Schedule(kAbandonedWorkTime, [self = shared_from_this()] {
+    for (const std::shared_ptr<PartAttempts>& part : self->mParts) {
+      part->CancelRunning();
+    }
+  });
+  RequestResult result;
+  result.outcome = RequestOutcome::CallerGone;
+  Finish(std::move(result));
+}
+
+void
+RequestRun::Review()
+{
+  if (mIsDone || mIsStarting) {
+    return;
+  }
+  if (mPlan.route->IsFanOut()) {
+    ReviewGather();
+  } else {
+    ReviewSingle();
+  }
+}
+
+void
+RequestRun::ReviewGather()
+{
+  GatherProgress progress;
+  progress.shards = mParts.size();
+  progress.least = mPlan.route->LeastShards();
+  progress.age = mTimers.Now() - mPlan.arrival;
+  progress.objective = mPlan.route->objective;
+  progress.limit = mPlan.deadline - mPlan.arrival;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    progress.answered += part->State() == PartState::Answered ? 1 : 0;
+    progress.failed += part->State() == PartState::Failed ? 1 : 0;
+  }
+  switch (NextStep(progress)) {
+    case GatherStep::Answer:
+      AnswerGather();
+      return;
+    case GatherStep::Fail:
+      Finish(FailureOf(progress.age >= progress.limit - kDeadlineMargin));
+      return;
+    case GatherStep::Wait:
+      ScheduleReview(NextReview(progress));
+      return;
+  }
+}
+
+void
+RequestRun::ReviewSingle()
+{
+  const std::shared_ptr<PartAttempts>& part = mParts.front();
+  const core::Duration age = mTimers.Now() - mPlan.arrival;
+  const core::Duration limit = mPlan.deadline - mPlan.arrival - kDeadlineMargin;
+  const bool hasResponse = part->State() == PartState::Answered ||
+                           part->Result().status == upstream::AttemptStatus::Failed;
+  if (part->State() == PartState::Answered || (part->State() == PartState::Failed && hasResponse)) {
+    RequestResult result;
+    result.outcome = RequestOutcome::Passed;
+    result.response = std::move(part->Result().response);
+    result.attempts = part->SentCount();
+    Finish(std::move(result));
+    return;
+  }
+  if (part->State() == PartState::Failed || age >= limit) {
+    Finish(FailureOf(age >= limit));
+    return;
+  }
+  ScheduleReview(limit);
+}
+
+void
+RequestRun::ScheduleReview(core::Duration aAge)
+{
+  core::TimePoint due = mPlan.arrival + aAge;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    if (const auto hedge = part->HedgeDue()) {
+      due = std::min(due, *hedge);
+    }
+  }
+  // A review that comes too early does no harm, so a timer that is set already may stay.
+  if (mTimer != 0 && mTimerDue <= due) {
+    return;
+  }
+  mTimers.Cancel(mTimer);
+  mTimerDue = due;
+  mTimer = mTimers.Schedule(due - mTimers.Now(), [self = shared_from_this()] {
+    self->mTimer = 0;
+    for (const std::shared_ptr<PartAttempts>& part : self->mParts) {
+      part->HedgeIfDue();
+    }
+    self->Review();
+  });
+}
+
+void
+RequestRun::AnswerGather()
+{
+  RequestResult result;
+  std::vector<std::string_view> bodies;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    result.attempts += part->SentCount();
+    if (part->State() != PartState::Answered) {
+      ++result.missingShards;
+      result.reason += result.missingShards <= kMostStories ? part->Story() + "; " : std::string();
+      continue;
+    }
+    bodies.push_back(part->Result().response.body);
+    result.signatures.push_back(part->Result().signature);
+  }
+  result.outcome = result.missingShards == 0 ? RequestOutcome::Complete : RequestOutcome::Partial;
+  result.records = MergeRecords(bodies, mPlan.route->topRecords);
+  Finish(std::move(result));
+}
+
+RequestResult
+RequestRun::FailureOf(bool aIsLate) const
+{
+  RequestResult result;
+  bool mayHaveRun = false;
+  std::size_t stories = 0;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    mayHaveRun = mayHaveRun || part->MayHaveRun();
+    result.attempts += part->SentCount();
+    if (part->State() != PartState::Answered && stories++ < kMostStories) {
+      result.reason += part->Story() + "; ";
+    }
+  }
+  result.retryAfter = kRetryAfterNotRun;
+  result.outcome = !mayHaveRun ? RequestOutcome::NotRun
+                   : aIsLate   ? RequestOutcome::TimedOut
+                               : RequestOutcome::Failed;
+  return result;
+}
+
+void
+RequestRun::Finish(RequestResult aResult)
+{
+  mIsDone = true;
+  mTimers.Cancel(mTimer);
+  mTimer = 0;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    part->Abandon();
+  }
+  const RequestCallback callback = std::move(mCallback);
+  callback(std::move(aResult));
+}
+
+} // namespace skylarkwing::query
--- /dev/null
+++ b/upstream/replica_choice.cpp
@@ -0,0 +1,57 @@
+#include "upstream/replica_choice.h"
+
+#include <algorithm>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+core::Duration
+Times(core::Duration aSpan, double aFactor)
+{
+  return std::chrono::duration_cast<core::Duration>(aSpan * aFactor);
+}
+
+} // namespace
+
+core::Duration
+ExpectedTime(const ReplicaView& aReplica)
+{
+  const double slots = std::max<double>(1.0, aReplica.slots);
+  const double ahead = static_cast<double>(aReplica.waiting) + aReplica.inFlight;
+  // Below the number of slots nothing waits; the little that is added spreads work among equals.
+  const double queue = std::max(0.0, ahead + 1.0 - slots) / slots + 0.1 * ahead / slots;
+  core::Duration expected = aReplica.usual + Times(aReplica.work, queue);
+  if (aReplica.isCold) {
+    expected = Times(expected, kColdFactor);
+  }
+  if (aReplica.silentFor > Times(aReplica.usual, kSilenceFactor)) {
+    expected += std::max(kPauseRemaining, aReplica.silentFor / 2);
+  }
+  if (aReplica.isSuspect) {
+    expected += kSuspectPenalty;
+  }
+  return expected;
+}
+
+std::optional<std::size_t>
+ChooseReplica(const std::vector<ReplicaView>& aReplicas, std::uint64_t aTieBreak)
+{
+  std::optional<std::size_t> best;
+  core::Duration bestTime{};
+  const std::size_t n = aReplicas.size();
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::size_t index = (i + aTieBreak) % n;
+    if (!aReplicas[index].hasRoom) {
+      continue;
+    }
+    const core::Duration time = ExpectedTime(aReplicas[index]);
+    if (!best || time < bestTime) {
+      best = index;
+      bestTime = time;
+    }
+  }
+  return best;
+}
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/replica_link.cpp
@@ -0,0 +1,356 @@
+#include "upstream/replica_link.h"
+
+#include "core/name_table.h"
+#include "core/task.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+constexpr core::NameTable<AttemptStatus, 8> kStatusNames{ { "answered",
+                                                            "failed",
+                                                            "not_run",
+                                                            "wrong_replica",
+                                                            "nothing_sent",
+                                                            "lost",
+                                                            "timed_out",
+                                                            "garbled" } };
+
+/** Weight of the newest sample in the running mean of exchange times. */
+constexpr double kNewestWeight = 0.15;
+
+/** A sample counts as at most so many times the mean, so that one pause doesn't spoil it. */
+constexpr double kLargestSample = 4.0;
+
+/** Answers to other requests that are read past before a connection is given up. */
+constexpr int kMostForeignAnswers = 2;
+
+/** How long what a replica said of its queue counts. */
+constexpr core::Duration kLoadAge = std::chrono::milliseconds{ 60 };
+
+AttemptResult
+Result(AttemptStatus aStatus)
+{
+  AttemptResult result;
+  result.status = aStatus;
+  return result;
+}
+
+AttemptStatus
+StatusOf(net::HttpClientError aError)
+{
+  switch (aError) {
+    case net::HttpClientError::ConnectFailed:
+    case net::HttpClientError::NothingSent:
+      return AttemptStatus::NothingSent;
+    case net::HttpClientError::TimedOut:
+      return AttemptStatus::TimedOut;
+    case net::HttpClientError::Malformed:
+      return AttemptStatus::Garbled;
+    case net::HttpClientError::None:
+    case net::HttpClientError::Broken:
+      break;
+  }
+  return AttemptStatus::Lost;
+}
+
+AttemptStatus
+StatusOf(AnswerKind aKind)
+{
+  switch (aKind) {
+    case AnswerKind::Success:
+      return AttemptStatus::Answered;
+    case AnswerKind::Failure:
+      return AttemptStatus::Failed;
+    case AnswerKind::NotRun:
+      return AttemptStatus::NotRun;
+    case AnswerKind::WrongReplica:
+      return AttemptStatus::WrongReplica;
+    case AnswerKind::Foreign:
+      break;
+  }
+  return AttemptStatus::Garbled;
+}
+
+} // namespace
+
+std::string_view
+NameOf(AttemptStatus aStatus)
+{
+  return kStatusNames.NameOf(aStatus);
+}
+
+bool
+IsCertainlyNotRun(AttemptStatus aStatus)
+{
+  return aStatus == AttemptStatus::NotRun || aStatus == AttemptStatus::WrongReplica ||
+         aStatus == AttemptStatus::NothingSent;
+}
+
+Attempt::Attempt(std::string aReplica, core::TimePoint aStart, core::Duration aUsual)
+  : mReplica(std::move(aReplica))
+  , mStart(aStart)
+  , mUsual(aUsual)
+{
+}
+
+void
+Attempt::Cancel()
+{
+  mIsCancelled = true;
+  if (mConnection) {
+    mConnection->Close();
+  }
+}
+
+ReplicaLink::ReplicaLink(boost::asio::any_io_executor aExecutor,
+                         core::TimerService& aTimers,
+                         const ReplicaProtocol& aProtocol,
+                         LinkSettings aSettings,
+                         AnnouncedReplica aReplica,
+                         core::Duration aWay,
+                         std::function<void()> aOnFree)
+  : mExecutor(std::move(aExecutor))
+  , mTimers(aTimers)
+  , mProtocol(aProtocol)
+  , mSettings(aSettings)
+  , mReplica(std::move(aReplica))
+  , mWay(aWay)
+  , mOnFree(std::move(aOnFree))
+  , mUsual(aWay + aSettings.assumedWork)
+  , mLastAnswerAt(aTimers.Now())
+  , mColdUntil(aTimers.Now() + mReplica.coldRemaining)
+{
+}
+
+void
+ReplicaLink::Update(AnnouncedReplica aReplica)
+{
+  const bool isNewProcess =
+    aReplica.startedAt != mReplica.startedAt || aReplica.address != mReplica.address;
+  mReplica = std::move(aReplica);
+  mColdUntil = mTimers.Now() + mReplica.coldRemaining;
+  if (isNewProcess) {
+    mIdle.clear();
+    mUsual = mWay + mSettings.assumedWork;
+    mFailures = 0;
+    mSuspectUntil = {};
+    mLoad = {};
+  }
+}
+
+ReplicaView
+ReplicaLink::View() const
+{
+  const core::TimePoint now = mTimers.Now();
+  ReplicaView view;
+  const bool isFresh = now - mLastAnswerAt < mSettings.statisticsAge;
+  view.usual = isFresh ? mUsual : std::min(mUsual, mWay + mSettings.assumedWork);
+  view.work = std::max(view.usual - mWay, core::Duration{ std::chrono::milliseconds{ 1 } });
+  view.inFlight = static_cast<std::uint32_t>(mStarts.size());
+  view.waiting = now - mLoadAt < kLoadAge ? mLoad.waiting : 0;
+  view.slots = mReplica.slots;
+  if (!mStarts.empty()) {
+    const core::TimePoint oldest = *std::min_element(mStarts.begin(), mStarts.end());
+    view.silentFor = now - std::max(oldest, mLastAnswerAt);
+  }
+  view.hasRoom = !mIsRetired && mStarts.size() < mConnectionLimit;
+  view.isSuspect = now < mSuspectUntil;
+  view.isCold = now < mColdUntil;
+  return view;
+}
+
+std::shared_ptr<Attempt>
+ReplicaLink::Send(std::shared_ptr<const ForwardedRequest> aRequest,
+                  core::TimePoint aDeadline,
+                  AttemptCallback aCallback)
+{
+  const core::TimePoint now = mTimers.Now();
+  auto attempt = std::make_shared<Attempt>(mReplica.id, now, mUsual);
+  mStarts.push_back(now);
+  core::Start(
+    mExecutor,
+    Run(shared_from_this(), attempt, std::move(aRequest), aDeadline, std::move(aCallback)));
+  return attempt;
+}
+
+void
+ReplicaLink::Retire()
+{
+  mIsRetired = true;
+  mIdle.clear();
+}
+
+core::Task<void>
+ReplicaLink::Run([[maybe_unused]] std::shared_ptr<ReplicaLink> aSelf,
+                 std::shared_ptr<Attempt> aAttempt,
+                 std::shared_ptr<const ForwardedRequest> aRequest,
+                 core::TimePoint aDeadline,
+                 AttemptCallback aCallback)
+{
+  AttemptResult result = co_await Exchange(aAttempt, std::move(aRequest), aDeadline);
+  aAttempt->mConnection.reset();
+  ForgetStart(aAttempt->mStart);
+  if (!aAttempt->mIsCancelled) {
+    Learn(*aAttempt, result.status);
+  }
+  aCallback(std::move(result));
+  mOnFree();
+}
+
+core::Task<AttemptResult>
+ReplicaLink::Exchange(std::shared_ptr<Attempt> aAttempt,
+                      std::shared_ptr<const ForwardedRequest> aRequest,
+                      core::TimePoint aDeadline)
+{
+  // An idle connection that the replica has closed meanwhile is replaced by a new one.
+  for (aAttempt->mConnection = TakeIdle(); true; aAttempt->mConnection = TakeIdle()) {
+    const bool isReused = aAttempt->mConnection != nullptr;
+    if (!isReused && !co_await Connect(aAttempt, aDeadline)) {
+      co_return Result(AttemptStatus::NothingSent);
+    }
+    const core::Duration remaining = aDeadline - mTimers.Now();
+    if (aAttempt->mIsCancelled || mIsRetired || remaining <= core::Duration::zero()) {
+      co_return Result(AttemptStatus::NothingSent);
+    }
+    const std::shared_ptr<net::HttpConnection> connection = aAttempt->mConnection;
+    net::HttpReply reply =
+      co_await connection->Exchange(mProtocol.makeRequest(*aRequest, mReplica.id, remaining),
+                                    remaining + mSettings.answerSlack);
+    if (reply.error == net::HttpClientError::NothingSent && isReused) {
+      continue;
+    }
+    co_return co_await ReadOwnAnswer(connection, std::move(reply), aRequest->id, aDeadline);
+  }
+}
+
+core::Task<bool>
+ReplicaLink::Connect(std::shared_ptr<Attempt> aAttempt, core::TimePoint aDeadline)
+{
+  const core::Duration limit = std::min(mSettings.connectTimeout, aDeadline - mTimers.Now());
+  aAttempt->mConnection = std::make_shared<net::HttpConnection>(mExecutor);
+  const std::shared_ptr<net::HttpConnection> connection = aAttempt->mConnection;
+  co_return limit > core::Duration::zero() &&
+    co_await connection->Connect(mReplica.address, limit);
+}
+
+core::Task<AttemptResult>
+ReplicaLink::ReadOwnAnswer(std::shared_ptr<net::HttpConnection> aConnection,
+                           net::HttpReply aReply,
+                           const std::string& aId,
+                           core::TimePoint aDeadline)
+{
+  bool hasForeign = false;
+  for (int n = 0; aReply.error == net::HttpClientError::None; ++n) {
+    DecodedAnswer answer = mProtocol.readAnswer(aReply.response, aId);
+    if (answer.kind != AnswerKind::Foreign) {
+      if (answer.load) {
+        mLoad = *answer.load;
+        mLoadAt = mTimers.Now();
+      }
+      if (!hasForeign && aConnection->IsOpen()) {
+        Release(std::move(aConnection), answer.idleTimeout);
+      }
+      co_return AttemptResult{ StatusOf(answer.kind),
+                               std::move(aReply.response),
+                               std::move(answer.signature) };
+    }
+    if (n >= kMostForeignAnswers) {
+      co_return Result(AttemptStatus::Garbled);
+    }
+    hasForeign = true;
+    const core::Duration remaining = aDeadline - mTimers.Now();
+    if (remaining <= core::Duration::zero()) {
+      co_return Result(AttemptStatus::TimedOut);
+    }
+    aReply = co_await aConnection->ReadNext(remaining + mSettings.answerSlack);
+  }
+  co_return Result(StatusOf(aReply.error));
+}
+
+std::shared_ptr<net::HttpConnection>
+ReplicaLink::TakeIdle()
+{
+  const core::TimePoint now = mTimers.Now();
+  while (!mIdle.empty()) {
+    IdleConnection idle = std::move(mIdle.back());
+    mIdle.pop_back();
+    if (now < idle.usableUntil && idle.connection->IsOpen()) {
+      return std::move(idle.connection);
+    }
+  }
+  return nullptr;
+}
+
+void
+ReplicaLink::Release(std::shared_ptr<net::HttpConnection> aConnection,
+                     std::optional<core::Duration> aIdleTimeout)
+{
+  if (mIsRetired) {
+    return;
+  }
+  const core::Duration idle = aIdleTimeout.value_or(mSettings.idleTimeout);
+  const auto usable = std::chrono::duration_cast<core::Duration>(idle * mSettings.idleShare);
+  mIdle.push_back({ std::move(aConnection), mTimers.Now() + usable });
+}
+
+void
+ReplicaLink::Learn(const Attempt& aAttempt, AttemptStatus aStatus)
+{
+  const core::TimePoint now = mTimers.Now();
+  switch (aStatus) {
+    case AttemptStatus::Answered: {
+      mFailures = 0;
+      mSuspectUntil = {};
+      mLastAnswerAt = now;
+      const core::Duration most =
+        std::chrono::duration_cast<core::Duration>(mUsual * kLargestSample);
+      const core::Duration sample = std::min(now - aAttempt.mStart, most);
+      mUsual += std::chrono::duration_cast<core::Duration>((sample - mUsual) * kNewestWeight);
+      break;
+    }
+    case AttemptStatus::NotRun:
+      mLastAnswerAt = now;
+      mSuspectUntil = std::max(mSuspectUntil, now + mSettings.leastSuspicion / 8);
+      break;
+    case AttemptStatus::Failed:
+    case AttemptStatus::Lost:
+    case AttemptStatus::Garbled:
+      mLastAnswerAt = now;
+      Suspect();
+      break;
+    case AttemptStatus::WrongReplica:
+    case AttemptStatus::NothingSent:
+    case AttemptStatus::TimedOut:
+      // Silent connections stay silent, so that none that is open now is used again.
+      mIdle.clear();
+      Suspect();
+      break;
+  }
+}
+
+void
+ReplicaLink::Suspect()
+{
+  constexpr std::uint32_t kMostDoublings = 4;
+  const core::Duration span =
+    mSettings.leastSuspicion * (1U << std::min(mFailures, kMostDoublings));
+  ++mFailures;
+  if (mFailures > 1) {
+    mSuspectUntil = mTimers.Now() + std::min(span, mSettings.mostSuspicion);
+  }
+}
+
+void
+ReplicaLink::ForgetStart(core::TimePoint aStart)
+{
+  const auto it = std::find(mStarts.begin(), mStarts.end(), aStart);
+  if (it != mStarts.end()) {
+    mStarts.erase(it);
+  }
+}
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/replica_link.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "net/http_client.h"
+#include "upstream/fleet_share.h"
+#include "upstream/replica_choice.h"
+#include "upstream/replica_protocol.h"
+#include "upstream/replica_roster.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkwing::upstream {
+
+/** How one attempt at one replica ended. */
+enum class AttemptStatus
+{
+  /** A whole success. */
+  Answered,
+  /** The replica's own failure. */
+  Failed,
+  /** The replica says that it did not run the request. */
+  NotRun,
+  /** The address belongs to another replica now; nothing ran. */
+  WrongReplica,
+  /** No connection, or it was closed before a byte was written. */
+  NothingSent,
+  /** The connection ended after bytes were written; the request may have run. */
+  Lost,
+  /** No answer came in time; the request may have run. */
+  TimedOut,
+  /** The answer was no HTTP, or belonged to other requests; the request may have run. */
+  Garbled,
+};
+
+/** @return the name of a status, for logs and metric labels. */
+std::string_view
+NameOf(AttemptStatus aStatus);
+
+/** @return whether a request with this end has certainly not run. */
+bool
+IsCertainlyNotRun(AttemptStatus aStatus);
+
+/** What came of one attempt. */
+struct AttemptResult
+{
+  AttemptStatus status = AttemptStatus::Lost;
+  net::HttpResponse response;
+  std::string signature;
+};
+
+/** Receives the result of an attempt, exactly once. */
+using AttemptCallback = std::function<void(AttemptResult)>;
+
+/** An attempt that runs. */
+class Attempt
+{
+public:
+  Attempt(std::string aReplica, core::TimePoint aStart, core::Duration aUsual);
+
+  /** Gives it up: its connection is closed, so that the replica may stop. */
+  void Cancel();
+
+  const std::string& Replica() const { return mReplica; }
+  core::TimePoint Start() const { return mStart; }
+
+  /** @return how long an exchange with this replica usually takes. */
+  core::Duration Usual() const { return mUsual; }
+
+private:
+  friend class ReplicaLink;
+
+  std::string mReplica;
+  core::TimePoint mStart;
+  core::Duration mUsual;
+  bool mIsCancelled = false;
+  std::shared_ptr<net::HttpConnection> mConnection;
+};
+
+/** Times and limits of the exchange with replicas. */
+struct LinkSettings
+{
+  /** How long a connection may take; twice the longest way there and back, and the handshake. */
+  core::Duration connectTimeout = std::chrono::milliseconds{ 400 };
+  /** How long after its deadline a replica's own failure may still arrive. */
+  core::Duration answerSlack = std::chrono::milliseconds{ 150 };
+  /** How long an idle connection is kept when the replica doesn't say. */
+  core::Duration idleTimeout = std::chrono::seconds{ 4 };
+  /** Share of the replica's idle time after which a connection isn't used again. */
+  double idleShare = 0.7;
+  /** How long a replica that failed is avoided; doubles with each further failure. */
+  core::Duration leastSuspicion = std::chrono::milliseconds{ 400 };
+  core::Duration mostSuspicion = std::chrono::seconds{ 3 };
+  /** Assumed until measured: the work of a request. */
+  core::Duration assumedWork = std::chrono::milliseconds{ 10 };
+  /** After so long without an answer the measured times count no more. */
+  core::Duration statisticsAge = std::chrono::seconds{ 3 };
+};
+
+/**
+ * The connections to one replica, and what its answers tell about it.
+ *
+ * Not thread-safe. Tasks that run keep it alive.
+ */
+class ReplicaLink : public std::enable_shared_from_this<ReplicaLink>
+{
+public:
+  /**
+   * @param aWay usual time there and back, from where the replica stands.
+   * @param aOnFree called whenever a connection becomes free.
+   */
+  ReplicaLink(boost::asio::any_io_executor aExecutor,
+              core::TimerService& aTimers,
+              const ReplicaProtocol& aProtocol,
+              LinkSettings aSettings,
+              AnnouncedReplica aReplica,
+              core::Duration aWay,
+              std::function<void()> aOnFree);
+
+  /** Takes in what the replica announces. A new process starts with no history. */
+  void Update(AnnouncedReplica aReplica);
+
+  const AnnouncedReplica& Replica() const { return mReplica; }
+
+  /** Sets how many connections may be open. */
+  void SetConnectionLimit(std::uint32_t aLimit) { mConnectionLimit = aLimit; }
+
+  /** @return what a choice needs to know. */
+  ReplicaView View() const;
+
+  /** @return whether the replica has lately started, by what it announced. */
+  bool IsCold() const { return mTimers.Now() < mColdUntil; }
+
+  /** The part of a cold replica's rate that this daemon may use. */
+  ColdRate& Cold() { return mColdRate; }
+
+  /**
+   * Sends a request.
+   *
+   * @param aDeadline when the caller stops waiting; the replica is told what is left.
+   */
+  std::shared_ptr<Attempt> Send(std::shared_ptr<const ForwardedRequest> aRequest,
+                                core::TimePoint aDeadline,
+                                AttemptCallback aCallback);
+
+  /** Closes idle connections and lets running attempts end; nothing more may be sent. */
+  void Retire();
+
+private:
+  struct IdleConnection
+  {
+    std::shared_ptr<net::HttpConnection> connection;
+    core::TimePoint usableUntil;
+  };
+
+  boost::asio::any_io_executor mExecutor;
+  core::TimerService& mTimers;
+  const ReplicaProtocol& mProtocol;
+  LinkSettings mSettings;
+  AnnouncedReplica mReplica;
+  core::Duration mWay;
+  std::function<void()> mOnFree;
+  std::uint32_t mConnectionLimit = 1;
+  std::vector<IdleConnection> mIdle;
+  std::vector<core::TimePoint> mStarts;
+  core::Duration mUsual;
+  core::TimePoint mLastAnswerAt;
+  core::TimePoint mColdUntil{};
+  ColdRate mColdRate;
+  LoadReport mLoad;
+  core::TimePoint mLoadAt{};
+  std::uint32_t mFailures = 0;
+  core::TimePoint mSuspectUntil{};
+  bool mIsRetired = false;
+
+  core::Task<void> Run(std::shared_ptr<ReplicaLink> aSelf,
+                       std::shared_ptr<Attempt> aAttempt,
+                       std::shared_ptr<const ForwardedRequest> aRequest,
+                       core::TimePoint aDeadline,
+                       AttemptCallback aCallback);
+  core::Task<AttemptResult> Exchange(std::shared_ptr<Attempt> aAttempt,
+                                     std::shared_ptr<const ForwardedRequest> aRequest,
+                                     core::TimePoint aDeadline);
+  core::Task<bool> Connect(std::shared_ptr<Attempt> aAttempt, core::TimePoint aDeadline);
+  core::Task<AttemptResult> ReadOwnAnswer(std::shared_ptr<net::HttpConnection> aConnection,
+                                          net::HttpReply aReply,
+                                          const std::string& aId,
+                                          core::TimePoint aDeadline);
+  std::shared_ptr<net::HttpConnection> TakeIdle();
+  void Release(std::shared_ptr<net::HttpConnection> aConnection,
+               std::optional<core::Duration> aIdleTimeout);
+  void Learn(const Attempt& aAttempt, AttemptStatus aStatus);
+  void Suspect();
+  void ForgetStart(core::TimePoint aStart);
+};
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/replica_roster.cpp
@@ -0,0 +1,134 @@
+#include "upstream/replica_roster.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+bool
+IsOlder(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown)
+{
+  if (aNew.startedAt != aKnown.startedAt) {
+    return aNew.startedAt < aKnown.startedAt;
+  }
+  return aNew.startedAt != 0 && aNew.sequence < aKnown.sequence;
+}
+
+} // namespace
+
+ReplicaRoster::ReplicaRoster(ChangeFunction aOnChange, RemoveFunction aOnRemove)
+  : mOnChange(std::move(aOnChange))
+  , mOnRemove(std::move(aOnRemove))
+{
+}
+
+void
+ReplicaRoster::Announce(AnnouncedReplica aReplica)
+{
+  const auto it = mReplicas.find(aReplica.id);
+  if (it != mReplicas.end() && IsOlder(aReplica, it->second.replica)) {
+    return;
+  }
+  Entry& entry = mReplicas[aReplica.id];
+  entry.replica = std::move(aReplica);
+  entry.isMissing = false;
+  entry.heldUntil.reset();
+  mOnChange(entry.replica);
+}
+
+void
+ReplicaRoster::Spoil(const std::string& aId)
+{
+  const auto it = mReplicas.find(aId);
+  if (it != mReplicas.end()) {
+    Remove(it);
+  }
+}
+
+void
+ReplicaRoster::Withdraw(const std::string& aId, core::TimePoint aNow)
+{
+  const auto it = mReplicas.find(aId);
+  if (it == mReplicas.end()) {
+    return;
+  }
+  const bool isHeld =
+    mIsStoreAway || (mStoreBackAt && aNow < *mStoreBackAt + kHoldAfterOutage);
+  if (!isHeld || it->second.replica.isDraining) {
+    Remove(it);
+    return;
+  }
+  it->second.isMissing = true;
+  if (!mIsStoreAway) {
+    it->second.heldUntil = *mStoreBackAt + kHoldAfterOutage;
+  }
+}
+
+void
+ReplicaRoster::Retain(const std::function<bool(const std::string&)>& aExists, core::TimePoint aNow)
+{
+  std::vector<std::string> vanished;
+  for (const auto& [id, entry] : mReplicas) {
+    if (!entry.isMissing && !aExists(id)) {
+      vanished.push_back(id);
+    }
+  }
+  for (const std::string& id : vanished) {
+    Withdraw(id, aNow);
+  }
+}
+
+void
+ReplicaRoster::StoreLost()
+{
+  mIsStoreAway = true;
+}
+
+void
+ReplicaRoster::StoreAnswered(core::TimePoint aNow)
+{
+  if (!mIsStoreAway) {
+    return;
+  }
+  mIsStoreAway = false;
+  mStoreBackAt = aNow;
+  for (auto& [id, entry] : mReplicas) {
+    if (entry.isMissing) {
+      entry.heldUntil = aNow + kHoldAfterOutage;
+    }
+  }
+}
+
+void
+ReplicaRoster::Expire(core::TimePoint aNow)
+{
+  auto it = mReplicas.begin();
+  while (it != mReplicas.end()) {
+    const auto entry = it++;
+    if (entry->second.heldUntil && *entry->second.heldUntil <= aNow) {
+      Remove(entry);
+    }
+  }
+}
+
+std::size_t
+ReplicaRoster::HeldCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mReplicas.begin(), mReplicas.end(), [](const auto& aEntry) {
+      return aEntry.second.isMissing;
+    }));
+}
+
+void
+ReplicaRoster::Remove(std::map<std::string, Entry>::iterator aEntry)
+{
+  const std::string id = aEntry->first;
+  mReplicas.erase(aEntry);
+  mOnRemove(id);
+}
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/replica_set.cpp
@@ -0,0 +1,282 @@
+#include "upstream/replica_set.h"
+
+#include "core/name_table.h"
+
+#include <algorithm>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+constexpr core::NameTable<SendRefusal, 3> kRefusalNames{ { "none", "no_replica", "no_room" } };
+
+/** Assumed until measured: the way there and back, by distance. */
+constexpr core::Duration kWayInDomain = std::chrono::microseconds{ 600 };
+constexpr core::Duration kWayInRegion = std::chrono::milliseconds{ 2 };
+constexpr core::Duration kWayToRegion = std::chrono::milliseconds{ 25 };
+
+template<typename Container, typename Value>
+bool
+Contains(const Container& aValues, const Value& aValue)
+{
+  return std::find(aValues.begin(), aValues.end(), aValue) != aValues.end();
+}
+
+} // namespace
+
+std::string_view
+NameOf(SendRefusal aRefusal)
+{
+  return kRefusalNames.NameOf(aRefusal);
+}
+
+const std::string&
+Place::RegionOf(const std::string& aFailureDomain) const
+{
+  static const std::string unknown;
+  const auto it = regions.find(aFailureDomain);
+  return it == regions.end() ? unknown : it->second;
+}
+
+core::Duration
+Place::WayTo(const std::string& aFailureDomain) const
+{
+  if (aFailureDomain == failureDomain) {
+    return kWayInDomain;
+  }
+  return RegionOf(aFailureDomain) == region ? kWayInRegion : kWayToRegion;
+}
+
+ReplicaSet::ReplicaSet(boost::asio::any_io_executor aExecutor,
+                       core::TimerService& aTimers,
+                       core::RandomSource& aRandom,
+                       ReplicaProtocol aProtocol,
+                       Place aPlace,
+                       RetryBound aRetryBound)
+  : mExecutor(std::move(aExecutor))
+  , mTimers(aTimers)
+  , mRandom(aRandom)
+  , mProtocol(std::move(aProtocol))
+  , mPlace(std::move(aPlace))
+  , mRetryBound(aRetryBound)
+  , mIsAlive(std::make_shared<bool>(true))
+{
+}
+
+ReplicaSet::~ReplicaSet()
+{
+  *mIsAlive = false;
+}
+
+void
+ReplicaSet::SetTable(std::shared_ptr<const declaration::RoutingTable> aTable)
+{
+  mTable = std::move(aTable);
+  for (const auto& [id, link] : mLinks) {
+    SetLimitOf(*link);
+  }
+}
+
+void
+ReplicaSet::SetFleet(FleetSize aFleet)
+{
+  mFleet = std::move(aFleet);
+  for (const auto& [id, link] : mLinks) {
+    SetLimitOf(*link);
+  }
+}
+
+void
+ReplicaSet::SetDomainOut(const std::string& aFailureDomain, bool aIsOut)
+{
+  if (aIsOut) {
+    mDomainsOut.insert(aFailureDomain);
+  } else {
+    mDomainsOut.erase(aFailureDomain);
+  }
+}
+
+void
+ReplicaSet::Change(const AnnouncedReplica& aReplica)
+{
+  const auto it = mLinks.find(aReplica.id);
+  if (it != mLinks.end() && it->second->Replica().service == aReplica.service) {
+    it->second->Update(aReplica);
+    return;
+  }
+  if (it != mLinks.end()) {
+    Remove(aReplica.id);
+  }
+  auto onFree = [this, isAlive = mIsAlive, service = aReplica.service] {
+    if (*isAlive) {
+      WakeWaiter(service);
+    }
+  };
+  auto link = std::make_shared<ReplicaLink>(mExecutor,
+                                            mTimers,
+                                            mProtocol,
+                                            mLinkSettings,
+                                            aReplica,
+                                            mPlace.WayTo(aReplica.failureDomain),
+                                            std::move(onFree));
+  SetLimitOf(*link);
+  mLinks.emplace(aReplica.id, link);
+  ServiceOf(aReplica.service).links.push_back(std::move(link));
+  WakeWaiter(aReplica.service);
+}
+
+void
+ReplicaSet::Remove(const std::string& aId)
+{
+  const auto it = mLinks.find(aId);
+  if (it == mLinks.end()) {
+    return;
+  }
+  it->second->Retire();
+  Unlist(it->second);
+  mLinks.erase(it);
+}
+
+Placement
+ReplicaSet::Send(const AttemptOrder& aOrder,
+                 std::shared_ptr<const ForwardedRequest> aRequest,
+                 AttemptCallback aCallback)
+{
+  std::vector<std::shared_ptr<ReplicaLink>> usable;
+  for (const std::shared_ptr<ReplicaLink>& link : ServiceOf(aOrder.service).links) {
+    if (MayUse(*link, aOrder)) {
+      usable.push_back(link);
+    }
+  }
+  Placement placement;
+  if (usable.empty()) {
+    placement.refusal = SendRefusal::NoReplica;
+    return placement;
+  }
+  const std::shared_ptr<ReplicaLink> link = Choose(usable, aOrder.fasterThan);
+  if (!link) {
+    placement.refusal = SendRefusal::NoRoom;
+    return placement;
+  }
+  placement.attempt = link->Send(std::move(aRequest), aOrder.deadline, std::move(aCallback));
+  return placement;
+}
+
+void
+ReplicaSet::RecordFirst(std::string_view aService)
+{
+  ServiceOf(aService).allowance.RecordFirst(mTimers.Now());
+}
+
+bool
+ReplicaSet::TakeExtra(std::string_view aService, ExtraAttempt aKind)
+{
+  const double share = 1.0 / static_cast<double>(mFleet.Total());
+  return ServiceOf(aService).allowance.Take(aKind, mRetryBound, share, mTimers.Now());
+}
+
+ReplicaSet::WaiterId
+ReplicaSet::Wait(std::string_view aService, std::uint32_t aPriority, std::function<void()> aCallback)
+{
+  const WaiterId id = ++mLastWaiter;
+  ServiceOf(aService).waiters.emplace(std::make_pair(aPriority, id), std::move(aCallback));
+  return id;
+}
+
+void
+ReplicaSet::StopWaiting(std::string_view aService, WaiterId aWaiter)
+{
+  auto& waiters = ServiceOf(aService).waiters;
+  const auto it = std::find_if(waiters.begin(), waiters.end(), [aWaiter](const auto& aEntry) {
+    return aEntry.first.second == aWaiter;
+  });
+  if (it != waiters.end()) {
+    waiters.erase(it);
+  }
+}
+
+ReplicaSet::Service&
+ReplicaSet::ServiceOf(std::string_view aName)
+{
+  const auto it = mServices.find(aName);
+  return it != mServices.end() ? it->second : mServices[std::string(aName)];
+}
+
+void
+ReplicaSet::SetLimitOf(ReplicaLink& aLink) const
+{
+  const declaration::ServiceRule* rule =
+    mTable ? mTable->FindService(aLink.Replica().service) : nullptr;
+  if (rule != nullptr) {
+    aLink.SetConnectionLimit(ConnectionShare(
+      rule->connections, mFleet, mPlace.failureDomain, aLink.Replica().failureDomain));
+  }
+}
+
+bool
+ReplicaSet::MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const
+{
+  const AnnouncedReplica& replica = aLink.Replica();
+  if (replica.isDraining || mDomainsOut.count(replica.failureDomain) > 0) {
+    return false;
+  }
+  if (aOrder.tried != nullptr && Contains(*aOrder.tried, replica.id)) {
+    return false;
+  }
+  return aOrder.regions == nullptr || aOrder.regions->empty() ||
+         Contains(*aOrder.regions, mPlace.RegionOf(replica.failureDomain));
+}
+
+bool
+ReplicaSet::TakeColdRate(ReplicaLink& aLink)
+{
+  const declaration::ServiceRule* rule =
+    mTable ? mTable->FindService(aLink.Replica().service) : nullptr;
+  if (rule == nullptr || rule->coldRate <= 0.0 || !aLink.IsCold()) {
+    return true;
+  }
+  return aLink.Cold().Take(rule->coldRate, mFleet.Total(), mTimers.Now());
+}
+
+std::shared_ptr<ReplicaLink>
+ReplicaSet::Choose(const std::vector<std::shared_ptr<ReplicaLink>>& aLinks,
+                   core::Duration aFasterThan)
+{
+  std::vector<ReplicaView> views;
+  views.reserve(aLinks.size());
+  for (const std::shared_ptr<ReplicaLink>& link : aLinks) {
+    views.push_back(link->View());
+    if (aFasterThan > core::Duration::zero() && ExpectedTime(views.back()) >= aFasterThan) {
+      views.back().hasRoom = false;
+    }
+  }
+  const std::uint64_t tieBreak = mRandom.Below(aLinks.size());
+  while (const auto index = ChooseReplica(views, tieBreak)) {
+    if (TakeColdRate(*aLinks[*index])) {
+      return aLinks[*index];
+    }
+    views[*index].hasRoom = false;
+  }
+  return nullptr;
+}
+
+void
+ReplicaSet::WakeWaiter(const std::string& aService)
+{
+  auto& waiters = ServiceOf(aService).waiters;
+  if (waiters.empty()) {
+    return;
+  }
+  const std::function<void()> callback = std::move(waiters.begin()->second);
+  waiters.erase(waiters.begin());
+  callback();
+}
+
+void
+ReplicaSet::Unlist(const std::shared_ptr<ReplicaLink>& aLink)
+{
+  auto& links = ServiceOf(aLink->Replica().service).links;
+  links.erase(std::remove(links.begin(), links.end(), aLink), links.end());
+}
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/replica_set.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "declaration/routing_table.h"
+#include "upstream/replica_link.h"
+#include "upstream/retry_allowance.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace skylarkwing::upstream {
+
+/** Where this daemon stands, and how far others are. */
+struct Place
+{
+  std::string failureDomain;
+  std::string region;
+  /** The region of each failure domain. */
+  std::map<std::string, std::string> regions;
+
+  /** @return the region of a failure domain, empty when it isn't known. */
+  const std::string& RegionOf(const std::string& aFailureDomain) const;
+
+  /** @return the assumed way there and back to a failure domain. */
+  core::Duration WayTo(const std::string& aFailureDomain) const;
+};
+
+/** Why an attempt was not started. */
+enum class SendRefusal
+{
+  None,
+  /** No replica of the service may be used that wasn't tried. */
+  NoReplica,
+  /** All that may be used are busy. */
+  NoRoom,
+};
+
+/** @return the name of a refusal, for logs. */
+std::string_view
+NameOf(SendRefusal aRefusal);
+
+/** One attempt to be placed. */
+struct AttemptOrder
+{
+  std::string_view service;
+  /** Regions whose replicas may be used; empty means all. */
+  const std::vector<std::string>* regions = nullptr;
+  /** Replicas that were tried before. */
+  const std::vector<std::string>* tried = nullptr;
+  core::TimePoint deadline;
+  /** Only a replica that would answer sooner than this; zero means any. */
+  core::Duration fasterThan{};
+};
+
+/** An attempt that was started, or why not. */
+struct Placement
+{
+  std::shared_ptr<Attempt> attempt;
+  SendRefusal refusal = SendRefusal::None;
+};
+
+/**
+ * All replicas that may get work, and the sharing of their connections among waiting requests.
+ *
+ * Not thread-safe: one instance belongs to one event loop.
+ */
+class ReplicaSet
+{
+public:
+  /** Names a request that waits for room; 0 names none. */
+  using WaiterId = std::uint64_t;
+
+  ReplicaSet(boost::asio::any_io_executor aExecutor,
+             core::TimerService& aTimers,
+             core::RandomSource& aRandom,
+             ReplicaProtocol aProtocol,
+             Place aPlace,
+             RetryBound aRetryBound);
+  ~ReplicaSet();
+  ReplicaSet(const ReplicaSet&) = delete;
+  ReplicaSet& operator=(const ReplicaSet&) = delete;
+
+  /** Takes in what the services bear. */
+  void SetTable(std::shared_ptr<const declaration::RoutingTable> aTable);
+
+  /** Takes in how many daemons share the limits. */
+  void SetFleet(FleetSize aFleet);
+
+  /** Takes in whether a failure domain may get work. */
+  void SetDomainOut(const std::string& aFailureDomain, bool aIsOut);
+
+  /** Adds or updates a replica. */
+  void Change(const AnnouncedReplica& aReplica);
+
+  /** Drops a replica; what runs there may end. */
+  void Remove(const std::string& aId);
+
+  /** Starts an attempt at the best replica. The callback never comes before this returns. */
+  Placement Send(const AttemptOrder& aOrder,
+                 std::shared_ptr<const ForwardedRequest> aRequest,
+                 AttemptCallback aCallback);
+
+  /** Counts the first attempt of a request, which earns a share of an extra one. */
+  void RecordFirst(std::string_view aService);
+
+  /** Asks for an extra attempt within the budget. */
+  bool TakeExtra(std::string_view aService, ExtraAttempt aKind);
+
+  /**
+   * Calls back when a replica of the service has room, the most important request first.
+   *
+   * @param aPriority 0 is the most important.
+   */
+  WaiterId Wait(std::string_view aService, std::uint32_t aPriority, std::function<void()> aCallback);
+
+  /** Forgets a waiting request; one that is unknown or 0 is ignored. */
+  void StopWaiting(std::string_view aService, WaiterId aWaiter);
+
+  /** @return replicas that are known, over all services. */
+  std::size_t ReplicaCount() const { return mLinks.size(); }
+
+private:
+  struct Service
+  {
+    std::vector<std::shared_ptr<ReplicaLink>> links;
+    RetryAllowance allowance;
+    /** By priority, then by arrival. */
+    std::map<std::pair<std::uint32_t, WaiterId>, std::function<void()>> waiters;
+  };
+
+  boost::asio::any_io_executor mExecutor;
+  core::TimerService& mTimers;
+  core::RandomSource& mRandom;
+  ReplicaProtocol mProtocol;
+  Place mPlace;
+  RetryBound mRetryBound;
+  LinkSettings mLinkSettings;
+  FleetSize mFleet;
+  std::shared_ptr<const declaration::RoutingTable> mTable;
+  std::set<std::string> mDomainsOut;
+  std::map<std::string, std::shared_ptr<ReplicaLink>> mLinks;
+  std::map<std::string, Service, std::less<>> mServices;
+  WaiterId mLastWaiter = 0;
+  /** Lets callbacks that come after this object's end find out. */
+  std::shared_ptr<bool> mIsAlive;
+
+  Service& ServiceOf(std::string_view aName);
+  void SetLimitOf(ReplicaLink& aLink) const;
+  bool MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const;
+  bool TakeColdRate(ReplicaLink& aLink);
+  std::shared_ptr<ReplicaLink> Choose(const std::vector<std::shared_ptr<ReplicaLink>>& aLinks,
+                                      core::Duration aFasterThan);
+  void WakeWaiter(const std::string& aService);
+  void Unlist(const std::shared_ptr<ReplicaLink>& aLink);
+};
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/retry_allowance.cpp
@@ -0,0 +1,51 @@
+#include "upstream/retry_allowance.h"
+
+namespace skylarkwing::upstream {
+
+void
+RetryAllowance::RecordFirst(core::TimePoint aNow)
+{
+  ++Advance(aNow).first;
+  ++mFirstSum;
+}
+
+bool
+RetryAllowance::Take(ExtraAttempt aKind,
+                     const RetryBound& aBound,
+                     double aShare,
+                     core::TimePoint aNow)
+{
+  mWindow = aBound.window;
+  Slice& slice = Advance(aNow);
+  const double whole = (aBound.ratio * mFirstSum + aBound.slack * aShare) * kUsedShare;
+  const double allowed = aKind == ExtraAttempt::Hedge ? whole * (1.0 - kKeptForRetries) : whole;
+  if (mExtraSum + 1.0 > allowed) {
+    return false;
+  }
+  ++slice.extra;
+  ++mExtraSum;
+  return true;
+}
+
+RetryAllowance::Slice&
+RetryAllowance::Advance(core::TimePoint aNow)
+{
+  const auto sliceSpan = mWindow / static_cast<std::int64_t>(kSlices - 1);
+  const std::int64_t number = aNow.time_since_epoch() / sliceSpan;
+  if (number - mSliceNumber >= static_cast<std::int64_t>(kSlices)) {
+    mSlices = {};
+    mFirstSum = 0;
+    mExtraSum = 0;
+    mSliceNumber = number;
+  }
+  while (mSliceNumber < number) {
+    ++mSliceNumber;
+    Slice& oldest = mSlices[static_cast<std::size_t>(mSliceNumber) % kSlices];
+    mFirstSum -= oldest.first;
+    mExtraSum -= oldest.extra;
+    oldest = {};
+  }
+  return mSlices[static_cast<std::size_t>(number) % kSlices];
+}
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/retry_allowance.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace skylarkwing::upstream {
+
+/** How many extra attempts a service bears over the whole fleet. */
+struct RetryBound
+{
+  /** Extra attempts for each first one. */
+  double ratio = 0.2;
+  /** Extra attempts allowed besides, over the whole fleet, in one window. */
+  double slack = 0.0;
+  core::Duration window = std::chrono::seconds{ 10 };
+};
+
+/** What an extra attempt is for. */
+enum class ExtraAttempt
+{
+  /** The first attempt failed. */
+  Retry,
+  /** The first attempt is slow. */
+  Hedge,
+};
+
+/**
+ * This daemon's part of the budget of extra attempts for one service.
+ *
+ * Each daemon counts its own first attempts and takes its share of the slack, so that the sum over
+ * all daemons keeps the bound without a message between them. Answers the load of many failures at
+ * once: retries stop before they multiply it, and hedges stop earlier than retries.
+ */
+class RetryAllowance
+{
+public:
+  /** Share of the budget that hedges leave to retries. */
+  static constexpr double kKeptForRetries = 0.25;
+
+  /** Share of the bound that is used, since daemons' windows and the count's don't coincide. */
+  static constexpr double kUsedShare = 0.85;
+
+  /** Counts the first attempt of a request. */
+  void RecordFirst(core::TimePoint aNow);
+
+  /**
+   * Asks for an extra attempt, and counts it when it is granted.
+   *
+   * @param aBound the bound over the fleet.
+   * @param aShare this daemon's share of the slack, 0 to 1.
+   */
+  bool Take(ExtraAttempt aKind, const RetryBound& aBound, double aShare, core::TimePoint aNow);
+
+  /** @return extra attempts counted in the window that ends now. */
+  std::uint32_t ExtraCount() const { return mExtraSum; }
+
+private:
+  static constexpr std::size_t kSlices = 20;
+
+  struct Slice
+  {
+    std::uint32_t first = 0;
+    std::uint32_t extra = 0;
+  };
+
+  std::array<Slice, kSlices> mSlices{};
+  std::uint32_t mFirstSum = 0;
+  std::uint32_t mExtraSum = 0;
+  std::int64_t mSliceNumber = 0;
+  core::Duration mWindow = std::chrono::seconds{ 10 };
+
+  Slice& Advance(core::TimePoint aNow);
+};
+
+} // namespace skylarkwing::upstream
