--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -32,8 +32,9 @@
   core::Duration pause{};
   /** How long one watch waits; below the store's most of 30 s. */
   core::Duration wait = std::chrono::seconds{ 25 };
+  /** A daemon that knows nothing yet serves nobody, so that it asks again soon. */
   core::Duration leastBackoff = std::chrono::milliseconds{ 150 };
-  core::Duration mostBackoff = std::chrono::milliseconds{ 900 };
+  core::Duration mostBackoff = std::chrono::milliseconds{ 450 };
 };
 
 /**
