--- a/caller/entry_front.cpp
+++ b/caller/entry_front.cpp
@@ -164,6 +164,7 @@
   const std::shared_ptr<net::HttpClientWatch> client = std::move(aRequest.client);
   auto forwarded = std::make_shared<upstream::ForwardedRequest>();
   forwarded->id = aTerms.id;
+  forwarded->isIdempotent = aRoute.isIdempotent;
   forwarded->message.headers = mProtocol.forwardHeaders(aRequest);
   forwarded->message.method = std::move(aRequest.method);
   forwarded->message.target = std::move(aRequest.target);
--- a/query/gather_policy.h
+++ b/query/gather_policy.h
@@ -39,10 +39,10 @@
 constexpr core::Duration kDeadlineMargin = std::chrono::milliseconds{ 20 };
 
 /** An attempt this many times as old as a usual exchange is a straggler. */
-constexpr double kStragglerFactor = 2.5;
+constexpr double kStragglerFactor = 2.0;
 
 /** No attempt is a straggler before this: a hedge costs as much as a part. */
-constexpr core::Duration kLeastHedgeDelay = std::chrono::milliseconds{ 18 };
+constexpr core::Duration kLeastHedgeDelay = std::chrono::milliseconds{ 15 };
 
 /** The latest hedge, as a share of the objective, leaves it time to answer. */
 constexpr double kLatestHedgeShare = 0.4;
--- a/upstream/fleet_share.cpp
+++ b/upstream/fleet_share.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-/** Share of a replica's connections that daemons in its own failure domain hold. */
-constexpr double kNearShare = 2.0 / 3.0;
+/** Share of a replica's connections that the daemons near it hold. */
+constexpr double kNearShare = 0.5;
+
+/** Connections that a daemon may open at a time whatever its share; few daemons do at once. */
+constexpr std::uint32_t kLeastNear = 2;
+constexpr std::uint32_t kLeastFar = 1;
 
 } // namespace
 
@@ -28,21 +32,22 @@
   return it == daemons.end() ? 0 : it->second;
 }
 
-std::uint32_t
-ConnectionShare(std::uint32_t aLimit,
-                const FleetSize& aFleet,
-                const std::string& aOwnDomain,
-                const std::string& aReplicaDomain)
+ConnectionQuota
+SplitConnections(std::uint32_t aLimit, std::size_t aNear, std::size_t aTotal, bool aIsNear)
 {
-  const std::size_t near = aFleet.In(aReplicaDomain);
-  const std::size_t far = aFleet.Total() - std::min(near, aFleet.Total());
+  const std::size_t total = std::max<std::size_t>(1, aTotal);
+  const std::size_t near = std::min(aNear, total);
+  const std::size_t far = total - near;
   const double limit = aLimit;
-  double share = limit / static_cast<double>(aFleet.Total());
+  double share = limit / static_cast<double>(total);
   if (near > 0 && far > 0) {
-    share = aOwnDomain == aReplicaDomain ? limit * kNearShare / static_cast<double>(near)
-                                         : limit * (1.0 - kNearShare) / static_cast<double>(far);
+    share = aIsNear ? limit * kNearShare / static_cast<double>(near)
+                    : limit * (1.0 - kNearShare) / static_cast<double>(far);
   }
-  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
+  ConnectionQuota quota;
+  quota.kept = static_cast<std::uint32_t>(share);
+  quota.most = std::max(quota.kept, aIsNear ? kLeastNear : kLeastFar);
+  return quota;
 }
 
 bool
--- a/upstream/fleet_share.h
+++ b/upstream/fleet_share.h
@@ -21,19 +21,28 @@
   std::size_t In(const std::string& aFailureDomain) const;
 };
 
+/** How many connections a daemon may use to one replica. */
+struct ConnectionQuota
+{
+  /** Open at a time, at least one. */
+  std::uint32_t most = 1;
+  /** Kept when they are idle; the sum over all daemons keeps the replica's limit. */
+  std::uint32_t kept = 1;
+};
+
 /**
- * @return how many connections this daemon may hold to one replica, at least one.
+ * Splits a replica's connections among the daemons: half to those that stand near, which send it
+ * most of its work, and half to the others for hedges, retries and spills.
  *
- * Daemons in the replica's failure domain send it most of its work, so they share two thirds of
- * the limit; the others share the rest for retries, hedges and spills.
+ * A daemon whose share is less than one connection still may open one for the time of a request.
  *
  * @param aLimit connections that the replica accepts from all daemons.
+ * @param aNear how many daemons stand near the replica.
+ * @param aTotal how many daemons there are.
+ * @param aIsNear whether this daemon is one of the near ones.
  */
-std::uint32_t
-ConnectionShare(std::uint32_t aLimit,
-                const FleetSize& aFleet,
-                const std::string& aOwnDomain,
-                const std::string& aReplicaDomain);
+ConnectionQuota
+SplitConnections(std::uint32_t aLimit, std::size_t aNear, std::size_t aTotal, bool aIsNear);
 
 /**
  * A token bucket that keeps this daemon to its share of what a cold replica bears.
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -122,6 +122,7 @@
   , mReplica(std::move(aReplica))
   , mWay(aWay)
   , mOnFree(std::move(aOnFree))
+  , mIdleTimeout(aSettings.idleTimeout)
   , mUsual(aWay + aSettings.assumedWork)
   , mLastAnswerAt(aTimers.Now())
   , mColdUntil(aTimers.Now() + mReplica.coldRemaining)
@@ -159,7 +160,9 @@
     const core::TimePoint oldest = *std::min_element(mStarts.begin(), mStarts.end());
     view.silentFor = now - std::max(oldest, mLastAnswerAt);
   }
-  view.hasRoom = !mIsRetired && mStarts.size() < mConnectionLimit;
+  // Without an open connection the way is made twice, and the replica has a handshake to do.
+  view.usual += mIdle.empty() ? mWay + mSettings.handshake : core::Duration::zero();
+  view.hasRoom = !mIsRetired && mStarts.size() < mQuota.most;
   view.isSuspect = now < mSuspectUntil;
   view.isCold = now < mColdUntil;
   return view;
@@ -209,7 +212,8 @@
                       core::TimePoint aDeadline)
 {
   // An idle connection that the replica has closed meanwhile is replaced by a new one.
-  for (aAttempt->mConnection = TakeIdle(); true; aAttempt->mConnection = TakeIdle()) {
+  while (true) {
+    aAttempt->mConnection = TakeIdle(aRequest->isIdempotent);
     const bool isReused = aAttempt->mConnection != nullptr;
     if (!isReused && !co_await Connect(aAttempt, aDeadline)) {
       co_return Result(AttemptStatus::NothingSent);
@@ -234,7 +238,57 @@
   const core::Duration limit = std::min(mSettings.connectTimeout, aDeadline - mTimers.Now());
   aAttempt->mConnection = mMakeLink();
   const std::shared_ptr<net::HttpLink> connection = aAttempt->mConnection;
-  co_return limit > core::Duration::zero() && co_await connection->Connect(mReplica.address, limit);
+  if (limit <= core::Duration::zero()) {
+    co_return false;
+  }
+  const core::TimePoint begin = mTimers.Now();
+  const bool isConnected = co_await connection->Connect(mReplica.address, limit);
+  if (isConnected) {
+    MeasureWay(mTimers.Now() - begin);
+  }
+  co_return isConnected;
+}
+
+void
+ReplicaLink::KeepWarm()
+{
+  DropStale();
+  const bool isIdle = mIdle.empty() && mStarts.empty();
+  if (!isIdle || mIsWarming || mIsRetired || mTimers.Now() < mSuspectUntil) {
+    return;
+  }
+  mIsWarming = true;
+  core::Start(mExecutor, Warm(shared_from_this()));
+}
+
+core::Task<void>
+ReplicaLink::Warm([[maybe_unused]] std::shared_ptr<ReplicaLink> aSelf)
+{
+  const std::shared_ptr<net::HttpLink> connection = mMakeLink();
+  const core::TimePoint begin = mTimers.Now();
+  const bool isConnected = co_await connection->Connect(mReplica.address, mSettings.connectTimeout);
+  mIsWarming = false;
+  if (!isConnected) {
+    Suspect();
+    co_return;
+  }
+  MeasureWay(mTimers.Now() - begin);
+  Release(connection);
+}
+
+void
+ReplicaLink::MeasureWay(core::Duration aConnectTime)
+{
+  mWay = mIsWayMeasured ? std::min(mWay, aConnectTime) : aConnectTime;
+  mIsWayMeasured = true;
+}
+
+void
+ReplicaLink::DropStale()
+{
+  const core::TimePoint now = mTimers.Now();
+  const auto isStale = [now](const IdleConnection& aIdle) { return now >= aIdle.usableUntil; };
+  mIdle.erase(std::remove_if(mIdle.begin(), mIdle.end(), isStale), mIdle.end());
 }
 
 core::Task<AttemptResult>
@@ -251,8 +305,9 @@
         mLoad = *answer.load;
         mLoadAt = mTimers.Now();
       }
+      mIdleTimeout = answer.idleTimeout.value_or(mIdleTimeout);
       if (!hasForeign && aConnection->IsOpen()) {
-        Release(std::move(aConnection), answer.idleTimeout);
+        Release(std::move(aConnection));
       }
       co_return AttemptResult{ StatusOf(answer.kind),
                                std::move(aReply.response),
@@ -272,13 +327,14 @@
 }
 
 std::shared_ptr<net::HttpLink>
-ReplicaLink::TakeIdle()
+ReplicaLink::TakeIdle(bool aIsIdempotent)
 {
   const core::TimePoint now = mTimers.Now();
   while (!mIdle.empty()) {
     IdleConnection idle = std::move(mIdle.back());
     mIdle.pop_back();
-    if (now < idle.usableUntil && idle.connection->IsOpen()) {
+    const bool isTrusted = aIsIdempotent || now - idle.idleSince < mSettings.trustedIdle;
+    if (isTrusted && now < idle.usableUntil && idle.connection->IsOpen()) {
       return std::move(idle.connection);
     }
   }
@@ -286,15 +342,16 @@
 }
 
 void
-ReplicaLink::Release(std::shared_ptr<net::HttpLink> aConnection,
-                     std::optional<core::Duration> aIdleTimeout)
+ReplicaLink::Release(std::shared_ptr<net::HttpLink> aConnection)
 {
-  if (mIsRetired) {
+  // One connection is kept whatever the share, since opening it again for each request costs more.
+  if (mIsRetired || mIdle.size() >= std::max<std::size_t>(1, mQuota.kept)) {
     return;
   }
-  const core::Duration idle = aIdleTimeout.value_or(mSettings.idleTimeout);
-  const auto usable = std::chrono::duration_cast<core::Duration>(idle * mSettings.idleShare);
-  mIdle.push_back({ std::move(aConnection), mTimers.Now() + usable });
+  const core::TimePoint now = mTimers.Now();
+  const auto usable =
+    std::chrono::duration_cast<core::Duration>(mIdleTimeout * mSettings.idleShare);
+  mIdle.push_back({ std::move(aConnection), now, now + usable });
 }
 
 void
--- a/upstream/replica_link.h
+++ b/upstream/replica_link.h
@@ -90,6 +90,10 @@
   core::Duration connectTimeout = std::chrono::milliseconds{ 400 };
   /** How long after its deadline a replica's own failure may still arrive. */
   core::Duration answerSlack = std::chrono::milliseconds{ 150 };
+  /** What a replica may forget sooner than it says isn't used for what must not run twice. */
+  core::Duration trustedIdle = std::chrono::milliseconds{ 1000 };
+  /** Work that a new connection costs a replica. */
+  core::Duration handshake = std::chrono::milliseconds{ 6 };
   /** How long an idle connection is kept when the replica doesn't say. */
   core::Duration idleTimeout = std::chrono::seconds{ 4 };
   /** Share of the replica's idle time after which a connection isn't used again. */
@@ -129,8 +133,14 @@
 
   const AnnouncedReplica& Replica() const { return mReplica; }
 
-  /** Sets how many connections may be open. */
-  void SetConnectionLimit(std::uint32_t aLimit) { mConnectionLimit = aLimit; }
+  /** Sets how many connections may be open, and kept. */
+  void SetQuota(ConnectionQuota aQuota) { mQuota = aQuota; }
+
+  /**
+   * Opens a connection when none is open, and closes those whose time is over. A hedge then takes
+   * one way there and back, not two and a handshake.
+   */
+  void KeepWarm();
 
   /** @return what a choice needs to know. */
   ReplicaView View() const;
@@ -157,6 +167,7 @@
   struct IdleConnection
   {
     std::shared_ptr<net::HttpLink> connection;
+    core::TimePoint idleSince;
     core::TimePoint usableUntil;
   };
 
@@ -167,8 +178,12 @@
   LinkSettings mSettings;
   AnnouncedReplica mReplica;
   core::Duration mWay;
+  bool mIsWayMeasured = false;
   std::function<void()> mOnFree;
-  std::uint32_t mConnectionLimit = 1;
+  ConnectionQuota mQuota;
+  /** How long the replica keeps idle connections, as it last said. */
+  core::Duration mIdleTimeout;
+  bool mIsWarming = false;
   std::vector<IdleConnection> mIdle;
   std::vector<core::TimePoint> mStarts;
   core::Duration mUsual;
@@ -194,9 +209,11 @@
                                           net::HttpReply aReply,
                                           const std::string& aId,
                                           core::TimePoint aDeadline);
-  std::shared_ptr<net::HttpLink> TakeIdle();
-  void Release(std::shared_ptr<net::HttpLink> aConnection,
-               std::optional<core::Duration> aIdleTimeout);
+  core::Task<void> Warm(std::shared_ptr<ReplicaLink> aSelf);
+  void MeasureWay(core::Duration aConnectTime);
+  void DropStale();
+  std::shared_ptr<net::HttpLink> TakeIdle(bool aIsIdempotent);
+  void Release(std::shared_ptr<net::HttpLink> aConnection);
   void Learn(const Attempt& aAttempt, AttemptStatus aStatus);
   void Suspect();
   void ForgetStart(core::TimePoint aStart);
--- a/upstream/replica_protocol.h
+++ b/upstream/replica_protocol.h
@@ -15,6 +15,8 @@
 {
   /** Names one attempt of a caller. */
   std::string id;
+  /** Whether it may run more than once. */
+  bool isIdempotent = false;
   /** Method, target, forwardable headers and body. */
   net::HttpRequest message;
 };
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -15,6 +15,9 @@
 constexpr core::Duration kWayInRegion = std::chrono::milliseconds{ 2 };
 constexpr core::Duration kWayToRegion = std::chrono::milliseconds{ 25 };
 
+/** The replica that is used first, and the one that takes its hedges and retries. */
+constexpr std::size_t kWarmReplicas = 2;
+
 template<typename Container, typename Value>
 bool
 Contains(const Container& aValues, const Value& aValue)
@@ -75,7 +78,7 @@
 {
   mTable = std::move(aTable);
   for (const auto& [id, link] : mLinks) {
-    SetLimitOf(*link);
+    SetQuotaOf(*link);
   }
 }
 
@@ -84,7 +87,7 @@
 {
   mFleet = std::move(aFleet);
   for (const auto& [id, link] : mLinks) {
-    SetLimitOf(*link);
+    SetQuotaOf(*link);
   }
 }
 
@@ -122,7 +125,7 @@
                                             aReplica,
                                             mPlace.WayTo(aReplica.failureDomain),
                                             std::move(onFree));
-  SetLimitOf(*link);
+  SetQuotaOf(*link);
   mLinks.emplace(aReplica.id, link);
   ServiceOf(aReplica.service).links.push_back(std::move(link));
   WakeWaiter(aReplica.service);
@@ -208,13 +211,49 @@
 }
 
 void
-ReplicaSet::SetLimitOf(ReplicaLink& aLink) const
+ReplicaSet::SetQuotaOf(ReplicaLink& aLink) const
 {
   const declaration::ServiceRule* rule =
     mTable ? mTable->FindService(aLink.Replica().service) : nullptr;
-  if (rule != nullptr) {
-    aLink.SetConnectionLimit(ConnectionShare(
-      rule->connections, mFleet, mPlace.failureDomain, aLink.Replica().failureDomain));
+  if (rule == nullptr) {
+    return;
+  }
+  // Failure domains of one region are so close that all its daemons use the replica first.
+  const std::string& region = mPlace.RegionOf(aLink.Replica().failureDomain);
+  std::size_t near = 0;
+  for (const auto& [domain, count] : mFleet.daemons) {
+    near += mPlace.RegionOf(domain) == region ? count : 0;
+  }
+  aLink.SetQuota(
+    SplitConnections(rule->connections, near, mFleet.Total(), region == mPlace.region));
+}
+
+bool
+ReplicaSet::IsInUse(const std::string& aService) const
+{
+  return mTable != nullptr && mTable->FindService(aService) != nullptr;
+}
+
+void
+ReplicaSet::KeepWarm()
+{
+  for (auto& [name, service] : mServices) {
+    if (!IsInUse(name)) {
+      continue;
+    }
+    std::vector<std::pair<core::Duration, std::shared_ptr<ReplicaLink>>> byDistance;
+    for (const std::shared_ptr<ReplicaLink>& link : service.links) {
+      if (MayUse(*link, {})) {
+        // A spread far below any real difference orders replicas that are equally far.
+        const auto spread = std::hash<std::string>()(mPlace.vm + link->Replica().id) % 1000;
+        byDistance.emplace_back(
+          mPlace.WayTo(link->Replica().failureDomain) + std::chrono::nanoseconds(spread), link);
+      }
+    }
+    const std::size_t n = std::min(kWarmReplicas, byDistance.size());
+    const auto middle = byDistance.begin() + static_cast<std::ptrdiff_t>(n);
+    std::partial_sort(byDistance.begin(), middle, byDistance.end());
+    std::for_each(byDistance.begin(), middle, [](auto& aEntry) { aEntry.second->KeepWarm(); });
   }
 }
 
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -25,6 +25,8 @@
   std::string region;
   /** The region of each failure domain. */
   std::map<std::string, std::string> regions;
+  /** Name of this daemon's VM; spreads the daemons over replicas that are equally far. */
+  std::string vm;
 
   /** @return the region of a failure domain, empty when it isn't known. */
   const std::string& RegionOf(const std::string& aFailureDomain) const;
@@ -104,7 +106,13 @@
   /** Drops a replica; what runs there may end. */
   void Remove(const std::string& aId);
 
-  /** Starts an attempt at the best replica. The callback never comes before this returns. */
+  /**
+   * Keeps a connection open to the nearest replica of each service in use and to one other, where
+   * its hedges go. To be called every few hundred milliseconds.
+   */
+  void KeepWarm();
+
+  /** Starts an attempt at the best replica. */
   Placement Send(const AttemptOrder& aOrder,
                  std::shared_ptr<const ForwardedRequest> aRequest,
                  AttemptCallback aCallback);
@@ -157,7 +165,8 @@
   std::shared_ptr<bool> mIsAlive;
 
   Service& ServiceOf(std::string_view aName);
-  void SetLimitOf(ReplicaLink& aLink) const;
+  void SetQuotaOf(ReplicaLink& aLink) const;
+  bool IsInUse(const std::string& aService) const;
   bool MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const;
   bool TakeColdRate(ReplicaLink& aLink);
   std::shared_ptr<ReplicaLink> Choose(const std::vector<std::shared_ptr<ReplicaLink>>& aLinks,
