--- a/membership/entry_lease.cpp
+++ b/membership/entry_lease.cpp
@@ -78,6 +78,13 @@
     { { "status", std::string(store::NameOf(put)) }, { "lease", std::to_string(mLease) } });
 }
 
+void
+EntryLease::SetValue(std::string aValue)
+{
+  mSettings.value = std::move(aValue);
+  mIsWritten = false;
+}
+
 core::Task<void>
 EntryLease::Leave()
 {
--- a/membership/entry_lease.h
+++ b/membership/entry_lease.h
@@ -32,6 +32,9 @@
   /** Writes the key, and writes it again whenever the lease has ended, until Leave(). */
   core::Task<void> Run();
 
+  /** Changes the value; it is written with the next renewal. */
+  void SetValue(std::string aValue);
+
   /** Takes in that somebody else deleted or overwrote the key: it is written again. */
   void KeyVanished() { mIsWritten = false; }
 
--- a/membership/entry_roll.cpp
+++ b/membership/entry_roll.cpp
@@ -1,7 +1,6 @@
 #include "membership/entry_roll.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace skylarkwing::membership {
@@ -38,24 +37,45 @@
   return counts;
 }
 
+std::vector<const EntryMember*>
+EntryRoll::Ablest(std::vector<const EntryMember*> aMembers)
+{
+  double greatest = 0.0;
+  for (const EntryMember* member : aMembers) {
+    greatest = std::max(greatest, member->capacity);
+  }
+  std::vector<const EntryMember*> large;
+  std::size_t busy = 0;
+  for (const EntryMember* member : aMembers) {
+    if (member->capacity >= greatest * kEqualCapacity) {
+      large.push_back(member);
+      busy += member->isBusy ? 1 : 0;
+    }
+  }
+  const double mostBusy = kMostBusyShare * static_cast<double>(large.size());
+  return static_cast<double>(busy) > mostBusy ? aMembers : large;
+}
+
 std::vector<std::string>
 EntryRoll::AddressesFor(const CallerPlace& aCaller, std::uint64_t aSpread) const
 {
-  std::vector<std::string> near;
-  std::vector<std::string> inRegion;
-  std::vector<std::string> all;
+  std::vector<const EntryMember*> near;
+  std::vector<const EntryMember*> inRegion;
+  std::vector<const EntryMember*> all;
   for (const auto& [vm, member] : mMembers) {
-    all.push_back(member.address);
+    all.push_back(&member);
     if (member.region == aCaller.region) {
-      inRegion.push_back(member.address);
+      inRegion.push_back(&member);
     }
     if (member.failureDomain == aCaller.failureDomain) {
-      near.push_back(member.address);
+      near.push_back(&member);
     }
   }
-  std::vector<std::string> chosen = std::move(!near.empty()       ? near
-                                              : !inRegion.empty() ? inRegion
-                                                                  : all);
+  const auto& nearest = !near.empty() ? near : !inRegion.empty() ? inRegion : all;
+  std::vector<std::string> chosen;
+  for (const EntryMember* member : Ablest(nearest)) {
+    chosen.push_back(member->address);
+  }
   if (chosen.size() > kMostEntryAddresses) {
     const auto shift = static_cast<std::ptrdiff_t>(aSpread % chosen.size());
     std::rotate(chosen.begin(), chosen.begin() + shift, chosen.end());
--- a/membership/entry_roll.h
+++ b/membership/entry_roll.h
@@ -17,6 +17,12 @@
   std::string region;
   /** "IP:port" where callers connect. */
   std::string address;
+  /** "IP:port" where other daemons connect. */
+  std::string peerAddress;
+  /** Processor cores that it may use. */
+  double capacity = 1.0;
+  /** Whether it has more work than it can do in time. */
+  bool isBusy = false;
 };
 
 /** Where a caller stands; empty fields are unknown. */
@@ -29,6 +35,12 @@
 /** Most addresses that one answer names. */
 constexpr std::size_t kMostEntryAddresses = 64;
 
+/** Members with at least this share of the greatest capacity are taken for equals. */
+constexpr double kEqualCapacity = 0.6;
+
+/** While more than this share of the large members is busy, the small ones help. */
+constexpr double kMostBusyShare = 0.34;
+
 /** The daemons that are ready, and which of them a caller should use. */
 class EntryRoll
 {
@@ -51,11 +63,16 @@
   /**
    * @return addresses for a caller: those in its failure domain, else in its region, else all.
    *         At most kMostEntryAddresses of them, starting at a place that differs by `aSpread`.
+   *
+   * A query over many shards costs a small member so much time that it misses its objective. So
+   * callers get the large members of a place, and the small ones too while the large are busy.
    */
   std::vector<std::string> AddressesFor(const CallerPlace& aCaller, std::uint64_t aSpread) const;
 
 private:
   std::map<std::string, EntryMember> mMembers;
+
+  static std::vector<const EntryMember*> Ablest(std::vector<const EntryMember*> aMembers);
 };
 
 } // namespace skylarkwing::membership
--- /dev/null
+++ b/membership/feed_choice.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "membership/entry_roll.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace skylarkwing::membership {
+
+/**
+ * Decides from whom this daemon hears what stands in the store: from the store itself, or from
+ * another daemon of its failure domain that follows the store.
+ *
+ * Answers the load that watches put on the store: with a few relays in each failure domain its
+ * calls grow with the failure domains and not with the daemons. A relay that fails is passed over
+ * for a while, and without one the store is asked.
+ */
+class FeedChoice
+{
+public:
+  /** Failure domains of at least this many daemons have two relays, smaller ones have one. */
+  static constexpr std::size_t kLargeDomain = 6;
+
+  /** How long a relay that failed is passed over. */
+  static constexpr core::Duration kDistrust = std::chrono::seconds{ 5 };
+
+  FeedChoice(std::string aVm, std::string aFailureDomain);
+
+  /** @return the daemon to ask, nothing for the store itself. */
+  std::optional<EntryMember> Choose(const EntryRoll& aRoll, core::TimePoint aNow);
+
+  /** Takes in that a relay failed. */
+  void Distrust(const std::string& aVm, core::TimePoint aNow);
+
+private:
+  std::string mVm;
+  std::string mFailureDomain;
+  std::map<std::string, core::TimePoint> mDistrustedUntil;
+};
+
+} // namespace skylarkwing::membership
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -5,16 +5,16 @@
 
 namespace skylarkwing::store {
 
-KeyFeed::KeyFeed(KeyValueStore& aStore,
+KeyFeed::KeyFeed(FeedSourceFunction aSource,
                  core::TimerService& aTimers,
                  core::RandomSource& aRandom,
-                 FeedSettings aSettings,
+                 std::string aPrefix,
                  FeedHooks aHooks)
-  : mStore(aStore)
+  : mSource(std::move(aSource))
   , mTimers(aTimers)
-  , mSettings(std::move(aSettings))
+  , mPrefix(std::move(aPrefix))
   , mHooks(std::move(aHooks))
-  , mBackoff(aRandom, mSettings.leastBackoff, mSettings.mostBackoff)
+  , mBackoff(aRandom, kLeastBackoff, kMostBackoff)
 {
 }
 
@@ -23,50 +23,69 @@
 {
   const auto self = shared_from_this();
   while (!mIsStopped) {
-    const StoreStatus status = mHasRead ? co_await WatchOnce() : co_await ReadOnce();
-    if (mIsStopped) {
-      co_return;
-    }
-    if (status == StoreStatus::Done) {
-      mBackoff.Reset();
-      if (mHasRead && mSettings.pause > core::Duration::zero()) {
-        co_await core::Sleep(mTimers, mSettings.pause);
-      }
-      continue;
-    }
-    if (status == StoreStatus::HistoryLost) {
-      mHasRead = false;
-      continue;
+    co_await Step();
+  }
+}
+
+core::Task<void>
+KeyFeed::Step()
+{
+  const FeedSource source = mSource();
+  const StoreStatus status = mHasRead ? co_await WatchOnce(source) : co_await ReadOnce(source);
+  if (mIsStopped) {
+    co_return;
+  }
+  if (status == StoreStatus::Done) {
+    mBackoff.Reset();
+    if (source.pause > core::Duration::zero()) {
+      co_await core::Sleep(mTimers, source.pause);
     }
-    mIsAnswering = false;
-    mHooks.onLost(status);
-    co_await core::Sleep(mTimers, mBackoff.Next());
+    co_return;
+  }
+  if (status == StoreStatus::HistoryLost) {
+    mHasRead = false;
+    co_return;
   }
+  mMirror.SetFresh(false);
+  if (!source.isDirect) {
+    // The store may well answer, so that nothing is lost yet.
+    source.onFailed();
+    co_return;
+  }
+  mIsAnswering = false;
+  mHooks.onLost(status);
+  co_await core::Sleep(mTimers, mBackoff.Next());
 }
 
 core::Task<StoreStatus>
-KeyFeed::ReadOnce()
+KeyFeed::ReadOnce(FeedSource aSource)
 {
-  const KeyItems read = co_await mStore.ReadAll(mSettings.prefix);
+  const KeyItems read = co_await aSource.store->ReadAll(mPrefix);
   if (read.status != StoreStatus::Done) {
     // A range read knows no history; this keeps the loop from asking again without a pause.
     co_return read.status == StoreStatus::HistoryLost ? StoreStatus::Garbled : read.status;
   }
-  NoteAnswer();
+  if (!aSource.isDirect && read.revision < mRevision) {
+    // Another daemon's copy that is behind would take back what is known here.
+    co_return StoreStatus::Refused;
+  }
   mRevision = read.revision;
   mHasRead = true;
+  mMirror.Reset(read.items, read.revision);
+  NoteAnswer(aSource);
   mHooks.onAll(read.items);
   co_return StoreStatus::Done;
 }
 
 core::Task<StoreStatus>
-KeyFeed::WatchOnce()
+KeyFeed::WatchOnce(FeedSource aSource)
 {
-  const KeyItems changes = co_await mStore.Watch(mSettings.prefix, mRevision, mSettings.wait);
+  const KeyItems changes = co_await aSource.store->Watch(mPrefix, mRevision, aSource.wait);
   if (changes.status != StoreStatus::Done) {
     co_return changes.status;
   }
-  NoteAnswer();
+  mMirror.Apply(changes.items, changes.revision);
+  NoteAnswer(aSource);
   for (const KeyItem& item : changes.items) {
     mHooks.onChange(item);
   }
@@ -75,8 +94,9 @@
 }
 
 void
-KeyFeed::NoteAnswer()
+KeyFeed::NoteAnswer(const FeedSource& aSource)
 {
+  mMirror.SetFresh(aSource.isDirect);
   if (!mIsAnswering) {
     mIsAnswering = true;
     mHooks.onAnswered();
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "store/backoff.h"
+#include "store/key_mirror.h"
 #include "store/key_value_store.h"
 
 #include <functional>
@@ -18,25 +19,29 @@
   std::function<void(const std::vector<KeyItem>&)> onAll;
   /** One key that was written or deleted. */
   std::function<void(const KeyItem&)> onChange;
-  /** A call failed; the state may be old from now on. */
+  /** A call to the store failed; the state may be old from now on. */
   std::function<void(StoreStatus)> onLost;
   /** A call succeeded after failures, or for the first time. */
   std::function<void()> onAnswered;
 };
 
-/** How a feed watches. */
-struct FeedSettings
+/** Where a feed makes its next call. */
+struct FeedSource
 {
-  std::string prefix;
+  std::shared_ptr<KeyValueStore> store;
+  /** Whether it is the store itself and not another daemon's copy. */
+  bool isDirect = true;
   /** Pause between two watches; keys that change all the time cost one call a pause. */
   core::Duration pause{};
-  /** How long one watch waits; below the store's most of 30 s. */
-  core::Duration wait = std::chrono::seconds{ 25 };
-  /** A daemon that knows nothing yet serves nobody, so that it asks again soon. */
-  core::Duration leastBackoff = std::chrono::milliseconds{ 150 };
-  core::Duration mostBackoff = std::chrono::milliseconds{ 450 };
+  /** How long one watch waits: also how long a silent connection stays unnoticed. */
+  core::Duration wait = std::chrono::seconds{ 2 };
+  /** Called when a call to another daemon failed; the next call must go elsewhere. */
+  std::function<void()> onFailed;
 };
 
+/** Chooses where the next call goes. */
+using FeedSourceFunction = std::function<FeedSource()>;
+
 /**
  * Follows the keys with one prefix: reads them once, then watches, and reads them again when the
  * store has dropped the history in between.
@@ -44,10 +49,14 @@
 class KeyFeed : public std::enable_shared_from_this<KeyFeed>
 {
 public:
-  KeyFeed(KeyValueStore& aStore,
+  /** A daemon that knows nothing yet serves nobody, so that it asks again soon. */
+  static constexpr core::Duration kLeastBackoff = std::chrono::milliseconds{ 150 };
+  static constexpr core::Duration kMostBackoff = std::chrono::milliseconds{ 450 };
+
+  KeyFeed(FeedSourceFunction aSource,
           core::TimerService& aTimers,
           core::RandomSource& aRandom,
-          FeedSettings aSettings,
+          std::string aPrefix,
           FeedHooks aHooks);
 
   /** Follows the keys until Stop(). */
@@ -56,20 +65,27 @@
   /** Ends Run() after its present call. */
   void Stop() { mIsStopped = true; }
 
+  /** @return the copy that other daemons may follow. */
+  KeyMirror& Mirror() { return mMirror; }
+
+  const std::string& Prefix() const { return mPrefix; }
+
 private:
-  KeyValueStore& mStore;
+  FeedSourceFunction mSource;
   core::TimerService& mTimers;
-  FeedSettings mSettings;
+  std::string mPrefix;
   FeedHooks mHooks;
   Backoff mBackoff;
+  KeyMirror mMirror;
   std::uint64_t mRevision = 0;
   bool mHasRead = false;
   bool mIsAnswering = false;
   bool mIsStopped = false;
 
-  core::Task<StoreStatus> ReadOnce();
-  core::Task<StoreStatus> WatchOnce();
-  void NoteAnswer();
+  core::Task<void> Step();
+  core::Task<StoreStatus> ReadOnce(FeedSource aSource);
+  core::Task<StoreStatus> WatchOnce(FeedSource aSource);
+  void NoteAnswer(const FeedSource& aSource);
 };
 
 } // namespace skylarkwing::store
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -22,6 +22,8 @@
   {
   }
 
+  int failures = 0;
+
   std::map<std::string, std::string> keys;
   std::vector<KeyItem> history;
   std::uint64_t revision = 1;
@@ -102,7 +104,11 @@
 {
   VirtualLoop loop;
   core::RandomSource random{ 20261204 };
-  FakeKeys keys{ loop.timers };
+  std::shared_ptr<FakeKeys> shared = std::make_shared<FakeKeys>(loop.timers);
+  FakeKeys& keys = *shared;
+  /** Another daemon's copy, and whether it is asked. */
+  std::shared_ptr<FakeKeys> relay = std::make_shared<FakeKeys>(loop.timers);
+  bool isRelayed = false;
   std::map<std::string, std::string> copy;
   int lost = 0;
   int answered = 0;
@@ -125,10 +131,19 @@
     };
     hooks.onLost = [this](StoreStatus) { ++lost; };
     hooks.onAnswered = [this] { ++answered; };
-    FeedSettings settings;
-    settings.pause = aPause;
-    settings.wait = milliseconds{ 2500 };
-    feed = std::make_shared<KeyFeed>(keys, loop.timers, random, settings, hooks);
+    const auto source = [this, aPause] {
+      FeedSource chosen;
+      chosen.store = isRelayed ? relay : shared;
+      chosen.isDirect = !isRelayed;
+      chosen.pause = aPause;
+      chosen.wait = milliseconds{ 2500 };
+      chosen.onFailed = [this] {
+        ++relay->failures;
+        isRelayed = false;
+      };
+      return chosen;
+    };
+    feed = std::make_shared<KeyFeed>(source, loop.timers, random, "", hooks);
     core::Start(loop.io.get_executor(), feed->Run());
     loop.Run(milliseconds{ 50 });
   }
@@ -204,6 +219,39 @@
   BOOST_TEST(copy["beat"] == "499");
 }
 
+BOOST_AUTO_TEST_CASE(a_failing_relay_is_replaced_at_once_and_nothing_counts_as_lost)
+{
+  isRelayed = true;
+  relay->Write("a", "1");
+  keys.Write("a", "1");
+  Start();
+  BOOST_TEST((copy == relay->keys));
+  BOOST_TEST(!feed->Mirror().IsFresh());
+  relay->outage = StoreStatus::Unknown;
+  keys.Write("b", "2");
+  loop.Run(milliseconds{ 50 });
+  BOOST_TEST(relay->failures == 1);
+  BOOST_TEST(lost == 0);
+  BOOST_TEST((copy == keys.keys));
+  BOOST_TEST(feed->Mirror().IsFresh());
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_that_is_behind_takes_nothing_back)
+{
+  Start();
+  keys.Write("a", "1");
+  keys.Write("b", "2");
+  loop.Run(milliseconds{ 2490 });
+  isRelayed = true;
+  keys.Write("c", "3");
+  loop.Run(milliseconds{ 20 });
+  // The relay's history begins later, so that the feed would have to read it whole.
+  relay->historyFrom = 100;
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(relay->failures == 1);
+  BOOST_TEST((copy == keys.keys));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::store::tests
