Share limits by expected work, warm only what is used, one relay for fifty daemons

Cause: daemons without callers kept connections to all shards, and a 63rd of the extra attempts was too little for the twelve that serve. Cold replicas now get requests from three daemons only, so that what each has saved up can't pass the bound at once.

--- a/membership/entry_lease.h
+++ b/membership/entry_lease.h
@@ -15,9 +15,9 @@
   std::string value;
   /** A daemon that dies is forgotten after this; callers skip addresses that fail them meanwhile.
    */
-  core::Duration lifetime = std::chrono::milliseconds{ 3000 };
+  core::Duration lifetime = std::chrono::milliseconds{ 4000 };
   /** Three renewals fit into a lifetime, so that two may be lost. */
-  core::Duration renewal = std::chrono::milliseconds{ 1000 };
+  core::Duration renewal = std::chrono::milliseconds{ 1300 };
 };
 
 /** Keeps one key in the store under a lease for as long as the daemon is ready. */
--- a/membership/entry_roll.cpp
+++ b/membership/entry_roll.cpp
@@ -27,14 +27,21 @@
   }
 }
 
-std::map<std::string, std::size_t>
-EntryRoll::CountByDomain() const
+std::map<std::string, double>
+EntryRoll::Weights() const
 {
-  std::map<std::string, std::size_t> counts;
+  std::map<std::string, std::vector<const EntryMember*>> domains;
+  std::map<std::string, double> weights;
   for (const auto& [vm, member] : mMembers) {
-    ++counts[member.failureDomain];
+    domains[member.failureDomain].push_back(&member);
+    weights[vm] = member.capacity * kIdleWeight;
   }
-  return counts;
+  for (const auto& [domain, members] : domains) {
+    for (const EntryMember* member : Ablest(members)) {
+      weights[member->vm] = member->capacity;
+    }
+  }
+  return weights;
 }
 
 std::vector<const EntryMember*>
--- a/membership/entry_roll.h
+++ b/membership/entry_roll.h
@@ -38,6 +38,9 @@
 /** Members with at least this share of the greatest capacity are taken for equals. */
 constexpr double kEqualCapacity = 0.6;
 
+/** Part of its capacity that a member counts for while callers are sent to larger ones. */
+constexpr double kIdleWeight = 0.15;
+
 /** While more than this share of the large members is busy, the small ones help. */
 constexpr double kMostBusyShare = 0.34;
 
@@ -57,8 +60,11 @@
   /** @return members by VM. */
   const std::map<std::string, EntryMember>& Members() const { return mMembers; }
 
-  /** @return how many members each failure domain has. */
-  std::map<std::string, std::size_t> CountByDomain() const;
+  /**
+   * @return the share of the work that each member takes, by VM: its capacity, or a small part of
+   *         it while callers are sent to larger members of its failure domain.
+   */
+  std::map<std::string, double> Weights() const;
 
   /**
    * @return addresses for a caller: those in its failure domain, else in its region, else all.
--- a/membership/feed_choice.cpp
+++ b/membership/feed_choice.cpp
@@ -1,5 +1,6 @@
 #include "membership/feed_choice.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -22,7 +23,7 @@
     }
   }
   // Members are in the order of their names, so that all daemons of a domain find the same relays.
-  domain.resize(domain.size() >= kLargeDomain ? 2 : std::min<std::size_t>(1, domain.size()));
+  domain.resize(std::min(domain.size(), 1 + domain.size() / kDaemonsPerRelay));
   const std::size_t first = std::hash<std::string>()(mVm);
   for (std::size_t n = 0; n < domain.size(); ++n) {
     if (domain[n]->vm == mVm) {
--- a/membership/feed_choice.h
+++ b/membership/feed_choice.h
@@ -21,8 +21,8 @@
 class FeedChoice
 {
 public:
-  /** Failure domains of at least this many daemons have two relays, smaller ones have one. */
-  static constexpr std::size_t kLargeDomain = 6;
+  /** One relay serves so many daemons: a watch a second each is a small part of its work. */
+  static constexpr std::size_t kDaemonsPerRelay = 50;
 
   /** How long a relay that failed is passed over. */
   static constexpr core::Duration kDistrust = std::chrono::seconds{ 5 };
--- a/query/gather_policy.h
+++ b/query/gather_policy.h
@@ -32,14 +32,17 @@
   Fail,
 };
 
-/** How long before the objective an answer leaves, to be with the caller in time. */
-constexpr core::Duration kDeliveryTime = std::chrono::milliseconds{ 14 };
+/**
+ * How long before the objective an answer leaves, to be with the caller in time: the objective
+ * counts from the caller's side, so that a connection, the request and the answer have to travel.
+ */
+constexpr core::Duration kDeliveryTime = std::chrono::milliseconds{ 20 };
 
 /** How long before the deadline the last answer leaves. */
 constexpr core::Duration kDeadlineMargin = std::chrono::milliseconds{ 20 };
 
 /** An attempt this many times as old as a usual exchange is a straggler. */
-constexpr double kStragglerFactor = 2.0;
+constexpr double kStragglerFactor = 1.8;
 
 /** No attempt is a straggler before this: a hedge costs as much as a part. */
 constexpr core::Duration kLeastHedgeDelay = std::chrono::milliseconds{ 15 };
--- a/upstream/fleet_share.cpp
+++ b/upstream/fleet_share.cpp
@@ -1,6 +1,7 @@
 #include "upstream/fleet_share.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace skylarkwing::upstream {
 
@@ -9,51 +10,59 @@
 /** Share of a replica's connections that the daemons near it hold. */
 constexpr double kNearShare = 0.5;
 
+/** Keeps a share such as 2.0 from being cut to 1 by its binary form. */
+constexpr double kRoundingSlack = 1e-9;
+
 /** Connections that a daemon may open at a time whatever its share; few daemons do at once. */
 constexpr std::uint32_t kLeastNear = 2;
 constexpr std::uint32_t kLeastFar = 1;
 
 } // namespace
 
-std::size_t
-FleetSize::Total() const
+double
+FleetShares::Total() const
 {
-  std::size_t n = 0;
-  for (const auto& [domain, count] : daemons) {
-    n += count;
+  double sum = 0.0;
+  for (const auto& [domain, weight] : domains) {
+    sum += weight;
   }
-  return std::max<std::size_t>(1, n);
-}
-
-std::size_t
-FleetSize::In(const std::string& aFailureDomain) const
-{
-  const auto it = daemons.find(aFailureDomain);
-  return it == daemons.end() ? 0 : it->second;
+  return std::max(sum, own);
 }
 
 ConnectionQuota
-SplitConnections(std::uint32_t aLimit, std::size_t aNear, std::size_t aTotal, bool aIsNear)
+SplitConnections(std::uint32_t aLimit, double aNear, double aFar, double aOwn, bool aIsNear)
 {
-  const std::size_t total = std::max<std::size_t>(1, aTotal);
-  const std::size_t near = std::min(aNear, total);
-  const std::size_t far = total - near;
   const double limit = aLimit;
-  double share = limit / static_cast<double>(total);
-  if (near > 0 && far > 0) {
-    share = aIsNear ? limit * kNearShare / static_cast<double>(near)
-                    : limit * (1.0 - kNearShare) / static_cast<double>(far);
+  double share = limit * aOwn / std::max(aOwn, aNear + aFar);
+  if (aNear > 0.0 && aFar > 0.0) {
+    share = aIsNear ? limit * kNearShare * aOwn / std::max(aOwn, aNear)
+                    : limit * (1.0 - kNearShare) * aOwn / std::max(aOwn, aFar);
   }
   ConnectionQuota quota;
-  quota.kept = static_cast<std::uint32_t>(share);
+  quota.kept = static_cast<std::uint32_t>(share + kRoundingSlack);
   quota.most = std::max(quota.kept, aIsNear ? kLeastNear : kLeastFar);
   return quota;
 }
 
 bool
-ColdRate::Take(double aRate, std::size_t aDaemons, core::TimePoint aNow)
+MaySendCold(const std::vector<std::string>& aVms,
+            const std::string& aOwnVm,
+            const std::string& aReplica)
+{
+  // Rendezvous hashing: all daemons find the same senders, and few of them change with the fleet.
+  const std::hash<std::string> hash;
+  const std::size_t own = hash(aOwnVm + aReplica);
+  std::size_t before = 0;
+  for (const std::string& vm : aVms) {
+    before += vm != aOwnVm && hash(vm + aReplica) < own ? 1 : 0;
+  }
+  return before < kColdSenders;
+}
+
+bool
+ColdRate::Take(double aRate, std::size_t aSenders, core::TimePoint aNow)
 {
-  const double rate = aRate / static_cast<double>(std::max<std::size_t>(1, aDaemons));
+  const double rate = aRate / static_cast<double>(std::max<std::size_t>(1, aSenders));
   const std::chrono::duration<double> since = aNow - mRefilledAt;
   mTokens = std::min(1.0, mTokens + std::max(0.0, since.count()) * rate);
   mRefilledAt = aNow;
--- a/upstream/fleet_share.h
+++ b/upstream/fleet_share.h
@@ -6,19 +6,25 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace skylarkwing::upstream {
 
-/** How many daemons are live, by failure domain. This daemon counts as one of them. */
-struct FleetSize
+/** What share of the work each live daemon takes. This daemon counts as one of them. */
+struct FleetShares
 {
-  std::map<std::string, std::size_t> daemons;
+  /** Weights of the daemons of each failure domain, added up. */
+  std::map<std::string, double> domains;
+  /** Names of the daemons' VMs. */
+  std::vector<std::string> vms;
+  /** Weight of this daemon. */
+  double own = 1.0;
 
-  /** @return live daemons in all failure domains, at least one. */
-  std::size_t Total() const;
+  /** @return the weights of all daemons, at least that of this one. */
+  double Total() const;
 
-  /** @return live daemons of one failure domain. */
-  std::size_t In(const std::string& aFailureDomain) const;
+  /** @return this daemon's share of what all bear together, above 0 and at most 1. */
+  double OwnShare() const { return own / Total(); }
 };
 
 /** How many connections a daemon may use to one replica. */
@@ -37,12 +43,22 @@
  * A daemon whose share is less than one connection still may open one for the time of a request.
  *
  * @param aLimit connections that the replica accepts from all daemons.
- * @param aNear how many daemons stand near the replica.
- * @param aTotal how many daemons there are.
+ * @param aNear weights of the daemons near the replica, added up.
+ * @param aFar weights of the others, added up.
+ * @param aOwn weight of this daemon.
  * @param aIsNear whether this daemon is one of the near ones.
  */
 ConnectionQuota
-SplitConnections(std::uint32_t aLimit, std::size_t aNear, std::size_t aTotal, bool aIsNear);
+SplitConnections(std::uint32_t aLimit, double aNear, double aFar, double aOwn, bool aIsNear);
+
+/** Daemons that may send to one cold replica: each may have saved up one request. */
+constexpr std::size_t kColdSenders = 3;
+
+/** @return whether this daemon is one of those that may send to a cold replica. */
+bool
+MaySendCold(const std::vector<std::string>& aVms,
+            const std::string& aOwnVm,
+            const std::string& aReplica);
 
 /**
  * A token bucket that keeps this daemon to its share of what a cold replica bears.
@@ -54,10 +70,10 @@
    * Takes one request off the bucket.
    *
    * @param aRate requests a second that the replica bears from all daemons.
-   * @param aDaemons how many daemons share it.
+   * @param aSenders how many daemons share it.
    * @return whether it may be sent now.
    */
-  bool Take(double aRate, std::size_t aDaemons, core::TimePoint aNow);
+  bool Take(double aRate, std::size_t aSenders, core::TimePoint aNow);
 
 private:
   double mTokens = 1.0;
--- a/upstream/replica_link.h
+++ b/upstream/replica_link.h
@@ -97,7 +97,7 @@
   /** How long an idle connection is kept when the replica doesn't say. */
   core::Duration idleTimeout = std::chrono::seconds{ 4 };
   /** Share of the replica's idle time after which a connection isn't used again. */
-  double idleShare = 0.7;
+  double idleShare = 0.8;
   /** How long a replica that failed is avoided; doubles with each further failure. */
   core::Duration leastSuspicion = std::chrono::milliseconds{ 400 };
   core::Duration mostSuspicion = std::chrono::seconds{ 3 };
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -15,6 +15,9 @@
 constexpr core::Duration kWayInRegion = std::chrono::milliseconds{ 2 };
 constexpr core::Duration kWayToRegion = std::chrono::milliseconds{ 25 };
 
+/** A daemon that had no request for a service for so long keeps no connections for it. */
+constexpr core::Duration kWarmAfterUse = std::chrono::seconds{ 10 };
+
 /** The replica that is used first, and the one that takes its hedges and retries. */
 constexpr std::size_t kWarmReplicas = 2;
 
@@ -83,7 +86,7 @@
 }
 
 void
-ReplicaSet::SetFleet(FleetSize aFleet)
+ReplicaSet::SetFleet(FleetShares aFleet)
 {
   mFleet = std::move(aFleet);
   for (const auto& [id, link] : mLinks) {
@@ -171,13 +174,15 @@
 void
 ReplicaSet::RecordFirst(std::string_view aService)
 {
-  ServiceOf(aService).allowance.RecordFirst(mTimers.Now());
+  Service& service = ServiceOf(aService);
+  service.lastUse = mTimers.Now();
+  service.allowance.RecordFirst(service.lastUse);
 }
 
 bool
 ReplicaSet::TakeExtra(std::string_view aService, ExtraAttempt aKind)
 {
-  const double share = 1.0 / static_cast<double>(mFleet.Total());
+  const double share = mFleet.OwnShare();
   return ServiceOf(aService).allowance.Take(aKind, mRetryBound, share, mTimers.Now());
 }
 
@@ -220,25 +225,26 @@
   }
   // Failure domains of one region are so close that all its daemons use the replica first.
   const std::string& region = mPlace.RegionOf(aLink.Replica().failureDomain);
-  std::size_t near = 0;
-  for (const auto& [domain, count] : mFleet.daemons) {
-    near += mPlace.RegionOf(domain) == region ? count : 0;
+  double near = 0.0;
+  double far = 0.0;
+  for (const auto& [domain, weight] : mFleet.domains) {
+    (mPlace.RegionOf(domain) == region ? near : far) += weight;
   }
   aLink.SetQuota(
-    SplitConnections(rule->connections, near, mFleet.Total(), region == mPlace.region));
+    SplitConnections(rule->connections, near, far, mFleet.own, region == mPlace.region));
 }
 
 bool
-ReplicaSet::IsInUse(const std::string& aService) const
+ReplicaSet::IsInUse(const Service& aService) const
 {
-  return mTable != nullptr && mTable->FindService(aService) != nullptr;
+  return mTimers.Now() - aService.lastUse < kWarmAfterUse;
 }
 
 void
 ReplicaSet::KeepWarm()
 {
   for (auto& [name, service] : mServices) {
-    if (!IsInUse(name)) {
+    if (!IsInUse(service)) {
       continue;
     }
     std::vector<std::pair<core::Duration, std::shared_ptr<ReplicaLink>>> byDistance;
@@ -279,7 +285,8 @@
   if (rule == nullptr || rule->coldRate <= 0.0 || !aLink.IsCold()) {
     return true;
   }
-  return aLink.Cold().Take(rule->coldRate, mFleet.Total(), mTimers.Now());
+  return MaySendCold(mFleet.vms, mPlace.vm, aLink.Replica().id) &&
+         aLink.Cold().Take(rule->coldRate, kColdSenders, mTimers.Now());
 }
 
 std::shared_ptr<ReplicaLink>
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -94,8 +94,8 @@
   /** Takes in what the services bear. */
   void SetTable(std::shared_ptr<const declaration::RoutingTable> aTable);
 
-  /** Takes in how many daemons share the limits. */
-  void SetFleet(FleetSize aFleet);
+  /** Takes in which share of the limits is this daemon's. */
+  void SetFleet(FleetShares aFleet);
 
   /** Takes in whether a failure domain may get work. */
   void SetDomainOut(const std::string& aFailureDomain, bool aIsOut);
@@ -143,6 +143,7 @@
   {
     std::vector<std::shared_ptr<ReplicaLink>> links;
     RetryAllowance allowance;
+    core::TimePoint lastUse{};
     /** By priority, then by arrival. */
     std::map<std::pair<std::uint32_t, WaiterId>, std::function<void()>> waiters;
   };
@@ -155,7 +156,7 @@
   Place mPlace;
   RetryBound mRetryBound;
   LinkSettings mLinkSettings;
-  FleetSize mFleet;
+  FleetShares mFleet;
   std::shared_ptr<const declaration::RoutingTable> mTable;
   std::set<std::string> mDomainsOut;
   std::map<std::string, std::shared_ptr<ReplicaLink>> mLinks;
@@ -166,7 +167,7 @@
 
   Service& ServiceOf(std::string_view aName);
   void SetQuotaOf(ReplicaLink& aLink) const;
-  bool IsInUse(const std::string& aService) const;
+  bool IsInUse(const Service& aService) const;
   bool MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const;
   bool TakeColdRate(ReplicaLink& aLink);
   std::shared_ptr<ReplicaLink> Choose(const std::vector<std::shared_ptr<ReplicaLink>>& aLinks,
