--- a/query/gather_policy.cpp
+++ b/query/gather_policy.cpp
@@ -26,17 +26,43 @@
   if (aProgress.answered == aProgress.shards) {
     return GatherStep::Answer;
   }
-  if (aProgress.shards - aProgress.failed < aProgress.least) {
+  const std::size_t possible = aProgress.shards - aProgress.failed;
+  if (possible < aProgress.least) {
     return GatherStep::Fail;
   }
   const bool isEnough = aProgress.answered >= aProgress.least;
-  const bool isSettled = aProgress.answered + aProgress.failed == aProgress.shards;
-  if (isEnough && (isSettled || aProgress.age >= PartialTime(aProgress))) {
+  const bool isSettled =
+    aProgress.answered + aProgress.failed + aProgress.deferred == aProgress.shards;
+  const bool isDue = aProgress.age >= PartialTime(aProgress);
+  if (isEnough && (isSettled || isDue)) {
     return GatherStep::Answer;
   }
+  if (aProgress.deferred > 0 && (isDue || possible - aProgress.deferred < aProgress.least)) {
+    return GatherStep::AskDeferred;
+  }
   return aProgress.age >= LastTime(aProgress) ? GatherStep::Fail : GatherStep::Wait;
 }
 
+std::vector<std::size_t>
+ChooseDeferred(const std::vector<core::Duration>& aExpected,
+               std::size_t aLeast,
+               core::Duration aObjective)
+{
+  std::vector<std::size_t> late;
+  const core::Duration latest = aObjective - std::min(kDeliveryTime, aObjective / 4);
+  for (std::size_t n = 0; n < aExpected.size(); ++n) {
+    if (aExpected[n] > latest) {
+      late.push_back(n);
+    }
+  }
+  const std::size_t most = aExpected.size() - std::min(aLeast, aExpected.size());
+  std::sort(late.begin(), late.end(), [&aExpected](std::size_t aLeft, std::size_t aRight) {
+    return aExpected[aLeft] > aExpected[aRight];
+  });
+  late.resize(std::min(late.size(), most));
+  return late;
+}
+
 core::Duration
 NextReview(const GatherProgress& aProgress)
 {
--- a/query/gather_policy.h
+++ b/query/gather_policy.h
@@ -3,6 +3,7 @@
 #include "core/timer_service.h"
 
 #include <cstddef>
+#include <vector>
 
 namespace skylarkwing::query {
 
@@ -15,6 +16,8 @@
   std::size_t answered = 0;
   /** Shards that can't answer any more. */
   std::size_t failed = 0;
+  /** Shards that were not asked yet. */
+  std::size_t deferred = 0;
   /** Time since the request arrived. */
   core::Duration age{};
   core::Duration objective{};
@@ -28,6 +31,8 @@
   Wait,
   /** Answer with the shards that are there. */
   Answer,
+  /** Ask the deferred shards too: the others aren't enough. */
+  AskDeferred,
   /** Too few shards can answer. */
   Fail,
 };
@@ -59,6 +64,22 @@
 GatherStep
 NextStep(const GatherProgress& aProgress);
 
+/**
+ * Chooses the shards that are not asked at first.
+ *
+ * Answers the load of shards whose replicas are slow or overloaded: what they are sent would come
+ * after the objective and lengthen their queues. As many of them as an answer may lack are left
+ * out, the slowest first, which takes load off all of them; they are asked when others fail.
+ *
+ * @param aExpected for each shard, when it would answer; zero when that isn't known.
+ * @param aLeast fewest shards that make an answer.
+ * @return indexes into `aExpected`.
+ */
+std::vector<std::size_t>
+ChooseDeferred(const std::vector<core::Duration>& aExpected,
+               std::size_t aLeast,
+               core::Duration aObjective);
+
 /** @return when NextStep() may change with no further part: a time since arrival. */
 core::Duration
 NextReview(const GatherProgress& aProgress);
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -17,6 +17,9 @@
 /** Attempts for which no connection was made; they cost the replicas nothing. */
 constexpr std::size_t kMostNothingSent = 3;
 
+/** When a hedge that found no replica is considered again. */
+constexpr core::Duration kHedgeReview = std::chrono::milliseconds{ 25 };
+
 /** An attempt isn't worth a start with less time than this. */
 constexpr core::Duration kLeastTime = std::chrono::milliseconds{ 10 };
 
@@ -40,19 +43,39 @@
   SendOrWait();
 }
 
+core::Duration
+PartAttempts::Expected() const
+{
+  upstream::AttemptOrder order;
+  order.service = mPlan.service;
+  order.regions = &mPlan.route->regions;
+  return mReplicas.Expected(order).value_or(core::Duration::zero());
+}
+
 void
 PartAttempts::HedgeIfDue()
 {
   const auto due = HedgeDue();
-  if (!due || mTimers.Now() < *due) {
+  const core::TimePoint now = mTimers.Now();
+  if (!due || now < *due) {
     return;
   }
-  mWasHedged = true;
-  const core::Duration left = mPlan.deadline - mTimers.Now();
-  if (left < kLeastTime || !mReplicas.TakeExtra(mPlan.service, ExtraAttempt::Hedge)) {
+  // A hedge that comes too late as well only adds load. Later, any answer will do.
+  const core::TimePoint end = now < mPlan.objective ? mPlan.objective : mPlan.deadline;
+  const core::Duration left = end - now;
+  upstream::AttemptOrder order;
+  order.service = mPlan.service;
+  order.regions = &mPlan.route->regions;
+  order.tried = &mTried;
+  const auto expected = mReplicas.Expected(order);
+  if (left < kLeastTime || !expected || *expected >= left) {
+    mNoHedgeBefore = std::max(now + kHedgeReview, now < mPlan.objective ? mPlan.objective : now);
     return;
   }
-  TrySend(left);
+  mWasHedged = true;
+  if (mReplicas.TakeExtra(mPlan.service, ExtraAttempt::Hedge)) {
+    TrySend(left);
+  }
 }
 
 std::optional<core::TimePoint>
@@ -64,7 +87,8 @@
     return std::nullopt;
   }
   const upstream::Attempt& latest = *mAttempts.back().attempt;
-  return latest.Start() + HedgeDelay(latest.Usual(), mPlan.route->objective);
+  return std::max(latest.Start() + HedgeDelay(latest.Usual(), mPlan.route->objective),
+                  mNoHedgeBefore);
 }
 
 void
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -21,11 +21,15 @@
   std::shared_ptr<const declaration::RoutingTable> table;
   std::shared_ptr<const upstream::ForwardedRequest> request;
   core::TimePoint deadline;
+  /** When an answer is worth less; past it, any answer before the deadline will do. */
+  core::TimePoint objective;
 };
 
 /** Where a part stands. */
 enum class PartState
 {
+  /** It was not sent yet. */
+  Deferred,
   /** It waits for a replica with room. */
   Waiting,
   Running,
@@ -48,6 +52,9 @@
                PartPlan aPlan,
                std::function<void()> aOnChange);
 
+  /** @return how long the part would take if it were sent now, zero when that isn't known. */
+  core::Duration Expected() const;
+
   /** Sends the first attempt, or waits for room. */
   void Start();
 
@@ -92,7 +99,7 @@
   core::TimerService& mTimers;
   PartPlan mPlan;
   std::function<void()> mOnChange;
-  PartState mState = PartState::Waiting;
+  PartState mState = PartState::Deferred;
   std::vector<Sent> mAttempts;
   std::vector<std::string> mTried;
   std::size_t mSent = 0;
@@ -102,6 +109,8 @@
   upstream::AttemptResult mResult;
   bool mIsAbandoned = false;
   bool mWasHedged = false;
+  /** No hedge before this: there was no replica that would answer in time. */
+  core::TimePoint mNoHedgeBefore{};
 
   bool TrySend(core::Duration aFasterThan);
   void SendOrWait();
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -37,7 +37,8 @@
 {
   mParts.reserve(mPlan.services.size());
   for (const std::string& service : mPlan.services) {
-    PartPlan plan{ service, mPlan.route, mPlan.table, mPlan.request, mPlan.deadline };
+    PartPlan plan{ service,       mPlan.route,    mPlan.table,
+                   mPlan.request, mPlan.deadline, mPlan.arrival + mPlan.route->objective };
     mParts.push_back(std::make_shared<PartAttempts>(
       mReplicas, mTimers, std::move(plan), [self = weak_from_this()] {
         if (const auto run = self.lock()) {
@@ -45,8 +46,38 @@
         }
       }));
   }
+  const std::vector<std::size_t> deferred = DeferredParts();
+  for (std::size_t n = 0; n < mParts.size(); ++n) {
+    if (std::find(deferred.begin(), deferred.end(), n) == deferred.end()) {
+      mParts[n]->Start();
+    }
+  }
+  mIsStarting = false;
+  Review();
+}
+
+std::vector<std::size_t>
+RequestRun::DeferredParts() const
+{
+  if (!mPlan.route->IsFanOut()) {
+    return {};
+  }
+  std::vector<core::Duration> expected;
+  expected.reserve(mParts.size());
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
-    part->Start();
+    expected.push_back(part->Expected());
+  }
+  return ChooseDeferred(expected, mPlan.route->LeastShards(), mPlan.route->objective);
+}
+
+void
+RequestRun::AskDeferred()
+{
+  mIsStarting = true;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    if (part->State() == PartState::Deferred) {
+      part->Start();
+    }
   }
   mIsStarting = false;
   Review();
@@ -96,11 +127,15 @@
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
     progress.answered += part->State() == PartState::Answered ? 1 : 0;
     progress.failed += part->State() == PartState::Failed ? 1 : 0;
+    progress.deferred += part->State() == PartState::Deferred ? 1 : 0;
   }
   switch (NextStep(progress)) {
     case GatherStep::Answer:
       AnswerGather();
       return;
+    case GatherStep::AskDeferred:
+      AskDeferred();
+      return;
     case GatherStep::Fail:
       Finish(FailureOf(progress.age >= progress.limit - kDeadlineMargin));
       return;
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -52,6 +52,8 @@
   bool mIsStarting = true;
   bool mIsDone = false;
 
+  std::vector<std::size_t> DeferredParts() const;
+  void AskDeferred();
   void Review();
   void ReviewGather();
   void ReviewSingle();
--- a/query/tests/gather_policy_test.cpp
+++ b/query/tests/gather_policy_test.cpp
@@ -76,6 +76,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(deferred_shards_are_asked_when_the_others_are_not_enough)
+{
+  GatherProgress progress = MakeProgress(8, 0, milliseconds{ 20 });
+  progress.deferred = 1;
+  BOOST_TEST((NextStep(progress) == GatherStep::Wait));
+  progress.failed = 1;
+  BOOST_TEST((NextStep(progress) == GatherStep::AskDeferred));
+  progress.failed = 0;
+  progress.age = milliseconds{ 131 };
+  BOOST_TEST((NextStep(progress) == GatherStep::AskDeferred));
+  progress = MakeProgress(9, 0, milliseconds{ 20 });
+  progress.deferred = 1;
+  BOOST_TEST((NextStep(progress) == GatherStep::Answer));
+}
+
+BOOST_AUTO_TEST_CASE(only_shards_that_would_be_late_are_deferred_and_no_more_than_may_lack)
+{
+  std::vector<core::Duration> expected(36, milliseconds{ 12 });
+  BOOST_TEST(ChooseDeferred(expected, 35, milliseconds{ 150 }).empty());
+  expected[7] = milliseconds{ 140 };
+  expected[9] = milliseconds{ 400 };
+  const auto deferred = ChooseDeferred(expected, 35, milliseconds{ 150 });
+  BOOST_TEST_REQUIRE(deferred.size() == 1U);
+  BOOST_TEST(deferred[0] == 9U);
+  BOOST_TEST(ChooseDeferred(expected, 30, milliseconds{ 150 }).size() == 2U);
+  BOOST_TEST(ChooseDeferred(expected, 36, milliseconds{ 150 }).empty());
+}
+
 BOOST_AUTO_TEST_CASE(hedges_follow_the_usual_time_within_bounds)
 {
   BOOST_TEST((HedgeDelay(milliseconds{ 2 }, milliseconds{ 150 }) == kLeastHedgeDelay));
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -29,7 +29,7 @@
 constexpr int kMostForeignAnswers = 2;
 
 /** How long what a replica said of its queue counts. */
-constexpr core::Duration kLoadAge = std::chrono::milliseconds{ 60 };
+constexpr core::Duration kLoadAge = std::chrono::milliseconds{ 150 };
 
 AttemptResult
 Result(AttemptStatus aStatus)
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -146,6 +146,20 @@
   mLinks.erase(it);
 }
 
+std::optional<core::Duration>
+ReplicaSet::Expected(const AttemptOrder& aOrder)
+{
+  std::optional<core::Duration> shortest;
+  for (const std::shared_ptr<ReplicaLink>& link : ServiceOf(aOrder.service).links) {
+    if (!MayUse(*link, aOrder)) {
+      continue;
+    }
+    const core::Duration expected = ExpectedTime(link->View());
+    shortest = std::min(shortest.value_or(expected), expected);
+  }
+  return shortest;
+}
+
 Placement
 ReplicaSet::Send(const AttemptOrder& aOrder,
                  std::shared_ptr<const ForwardedRequest> aRequest,
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -112,6 +113,9 @@
    */
   void KeepWarm();
 
+  /** @return how long an attempt at the best replica would take, nothing when there is none. */
+  std::optional<core::Duration> Expected(const AttemptOrder& aOrder);
+
   /** Starts an attempt at the best replica. */
   Placement Send(const AttemptOrder& aOrder,
                  std::shared_ptr<const ForwardedRequest> aRequest,
