--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -14,6 +14,7 @@
   , mTimers(aTimers)
   , mPrefix(std::move(aPrefix))
   , mHooks(std::move(aHooks))
+  , mStartBackoff(aRandom, kLeastBackoff, kMostStartBackoff)
   , mBackoff(aRandom, kLeastBackoff, kMostBackoff)
 {
 }
@@ -54,7 +55,7 @@
   }
   mIsAnswering = false;
   mHooks.onLost(status);
-  co_await core::Sleep(mTimers, mBackoff.Next());
+  co_await core::Sleep(mTimers, mHasRead ? mBackoff.Next() : mStartBackoff.Next());
 }
 
 core::Task<StoreStatus>
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -51,7 +51,9 @@
 public:
   /** A daemon that knows nothing yet serves nobody, so that it asks again soon. */
   static constexpr core::Duration kLeastBackoff = std::chrono::milliseconds{ 150 };
-  static constexpr core::Duration kMostBackoff = std::chrono::milliseconds{ 450 };
+  static constexpr core::Duration kMostStartBackoff = std::chrono::milliseconds{ 450 };
+  /** One that knows something goes on with it, and leaves a store in trouble alone for longer. */
+  static constexpr core::Duration kMostBackoff = std::chrono::milliseconds{ 1500 };
 
   KeyFeed(FeedSourceFunction aSource,
           core::TimerService& aTimers,
@@ -75,6 +77,7 @@
   core::TimerService& mTimers;
   std::string mPrefix;
   FeedHooks mHooks;
+  Backoff mStartBackoff;
   Backoff mBackoff;
   KeyMirror mMirror;
   std::uint64_t mRevision = 0;
