--- a/query/gather_policy.cpp
+++ b/query/gather_policy.cpp
@@ -37,7 +37,9 @@
   if (isEnough && (isSettled || isDue)) {
     return GatherStep::Answer;
   }
-  if (aProgress.deferred > 0 && (isDue || possible - aProgress.deferred < aProgress.least)) {
+  // Past the objective there is time, and asking more of shards in trouble would delay all queries.
+  const bool isUrgent = aProgress.age >= aProgress.limit / 2;
+  if (aProgress.deferred > 0 && (isUrgent || possible - aProgress.deferred < aProgress.least)) {
     return GatherStep::AskDeferred;
   }
   return aProgress.age >= LastTime(aProgress) ? GatherStep::Fail : GatherStep::Wait;
@@ -67,7 +69,12 @@
 NextReview(const GatherProgress& aProgress)
 {
   const core::Duration partial = PartialTime(aProgress);
-  return aProgress.age < partial ? std::min(partial, LastTime(aProgress)) : LastTime(aProgress);
+  const core::Duration last = LastTime(aProgress);
+  if (aProgress.age < partial) {
+    return std::min(partial, last);
+  }
+  const core::Duration urgent = aProgress.limit / 2;
+  return aProgress.deferred > 0 && aProgress.age < urgent ? std::min(urgent, last) : last;
 }
 
 core::Duration
--- a/query/tests/gather_policy_test.cpp
+++ b/query/tests/gather_policy_test.cpp
@@ -85,6 +85,9 @@
   BOOST_TEST((NextStep(progress) == GatherStep::AskDeferred));
   progress.failed = 0;
   progress.age = milliseconds{ 131 };
+  BOOST_TEST((NextStep(progress) == GatherStep::Wait));
+  BOOST_TEST((NextReview(progress) == milliseconds{ 750 }));
+  progress.age = milliseconds{ 750 };
   BOOST_TEST((NextStep(progress) == GatherStep::AskDeferred));
   progress = MakeProgress(9, 0, milliseconds{ 20 });
   progress.deferred = 1;
