Soak real daemons under random faults from outside

scripts/soak starts skylarkwing platform as processes and injects faults in series that overlap: signals to kill, pause, stop and restart, proxies that delay, reset, silence or cut one way before the store and each replica, replicas that shed, fail, cross answers or fall silent, store outages, lost histories, new configurations, drains. Clients check each answer against what the replicas gave, the ledger shows what ran twice or after a refusal, and after the faults each daemon must serve the newest configuration within 12 s.

--- /dev/null
+++ b/soak/daemon_process.cpp
@@ -0,0 +1,74 @@
+#include "soak/daemon_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+namespace skylarkwing::soak {
+
+namespace {
+
+constexpr mode_t kLogMode = 0644;
+
+} // namespace
+
+DaemonProcess::DaemonProcess(std::string aProgram, std::string aSettingsFile, std::string aLogFile)
+  : mProgram(std::move(aProgram))
+  , mSettingsFile(std::move(aSettingsFile))
+  , mLogFile(std::move(aLogFile))
+{
+}
+
+DaemonProcess::~DaemonProcess()
+{
+  if (IsRunning()) {
+    Signal(SIGKILL);
+    waitpid(mId, &mLastStatus, 0);
+  }
+}
+
+void
+DaemonProcess::Start()
+{
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, mLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  std::string command = "platform";
+  std::string option = "--settings";
+  const std::array<char*, 5> arguments{
+    mProgram.data(), command.data(), option.data(), mSettingsFile.data(), nullptr
+  };
+  const int error =
+    posix_spawn(&mId, mProgram.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    mId = -1;
+    throw std::runtime_error("cannot start " + mProgram);
+  }
+}
+
+bool
+DaemonProcess::IsRunning()
+{
+  if (mId > 0 && waitpid(mId, &mLastStatus, WNOHANG) == mId) {
+    mId = -1;
+  }
+  return mId > 0;
+}
+
+void
+DaemonProcess::Signal(int aSignal)
+{
+  if (IsRunning()) {
+    kill(mId, aSignal);
+  }
+}
+
+} // namespace skylarkwing::soak
--- /dev/null
+++ b/soak/soak_main.cpp
@@ -0,0 +1,104 @@
+#include "core/log.h"
+#include "soak/soak_run.h"
+
+#include <getopt.h>
+
+#include <array>
+#include <cstdlib>
+#include <exception>
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using skylarkwing::soak::SoakOptions;
+using skylarkwing::soak::SoakRun;
+
+constexpr const char* kHelp =
+  "Usage: soak --program FILE [--seed N] [--seconds N] [--processes N] [--clients N] [--folder "
+  "DIR]\n"
+  "\n"
+  "Runs daemons as processes under random faults and checks every answer. Exit codes: 0 all\n"
+  "promises kept, 1 one was broken, 2 wrong usage.\n";
+
+bool
+ParseOptions(int aCount, char** aArguments, SoakOptions& aOptions)
+{
+  const std::array<option, 8> known{ { { "program", required_argument, nullptr, 'p' },
+                                       { "seed", required_argument, nullptr, 's' },
+                                       { "seconds", required_argument, nullptr, 't' },
+                                       { "processes", required_argument, nullptr, 'n' },
+                                       { "clients", required_argument, nullptr, 'c' },
+                                       { "folder", required_argument, nullptr, 'f' },
+                                       { "help", no_argument, nullptr, 'h' },
+                                       {} } };
+  int name = 0;
+  while ((name = getopt_long(aCount, aArguments, "", known.data(), nullptr)) != -1) {
+    switch (name) {
+      case 'p':
+        aOptions.program = optarg;
+        break;
+      case 's':
+        aOptions.seed = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 't':
+        aOptions.seconds = std::atoi(optarg);
+        break;
+      case 'n':
+        aOptions.processes = std::atoi(optarg);
+        break;
+      case 'c':
+        aOptions.clients = std::atoi(optarg);
+        break;
+      case 'f':
+        aOptions.folder = optarg;
+        break;
+      default:
+        return false;
+    }
+  }
+  return !aOptions.program.empty() && aOptions.processes > 0 && aOptions.clients > 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  SoakOptions options;
+  if (!ParseOptions(aCount, aArguments, options)) {
+    std::cerr << kHelp;
+    return 2;
+  }
+  if (options.folder.empty()) {
+    options.folder = (std::filesystem::temp_directory_path() /
+                      ("skylarkwing-soak-" + std::to_string(options.seed)))
+                       .string();
+  }
+  std::filesystem::remove_all(options.folder);
+  std::filesystem::create_directories(options.folder);
+  skylarkwing::core::InitializeLog(skylarkwing::core::LogLevel::Error,
+                                   skylarkwing::core::LogFormat::Plain);
+  try {
+    SoakRun run(options);
+    const auto broken = run.Play();
+    const auto& counts = run.Counts();
+    std::cout << "seed " << options.seed << ": " << counts.faults << " faults, " << counts.asked
+              << " asked, " << counts.answered << " answered (" << counts.partial << " partial), "
+              << counts.refused << " refused, " << counts.failed << " failed, " << counts.cut
+              << " cut, " << broken.size() << " promises broken\n";
+    for (const std::string& what : broken) {
+      std::cout << "  " << what << '\n';
+    }
+    if (!broken.empty()) {
+      std::cout << "  logs: " << options.folder << '\n';
+      return 1;
+    }
+  } catch (const std::exception& error) {
+    std::cerr << "seed " << options.seed << ": " << error.what() << '\n';
+    return 1;
+  }
+  std::filesystem::remove_all(options.folder);
+  return 0;
+}
