--- a/query/gather_policy.cpp
+++ b/query/gather_policy.cpp
@@ -51,7 +51,7 @@
                core::Duration aObjective)
 {
   std::vector<std::size_t> late;
-  const core::Duration latest = aObjective - std::min(kDeliveryTime, aObjective / 4);
+  const auto latest = std::chrono::duration_cast<core::Duration>(aObjective * kDeferShare);
   for (std::size_t n = 0; n < aExpected.size(); ++n) {
     if (aExpected[n] > latest) {
       late.push_back(n);
--- a/query/gather_policy.h
+++ b/query/gather_policy.h
@@ -43,6 +43,12 @@
  */
 constexpr core::Duration kDeliveryTime = std::chrono::milliseconds{ 20 };
 
+/**
+ * A shard is left out at first when it is expected to take longer than this part of the objective:
+ * estimates are rough, and a shard that is left out for nothing costs coverage.
+ */
+constexpr double kDeferShare = 1.25;
+
 /** How long before the deadline the last answer leaves. */
 constexpr core::Duration kDeadlineMargin = std::chrono::milliseconds{ 20 };
 
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -54,7 +54,10 @@
     co_return;
   }
   mIsAnswering = false;
-  mHooks.onLost(status);
+  if (!mIsLost) {
+    mIsLost = true;
+    mHooks.onLost(status);
+  }
   co_await core::Sleep(mTimers, mHasRead ? mBackoff.Next() : mStartBackoff.Next());
 }
 
@@ -100,6 +103,7 @@
   mMirror.SetFresh(aSource.isDirect);
   if (!mIsAnswering) {
     mIsAnswering = true;
+    mIsLost = false;
     mHooks.onAnswered();
   }
 }
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -19,7 +19,7 @@
   std::function<void(const std::vector<KeyItem>&)> onAll;
   /** One key that was written or deleted. */
   std::function<void(const KeyItem&)> onChange;
-  /** A call to the store failed; the state may be old from now on. */
+  /** The first of one or more calls to the store failed; the state may be old from now on. */
   std::function<void(StoreStatus)> onLost;
   /** A call succeeded after failures, or for the first time. */
   std::function<void()> onAnswered;
@@ -83,6 +83,7 @@
   std::uint64_t mRevision = 0;
   bool mHasRead = false;
   bool mIsAnswering = false;
+  bool mIsLost = false;
   bool mIsStopped = false;
 
   core::Task<void> Step();
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -250,6 +250,21 @@
   co_return isConnected;
 }
 
+std::optional<core::Duration>
+ReplicaLink::MeasuredWay() const
+{
+  return mIsWayMeasured ? std::optional<core::Duration>(mWay) : std::nullopt;
+}
+
+void
+ReplicaLink::AssumeWay(core::Duration aWay)
+{
+  if (!mIsWayMeasured) {
+    mWay = aWay;
+    mUsual = std::min(mUsual, aWay + mSettings.assumedWork);
+  }
+}
+
 void
 ReplicaLink::KeepWarm()
 {
--- a/upstream/replica_link.h
+++ b/upstream/replica_link.h
@@ -133,6 +133,12 @@
 
   const AnnouncedReplica& Replica() const { return mReplica; }
 
+  /** @return the way there and back, nothing until a connection has shown it. */
+  std::optional<core::Duration> MeasuredWay() const;
+
+  /** Sets the way there and back as replicas at the same place have shown it. */
+  void AssumeWay(core::Duration aWay);
+
   /** Sets how many connections may be open, and kept. */
   void SetQuota(ConnectionQuota aQuota) { mQuota = aQuota; }
 
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -254,9 +254,28 @@
   return mTimers.Now() - aService.lastUse < kWarmAfterUse;
 }
 
+void
+ReplicaSet::ShareWays()
+{
+  std::map<std::string, core::Duration> ways;
+  for (const auto& [id, link] : mLinks) {
+    if (const auto way = link->MeasuredWay()) {
+      const auto [it, isNew] = ways.emplace(link->Replica().failureDomain, *way);
+      it->second = std::min(it->second, *way);
+    }
+  }
+  for (const auto& [id, link] : mLinks) {
+    const auto way = ways.find(link->Replica().failureDomain);
+    if (way != ways.end()) {
+      link->AssumeWay(way->second);
+    }
+  }
+}
+
 void
 ReplicaSet::KeepWarm()
 {
+  ShareWays();
   for (auto& [name, service] : mServices) {
     if (!IsInUse(service)) {
       continue;
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -171,6 +171,7 @@
 
   Service& ServiceOf(std::string_view aName);
   void SetQuotaOf(ReplicaLink& aLink) const;
+  void ShareWays();
   bool IsInUse(const Service& aService) const;
   bool MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const;
   bool TakeColdRate(ReplicaLink& aLink);
