--- a/console/request_story.cpp
+++ b/console/request_story.cpp
@@ -113,13 +113,17 @@
 std::string
 LineText(const LogLine& aLine)
 {
-  std::string text = "  " + aLine.time + "  " + aLine.vm + "  " + aLine.event;
+  std::string text;
+  for (const std::string* part : { &aLine.time, &aLine.vm, &aLine.event }) {
+    text.append("  ").append(*part);
+  }
   for (const auto& [name, value] : aLine.fields) {
     if (!value.empty() && name != "level" && name != "slice" && name != "request") {
-      text += "  " + name + "=" + value;
+      text.append("  ").append(name).append("=").append(value);
     }
   }
-  return text + "\n";
+  text += '\n';
+  return text;
 }
 
 ordered_json
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -72,6 +72,7 @@
     }
   }
 
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.Log calls it by this name.
   void consume([[maybe_unused]] const boost::log::record_view& aRecord, const std::string& aLine)
   {
     std::string line = mRest + aLine + '\n';
--- a/membership/entry_roll.cpp
+++ b/membership/entry_roll.cpp
@@ -45,7 +45,7 @@
 }
 
 std::vector<const EntryMember*>
-EntryRoll::Ablest(std::vector<const EntryMember*> aMembers)
+EntryRoll::Ablest(const std::vector<const EntryMember*>& aMembers)
 {
   double greatest = 0.0;
   for (const EntryMember* member : aMembers) {
--- a/membership/entry_roll.h
+++ b/membership/entry_roll.h
@@ -78,7 +78,7 @@
 private:
   std::map<std::string, EntryMember> mMembers;
 
-  static std::vector<const EntryMember*> Ablest(std::vector<const EntryMember*> aMembers);
+  static std::vector<const EntryMember*> Ablest(const std::vector<const EntryMember*>& aMembers);
 };
 
 } // namespace skylarkwing::membership
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -169,7 +169,7 @@
 
 HttpConnection::~HttpConnection()
 {
-  Close();
+  mState->Close();
 }
 
 core::Task<bool>
--- a/query/tests/replica_world.cpp
+++ b/query/tests/replica_world.cpp
@@ -143,6 +143,7 @@
     bound);
 }
 
+// NOLINTNEXTLINE(bugprone-exception-escape): an exception here ends the test, as it should.
 ReplicaWorld::~ReplicaWorld()
 {
   loop.Run(std::chrono::seconds{ 20 });
@@ -151,12 +152,12 @@
 std::string
 ReplicaWorld::AddService(std::size_t aNumber, const ReplicaModel& aModel)
 {
-  const std::string name = "s" + std::to_string(aNumber);
+  std::string name = "s" + std::to_string(aNumber);
   table->AddService({ name, kConnections, {}, 0.0 });
   std::size_t n = 0;
   for (const std::string domain : { "near", "far", "farther" }) {
     upstream::AnnouncedReplica replica;
-    replica.id = name + "-" + domain;
+    replica.id.append(name).append("-").append(domain);
     replica.service = name;
     replica.address = replica.id;
     replica.failureDomain = domain;
@@ -217,7 +218,7 @@
       *set,
       loop.timers,
       std::move(plan),
-      [this, arrival, &outcome, &aRoute](RequestResult aResult) {
+      [this, arrival, &outcome, &aRoute](const RequestResult& aResult) {
         const core::Duration took = loop.timers.Now() - arrival;
         const bool isAnswer =
           aResult.outcome == RequestOutcome::Complete || aResult.outcome == RequestOutcome::Partial;
--- a/query/tests/replica_world.h
+++ b/query/tests/replica_world.h
@@ -54,6 +54,8 @@
 public:
   ReplicaWorld();
   ~ReplicaWorld();
+  ReplicaWorld(const ReplicaWorld&) = delete;
+  ReplicaWorld& operator=(const ReplicaWorld&) = delete;
 
   store::VirtualLoop loop;
   core::RandomSource random{ 20261204 };
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -409,7 +409,7 @@
     signature.erase(0, signature.find_first_not_of(' '));
     const std::string service = signature.substr(0, signature.find('.'));
     if (signature != SoakReplica::SignatureOf(service, aId) || !services.insert(service).second) {
-      Break(aId + ": a signature that is not this request's, or twice: " + signature);
+      Break(std::string(aId).append(": a wrong or repeated signature: ").append(signature));
     }
     const std::string body = SoakReplica::BodyOf(service, aId);
     for (std::size_t at = 0; at < body.size(); at += kRecordBytes) {
@@ -459,7 +459,7 @@
 core::Duration
 SoakRun::Between(int aLeastMs, int aMostMs)
 {
-  const auto range = static_cast<std::uint64_t>(aMostMs - aLeastMs + 1);
+  const std::uint64_t range = static_cast<std::uint64_t>(aMostMs) - aLeastMs + 1;
   return milliseconds(aLeastMs + static_cast<int>(mRandom.Below(range)));
 }
 
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -148,6 +148,7 @@
     loop.Run(milliseconds{ 50 });
   }
 
+  // NOLINTNEXTLINE(bugprone-exception-escape): an exception here ends the test, as it should.
   ~FeedFixture()
   {
     if (feed) {
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -313,33 +313,38 @@
                            const std::string& aId,
                            core::TimePoint aDeadline)
 {
-  bool hasForeign = false;
-  for (int n = 0; aReply.error == net::HttpClientError::None; ++n) {
-    DecodedAnswer answer = mProtocol.readAnswer(aReply.response, aId);
+  DecodedAnswer answer;
+  int foreign = 0;
+  while (aReply.error == net::HttpClientError::None) {
+    answer = mProtocol.readAnswer(aReply.response, aId);
+    const core::Duration remaining = aDeadline - mTimers.Now();
     if (answer.kind != AnswerKind::Foreign) {
-      if (answer.load) {
-        mLoad = *answer.load;
-        mLoadAt = mTimers.Now();
-      }
-      mIdleTimeout = answer.idleTimeout.value_or(mIdleTimeout);
-      if (!hasForeign && aConnection->IsOpen()) {
-        Release(std::move(aConnection));
-      }
-      co_return AttemptResult{ StatusOf(answer.kind),
-                               std::move(aReply.response),
-                               std::move(answer.signature) };
+      break;
     }
-    if (n >= kMostForeignAnswers) {
+    if (++foreign > kMostForeignAnswers) {
       co_return Result(AttemptStatus::Garbled);
     }
-    hasForeign = true;
-    const core::Duration remaining = aDeadline - mTimers.Now();
     if (remaining <= core::Duration::zero()) {
       co_return Result(AttemptStatus::TimedOut);
     }
     aReply = co_await aConnection->ReadNext(remaining + mSettings.answerSlack);
   }
-  co_return Result(StatusOf(aReply.error));
+  if (aReply.error != net::HttpClientError::None) {
+    co_return Result(StatusOf(aReply.error));
+  }
+  if (answer.load) {
+    mLoad = *answer.load;
+    mLoadAt = mTimers.Now();
+  }
+  mIdleTimeout = answer.idleTimeout.value_or(mIdleTimeout);
+  if (foreign == 0 && aConnection->IsOpen()) {
+    Release(std::move(aConnection));
+  }
+  AttemptResult result;
+  result.status = StatusOf(answer.kind);
+  result.response = std::move(aReply.response);
+  result.signature = std::move(answer.signature);
+  co_return result;
 }
 
 std::shared_ptr<net::HttpLink>
--- a/upstream/tests/sharing_test.cpp
+++ b/upstream/tests/sharing_test.cpp
@@ -111,6 +111,7 @@
 BOOST_AUTO_TEST_CASE(cold_senders_are_few_and_the_same_for_all)
 {
   std::vector<std::string> vms;
+  vms.reserve(60);
   for (int n = 0; n < 60; ++n) {
     vms.push_back("vm-" + std::to_string(n));
   }
