--- a/main/platform_command.cpp
+++ b/main/platform_command.cpp
@@ -3,15 +3,13 @@
 #include "core/exit_code.h"
 #include "core/log.h"
 #include "core/task.h"
+#include "main/settings_options.h"
 #include "platform/boot_settings.h"
 #include "platform/platform_daemon.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <getopt.h>
-
-#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -44,63 +42,6 @@
   "\n"
   "Exit codes: 0 stopped, 1 failed, 2 wrong usage or settings.\n";
 
-/** What the command line says. */
-struct PlatformOptions
-{
-  std::string settingsFile;
-  bool onlyCheck = false;
-  /** Set when the command ends here, with this exit code. */
-  int exitCode = -1;
-};
-
-constexpr int kSettings = 's';
-constexpr int kCheck = 'c';
-constexpr int kHelpOption = 'h';
-constexpr int kVersion = 'v';
-
-PlatformOptions
-ParseOptions(int aCount, char** aArguments)
-{
-  const std::array<option, 5> known{ { { "settings", required_argument, nullptr, kSettings },
-                                       { "check", no_argument, nullptr, kCheck },
-                                       { "help", no_argument, nullptr, kHelpOption },
-                                       { "version", no_argument, nullptr, kVersion },
-                                       {} } };
-  PlatformOptions options;
-  optind = 1;
-  int name = 0;
-  while ((name = getopt_long(aCount, aArguments, "", known.data(), nullptr)) != -1) {
-    switch (name) {
-      case kSettings:
-        options.settingsFile = optarg;
-        break;
-      case kCheck:
-        options.onlyCheck = true;
-        break;
-      case kHelpOption:
-        std::cout << kHelp;
-        options.exitCode = kExitDone;
-        return options;
-      case kVersion:
-        std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
-        options.exitCode = kExitDone;
-        return options;
-      default:
-        options.exitCode = kExitUsage;
-        return options;
-    }
-  }
-  const char* variable = std::getenv(kSettingsVariable);
-  if (options.settingsFile.empty() && variable != nullptr) {
-    options.settingsFile = variable;
-  }
-  if (options.settingsFile.empty() || optind != aCount) {
-    std::cerr << "skylarkwing platform: a settings file is needed; see --help\n";
-    options.exitCode = kExitUsage;
-  }
-  return options;
-}
-
 /** Reads the settings again at each SIGHUP; faulty ones change nothing. */
 core::Task<void>
 ReloadAtSignal(asio::io_context& aLoop, platform::PlatformDaemon& aDaemon, std::string aPath)
@@ -155,7 +96,9 @@
 int
 RunPlatform(int aCount, char** aArguments)
 {
-  const PlatformOptions options = ParseOptions(aCount, aArguments);
+  const char* variable = std::getenv(kSettingsVariable);
+  const SettingsOptions options = ParseSettingsOptions(
+    aCount, aArguments, "platform", kHelp, variable != nullptr ? variable : "");
   if (options.exitCode >= 0) {
     return options.exitCode;
   }
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -4,14 +4,12 @@
 #include "core/log.h"
 #include "core/task.h"
 #include "daemon/daemon.h"
+#include "main/settings_options.h"
 #include "settings/settings.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <getopt.h>
-
-#include <array>
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -40,59 +38,6 @@
   "\n"
   "Exit codes: 0 stopped, 1 failed, 2 wrong usage or settings.\n";
 
-/** What the command line says. */
-struct ServeOptions
-{
-  std::string settingsFile;
-  bool onlyCheck = false;
-  /** Set when the command ends here, with this exit code. */
-  int exitCode = -1;
-};
-
-constexpr int kSettings = 's';
-constexpr int kCheck = 'c';
-constexpr int kHelpOption = 'h';
-constexpr int kVersion = 'v';
-
-ServeOptions
-ParseOptions(int aCount, char** aArguments)
-{
-  const std::array<option, 5> known{ { { "settings", required_argument, nullptr, kSettings },
-                                       { "check", no_argument, nullptr, kCheck },
-                                       { "help", no_argument, nullptr, kHelpOption },
-                                       { "version", no_argument, nullptr, kVersion },
-                                       {} } };
-  ServeOptions options;
-  optind = 1;
-  int name = 0;
-  while ((name = getopt_long(aCount, aArguments, "", known.data(), nullptr)) != -1) {
-    switch (name) {
-      case kSettings:
-        options.settingsFile = optarg;
-        break;
-      case kCheck:
-        options.onlyCheck = true;
-        break;
-      case kHelpOption:
-        std::cout << kHelp;
-        options.exitCode = kExitDone;
-        return options;
-      case kVersion:
-        std::cout << "skylarkwing " << SKYLARKWING_VERSION << '\n';
-        options.exitCode = kExitDone;
-        return options;
-      default:
-        options.exitCode = kExitUsage;
-        return options;
-    }
-  }
-  if (options.settingsFile.empty() || optind != aCount) {
-    std::cerr << "skylarkwing serve: one --settings FILE is needed; see --help\n";
-    options.exitCode = kExitUsage;
-  }
-  return options;
-}
-
 /** Stops the daemon at the first signal; later ones are ignored, because work still runs. */
 core::Task<void>
 StopAtSignal(asio::io_context& aLoop, daemon::Daemon& aDaemon)
@@ -126,7 +71,7 @@
 int
 RunServe(int aCount, char** aArguments)
 {
-  const ServeOptions options = ParseOptions(aCount, aArguments);
+  const SettingsOptions options = ParseSettingsOptions(aCount, aArguments, "serve", kHelp, "");
   if (options.exitCode >= 0) {
     return options.exitCode;
   }
--- /dev/null
+++ b/main/settings_options.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+namespace skylarkwing {
+
+/** What the command line of a daemon says. */
+struct SettingsOptions
+{
+  std::string settingsFile;
+  bool onlyCheck = false;
+  /** Set when the command ends here, with this exit code. */
+  int exitCode = -1;
+};
+
+/**
+ * Reads the options that all daemons share: --settings, --check, --help and --version.
+ *
+ * @param aCommand name of the command, for messages.
+ * @param aHelp text for --help.
+ * @param aDefaultFile settings file when the command line names none; empty when one is needed.
+ */
+SettingsOptions
+ParseSettingsOptions(int aCount,
+                     char** aArguments,
+                     const char* aCommand,
+                     const char* aHelp,
+                     const std::string& aDefaultFile);
+
+} // namespace skylarkwing
