--- a/soak/soak_replica.cpp
+++ b/soak/soak_replica.cpp
@@ -77,7 +77,12 @@
     response.status = 421;
     co_return response;
   }
-  response.headers.push_back({ "Request-Id", mood == SoakMood::Crossed ? "another" : id });
+  // A crossed answer is the whole answer to the request before, with or without its id.
+  const std::string answered = mood == SoakMood::Crossed ? mLastId : id;
+  if (mood != SoakMood::Crossed || ++mCrossed % 2 == 0) {
+    response.headers.push_back({ "Request-Id", answered });
+  }
+  mLastId = id;
   if (mood == SoakMood::Shedding) {
     response.status = 503;
     response.headers.push_back({ "Not-Executed", "1" });
@@ -88,10 +93,10 @@
     co_await core::Sleep(mTimers, mood == SoakMood::Slow ? kSlowTime : kMuteTime);
   }
   response.status = mood == SoakMood::Failing ? 500 : 200;
-  response.headers.push_back({ "Response-Stamp", SignatureOf(mService, id) });
+  response.headers.push_back({ "Response-Stamp", SignatureOf(mService, answered) });
   response.headers.push_back({ "Server-Load", "0,0,4" });
   response.headers.push_back({ "Keep-Alive", "timeout=10" });
-  response.body = BodyOf(mService, id);
+  response.body = BodyOf(mService, answered);
   co_return response;
 }
 
--- a/soak/soak_replica.h
+++ b/soak/soak_replica.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -62,6 +63,9 @@
   SoakLedger& mLedger;
   std::string mService;
   std::string mId;
+  /** The request before this one. */
+  std::string mLastId = "none";
+  std::uint32_t mCrossed = 0;
   net::HttpServer mServer;
 
   core::Task<net::HttpResponse> Handle(net::HttpRequest aRequest);
