Say in one place what came of reading a daemon's settings

RetryAllowance::ExtraCount had no caller. Behaviour is unchanged: exit codes 2 and 0 and the same lines for a faulty, an absent and a right file.

--- a/main/platform_command.cpp
+++ b/main/platform_command.cpp
@@ -23,7 +23,6 @@
 namespace asio = boost::asio;
 using core::kExitDone;
 using core::kExitFailed;
-using core::kExitUsage;
 
 /** Names the settings file on the platform. */
 constexpr const char* kSettingsVariable = "SKYLARKWING_NODE_FILE";
@@ -103,15 +102,8 @@
     return options.exitCode;
   }
   platform::BootResult loaded = platform::LoadBootSettings(options.settingsFile);
-  if (!loaded.settings) {
-    for (const std::string& fault : loaded.faults) {
-      std::cerr << fault << '\n';
-    }
-    return kExitUsage;
-  }
-  if (options.onlyCheck) {
-    std::cout << options.settingsFile << ": right\n";
-    return kExitDone;
+  if (const auto exitCode = ReportSettings(options, loaded.faults)) {
+    return *exitCode;
   }
   return Serve(std::move(*loaded.settings), options.settingsFile);
 }
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -22,7 +22,6 @@
 namespace asio = boost::asio;
 using core::kExitDone;
 using core::kExitFailed;
-using core::kExitUsage;
 
 constexpr const char* kHelp =
   "Usage: skylarkwing serve --settings FILE\n"
@@ -76,15 +75,8 @@
     return options.exitCode;
   }
   settings::LoadResult loaded = settings::LoadSettings(options.settingsFile);
-  if (!loaded.settings) {
-    for (const std::string& fault : loaded.faults) {
-      std::cerr << fault << '\n';
-    }
-    return kExitUsage;
-  }
-  if (options.onlyCheck) {
-    std::cout << options.settingsFile << ": right\n";
-    return kExitDone;
+  if (const auto exitCode = ReportSettings(options, loaded.faults)) {
+    return *exitCode;
   }
   return Serve(std::move(*loaded.settings));
 }
--- a/main/settings_options.cpp
+++ b/main/settings_options.cpp
@@ -62,4 +62,20 @@
   return options;
 }
 
+std::optional<int>
+ReportSettings(const SettingsOptions& aOptions, const std::vector<std::string>& aFaults)
+{
+  for (const std::string& fault : aFaults) {
+    std::cerr << fault << '\n';
+  }
+  if (!aFaults.empty()) {
+    return core::kExitUsage;
+  }
+  if (aOptions.onlyCheck) {
+    std::cout << aOptions.settingsFile << ": right\n";
+    return core::kExitDone;
+  }
+  return std::nullopt;
+}
+
 } // namespace skylarkwing
--- a/main/settings_options.h
+++ b/main/settings_options.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace skylarkwing {
 
@@ -27,4 +29,14 @@
                      const char* aHelp,
                      const std::string& aDefaultFile);
 
+/**
+ * Says what came of reading the settings: each fault on a line, or with --check that they are
+ * right.
+ *
+ * @param aFaults what keeps the file from being settings; none when it can be used.
+ * @return the exit code when the command ends here, nothing when the daemon is to run.
+ */
+std::optional<int>
+ReportSettings(const SettingsOptions& aOptions, const std::vector<std::string>& aFaults);
+
 } // namespace skylarkwing
--- a/upstream/retry_allowance.h
+++ b/upstream/retry_allowance.h
@@ -54,9 +54,6 @@
    */
   bool Take(ExtraAttempt aKind, const RetryBound& aBound, double aShare, core::TimePoint aNow);
 
-  /** @return extra attempts counted in the window that ends now. */
-  std::uint32_t ExtraCount() const { return mExtraSum; }
-
 private:
   static constexpr std::size_t kSlices = 20;
 
