Take the state in the head of every answer, also of the load endpoint and of cancellations

Cause, by reading: a replica names its state in the head of each answer. The daemon read it on answers to searches only. After the answer to a load poll or a cancellation had named it cold, the daemon went on with its full allowance until the next search ended, and recent search answers outranked the poll, whose report lags. The stand-in counts what is sent from 50 ms after any answer of its that says cold. Ruled out by reading: the permit (checked at the send), the ramp (dropped on each change of state). Before: a_cold_notice_in_the_head_of_a_load_answer_counts_though_the_report_lags and a_draining_notice_in_the_head_of_a_load_answer_ends_new_work fail under virtual time. A notice of being warm is not taken: only an answer to a search shows that.

--- a/upstream/replica_health.cpp
+++ b/upstream/replica_health.cpp
@@ -124,6 +124,21 @@
   }
 }
 
+void
+ReplicaHealth::RecordNotice(const ProcessNotice& aNotice)
+{
+  if (mIsLost || aNotice.incarnation != mIncarnation || !aNotice.state) {
+    return;
+  }
+  if (*aNotice.state == UpstreamState::Draining) {
+    mDrainNotice = mTimers.Now();
+  }
+  // Only an answer to a search shows that a replica is warm.
+  if (*aNotice.state != UpstreamState::Warm) {
+    mLife.Process(LoadReported{ *aNotice.state });
+  }
+}
+
 void
 ReplicaHealth::RecordReply(const SearchReply& aReply, core::Duration aTook)
 {
--- a/upstream/replica_health.h
+++ b/upstream/replica_health.h
@@ -81,6 +81,12 @@
    */
   void RecordLoad(UpstreamState aState);
 
+  /**
+   * Takes in what a process says of itself in the head of any answer, after RecordProcess(). A
+   * notice of another process, or of being warm, changes nothing.
+   */
+  void RecordNotice(const ProcessNotice& aNotice);
+
   /** A search was answered or shed on a connection of the process that the reply names. */
   void RecordReply(const SearchReply& aReply, core::Duration aTook);
 
--- a/upstream/replica_worker.cpp
+++ b/upstream/replica_worker.cpp
@@ -239,7 +239,9 @@
       const bool isReachable = co_await aSelf->OpenControl();
       if (isReachable) {
         std::string partId = std::move(order->cancelledPartId);
-        co_await aSelf->mControl->Cancel(std::move(partId), kCancelTimeout);
+        const std::shared_ptr<UpstreamConnection> connection = aSelf->mControl;
+        const ProcessNotice notice = co_await connection->Cancel(std::move(partId), kCancelTimeout);
+        aSelf->mHealth.RecordNotice(notice);
       }
       order = co_await aSelf->mControlOrders.Receive(next);
     }
@@ -350,6 +352,7 @@
   aLane->incarnation = reply.incarnation;
   OnProcess(reply.incarnation);
   OnHoldings(reply.holdings);
+  mHealth.RecordNotice(reply.notice);
   // A connection opened before the last crash may have been answered by the process that died.
   if (aLane->crashesBefore == mCrashes) {
     mHooks.onAlive(mReplica.declaration.name, reply.incarnation);
@@ -718,6 +721,7 @@
   OnProcess(aReply.incarnation);
   OnHoldings(aReply.holdings);
   mHealth.RecordLoad(aReply.state);
+  mHealth.RecordNotice(aReply.notice);
 }
 
 void
--- a/upstream/tests/fake_upstream.cpp
+++ b/upstream/tests/fake_upstream.cpp
@@ -71,15 +71,19 @@
       co_return reply;
     }
     reply.incarnation = mUpstream.Incarnation();
+    reply.notice = { mUpstream.Incarnation(), mUpstream.state };
     reply.state = mUpstream.stateOnLoad.value_or(mUpstream.state);
     reply.holdings = mUpstream.holdings;
     co_return reply;
   }
 
-  core::Task<bool> Cancel(std::string aPartId, core::Duration) override
+  core::Task<ProcessNotice> Cancel(std::string aPartId, core::Duration) override
   {
     mUpstream.CancelSearch(aPartId);
-    co_return mIsOpen;
+    if (!mIsOpen) {
+      co_return ProcessNotice{};
+    }
+    co_return ProcessNotice{ mUpstream.Incarnation(), mUpstream.state };
   }
 
   bool IsOpen() const override { return mIsOpen; }
--- a/upstream/tests/part_dispatcher_test.cpp
+++ b/upstream/tests/part_dispatcher_test.cpp
@@ -206,6 +206,32 @@
   BOOST_TEST((Fact("vm-1", "r1").state == ReplicaState::Cold));
 }
 
+BOOST_AUTO_TEST_CASE(a_cold_notice_in_the_head_of_a_load_answer_counts_though_the_report_lags)
+{
+  MakeWarm("vm-1", "r1");
+  upstream.stateOnLoad = UpstreamState::Warm;
+  upstream.searchesUntilWarm = 1000;
+  upstream.TurnCold();
+  // Long enough for a look at the load endpoint, which is the only answer meanwhile.
+  RunFor(seconds{ 3 });
+  for (std::uint32_t n = 0; n < upstream.slots; ++n) {
+    Send("vm-1", "r1", milliseconds{ 100 });
+  }
+  RunFor(milliseconds{ 100 });
+  BOOST_TEST(upstream.overfullWhileCold == 0U);
+  BOOST_TEST((Fact("vm-1", "r1").state == ReplicaState::Cold));
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_notice_in_the_head_of_a_load_answer_ends_new_work)
+{
+  MakeWarm("vm-1", "r1");
+  upstream.stateOnLoad = UpstreamState::Warm;
+  upstream.state = UpstreamState::Draining;
+  RunFor(seconds{ 3 });
+  const std::string id = Send("vm-1", "r1");
+  BOOST_TEST((RefusalOf(id) == PartRefusal::Unavailable));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_outranks_the_load_endpoint)
 {
   Load(milliseconds{ 300 });
--- a/upstream/tests/upstream_connection_test.cpp
+++ b/upstream/tests/upstream_connection_test.cpp
@@ -156,9 +156,19 @@
   BOOST_TEST((reply.error == ExchangeError::None));
   BOOST_TEST(reply.incarnation == "a1");
   BOOST_TEST(reply.inFlight == 2U);
+  BOOST_TEST((reply.state == UpstreamState::Warm));
+  BOOST_TEST((reply.notice.state == UpstreamState::Draining));
   BOOST_TEST(reply.holdings.at(0).shards.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(reads_the_notice_on_the_answer_to_a_cancellation)
+{
+  Prepare(200, json::object(), "cold");
+  const ProcessNotice notice = Run(connection->Cancel("part-1", seconds{ 5 }));
+  BOOST_TEST(notice.incarnation == "a1");
+  BOOST_TEST((notice.state == UpstreamState::Cold));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::upstream
--- a/upstream/upstream_connection.cpp
+++ b/upstream/upstream_connection.cpp
@@ -92,6 +92,20 @@
   return kStateNames.ValueOf(*name).value_or(UpstreamState::Cold);
 }
 
+ProcessNotice
+NoticeOf(const net::HttpReply& aHttp)
+{
+  ProcessNotice notice;
+  if (aHttp.error != net::HttpClientError::None) {
+    return notice;
+  }
+  notice.incarnation = aHttp.response.Header("Upstream-Incarnation").value_or("");
+  if (aHttp.response.Header("Upstream-State")) {
+    notice.state = StateOf(aHttp.response);
+  }
+  return notice;
+}
+
 std::string
 BodyOf(const SearchCall& aCall)
 {
@@ -206,8 +220,9 @@
     reply.error = ExchangeError::Malformed;
     return reply;
   }
+  reply.notice = NoticeOf(aHttp);
   reply.incarnation =
-    aHttp.response.Header("Upstream-Incarnation").value_or(TextOf(body, "incarnation"));
+    reply.notice.incarnation.empty() ? TextOf(body, "incarnation") : reply.notice.incarnation;
   reply.state = kStateNames.ValueOf(TextOf(body, "state")).value_or(UpstreamState::Cold);
   reply.inFlight = static_cast<std::uint32_t>(NumberOf(body, "inFlight"));
   reply.slots = static_cast<std::uint32_t>(NumberOf(body, "slots"));
@@ -257,13 +272,12 @@
     co_return answer;
   }
 
-  core::Task<bool> Cancel(std::string aPartId, core::Duration aTimeout) override
+  core::Task<ProcessNotice> Cancel(std::string aPartId, core::Duration aTimeout) override
   {
     net::HttpRequest request = MakeRequest("POST", "/cancel");
     request.body = json{ { "requestId", aPartId } }.dump();
     const net::HttpReply reply = co_await mConnection.Exchange(std::move(request), aTimeout);
-    const bool isDone = reply.error == net::HttpClientError::None;
-    co_return isDone;
+    co_return NoticeOf(reply);
   }
 
   bool IsOpen() const override { return mConnection.IsOpen(); }
--- a/upstream/upstream_connection.h
+++ b/upstream/upstream_connection.h
@@ -105,10 +105,20 @@
   bool wasCancelled = false;
 };
 
-/** What an upstream's load endpoint says; it lags and may mislead. */
+/** What the process at the other end says of itself in the head of any answer; it does not lag. */
+struct ProcessNotice
+{
+  /** Identifies the process; empty when it does not say. */
+  std::string incarnation;
+  /** Unset when it does not say. */
+  std::optional<UpstreamState> state;
+};
+
+/** What an upstream's load endpoint says; the report lags and may mislead, the notice does not. */
 struct LoadReply
 {
   ExchangeError error = ExchangeError::None;
+  ProcessNotice notice;
   /** Identifies the process at the other end of the connection. */
   std::string incarnation;
   UpstreamState state = UpstreamState::Cold;
@@ -139,8 +149,12 @@
   /** Asks the load endpoint. After any error the connection is closed. */
   virtual core::Task<LoadReply> Load(core::Duration aTimeout) = 0;
 
-  /** Asks the upstream to give up a search that runs on another connection. */
-  virtual core::Task<bool> Cancel(std::string aPartId, core::Duration aTimeout) = 0;
+  /**
+   * Asks the upstream to give up a search that runs on another connection.
+   *
+   * @return what its answer says of the process; empty when there was none.
+   */
+  virtual core::Task<ProcessNotice> Cancel(std::string aPartId, core::Duration aTimeout) = 0;
 
   /** @return whether it can take another exchange, as far as is known here. */
   virtual bool IsOpen() const = 0;
