Use an address no more once it has named another replica, until something newer is announced

Cause: a replica had gone dark and its address belonged to a replica of routeplanner~7, while the store was busy and the other replicas of the shard were dark too. Each daemon went on choosing the replaced one as the least bad of the suspected ones; 303 attempts in the logs ended in wrong_replica, and each one arrived at the other service as one more of a request that it had already. Ruled out: shares of the slack (1/7 each all the time), restarts (none), resends after nothing was sent (they don't arrive).

--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -81,6 +81,38 @@
   BOOST_TEST(outcome.inTime >= outcome.asked * 8 / 10);
 }
 
+BOOST_AUTO_TEST_CASE(
+  an_address_that_belongs_to_another_replica_gets_nothing_until_it_is_announced_again)
+{
+  for (std::size_t n = 0; n < 10; ++n) {
+    AddService(n, PausingModel());
+  }
+  // The store is away, so that nothing tells of it but the answers.
+  ReplicaModel& moved = replicas.at("s3-near");
+  moved.isElsewhere = true;
+  replicas.at("s3-far").isDown = true;
+  replicas.at("s3-farther").isDown = true;
+  const declaration::Route route = MakeRoute(10, 9, milliseconds{ 150 });
+  const LoadOutcome outcome = Play(route, 20.0, seconds{ 10 });
+  BOOST_TEST(outcome.complete + outcome.partial >= outcome.asked * 95 / 100);
+  // One answer is proof enough; another request may be under way by then.
+  BOOST_TEST(moved.arrivals >= 1U);
+  BOOST_TEST(moved.arrivals <= 2U);
+  moved.isElsewhere = false;
+  upstream::AnnouncedReplica replica;
+  replica.id = "s3-near";
+  replica.service = "s3";
+  replica.address = replica.id;
+  replica.failureDomain = "near";
+  replica.slots = 2;
+  set->Change(replica);
+  BOOST_TEST(Play(route, 20.0, seconds{ 1 }).complete == 0U);
+  replica.sequence = 1;
+  set->Change(replica);
+  const LoadOutcome after = Play(route, 20.0, seconds{ 10 });
+  BOOST_TEST(after.complete >= after.asked * 95 / 100);
+}
+
 BOOST_AUTO_TEST_CASE(what_cannot_be_served_is_refused_at_once_as_not_run)
 {
   const declaration::Route route = MakeRoute(10, 9, milliseconds{ 150 });
--- a/query/tests/replica_world.cpp
+++ b/query/tests/replica_world.cpp
@@ -15,6 +15,7 @@
 constexpr core::Duration kFarWay = milliseconds{ 40 };
 constexpr std::uint32_t kConnections = 26;
 constexpr const char* kShedMark = "X-Shed";
+constexpr const char* kElsewhereMark = "X-Elsewhere";
 
 /** A connection to a model replica. */
 class ModelLink : public net::HttpLink
@@ -55,8 +56,13 @@
       reply.error = net::HttpClientError::TimedOut;
       co_return reply;
     }
-    co_await core::Sleep(mLoop.timers, back - mLoop.timers.Now());
     reply.response.headers = aRequest.headers;
+    if (mReplica->isElsewhere) {
+      co_await core::Sleep(mLoop.timers, mReplica->way / 2);
+      reply.response.headers.push_back({ kElsewhereMark, "1" });
+      co_return reply;
+    }
+    co_await core::Sleep(mLoop.timers, back - mLoop.timers.Now());
     if (!done) {
       reply.response.headers.push_back({ kShedMark, "1" });
     }
@@ -94,6 +100,10 @@
   protocol.readAnswer = [](const net::HttpResponse& aResponse, const std::string& aId) {
     upstream::DecodedAnswer answer;
     answer.signature = aId;
+    if (aResponse.Header(kElsewhereMark)) {
+      answer.kind = upstream::AnswerKind::WrongReplica;
+      return answer;
+    }
     answer.kind =
       aResponse.Header(kShedMark) ? upstream::AnswerKind::NotRun : upstream::AnswerKind::Success;
     return answer;
--- a/query/tests/replica_world.h
+++ b/query/tests/replica_world.h
@@ -25,6 +25,8 @@
   core::Duration pauseOffset{};
   /** Takes no connection, and loses those that are open. */
   bool isDown = false;
+  /** Another replica has its address now. */
+  bool isElsewhere = false;
   std::vector<core::TimePoint> slotFreeAt;
   /** When what waits or runs will be answered. */
   std::vector<core::TimePoint> ends;
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -135,6 +135,10 @@
 {
   const bool isNewProcess =
     aReplica.startedAt != mReplica.startedAt || aReplica.address != mReplica.address;
+  // What was announced before the answer came says nothing against it.
+  if (isNewProcess || aReplica.sequence > mReplica.sequence) {
+    mIsElsewhere = false;
+  }
   mReplica = std::move(aReplica);
   mColdUntil = mTimers.Now() + mReplica.coldRemaining;
   if (isNewProcess) {
@@ -401,6 +405,8 @@
       Suspect(NameOf(aStatus));
       break;
     case AttemptStatus::WrongReplica:
+      SetElsewhere();
+      break;
     case AttemptStatus::NothingSent:
     case AttemptStatus::TimedOut:
       // Silent connections stay silent, so that none that is open now is used again.
@@ -434,6 +440,23 @@
   }
 }
 
+void
+ReplicaLink::SetElsewhere()
+{
+  mIdle.clear();
+  if (mIsElsewhere) {
+    return;
+  }
+  mIsElsewhere = true;
+  core::LogChange(core::LogLevel::Warning,
+                  "upstream",
+                  "replica_elsewhere",
+                  { { "replica", mReplica.id },
+                    { "service", mReplica.service },
+                    { "address", mReplica.address },
+                    { "sequence", std::to_string(mReplica.sequence) } });
+}
+
 void
 ReplicaLink::ForgetStart(core::TimePoint aStart)
 {
--- a/upstream/replica_link.h
+++ b/upstream/replica_link.h
@@ -154,6 +154,12 @@
   /** @return whether the replica has lately started, by what it announced. */
   bool IsCold() const { return mTimers.Now() < mColdUntil; }
 
+  /**
+   * @return whether an answer has shown that the address belongs to another replica now, and
+   *         nothing newer has been announced.
+   */
+  bool IsElsewhere() const { return mIsElsewhere; }
+
   /** The part of a cold replica's rate that this daemon may use. */
   ColdRate& Cold() { return mColdRate; }
 
@@ -200,6 +206,7 @@
   core::TimePoint mLoadAt{};
   std::uint32_t mFailures = 0;
   core::TimePoint mSuspectUntil{};
+  bool mIsElsewhere = false;
   bool mIsRetired = false;
 
   core::Task<void> Run(std::shared_ptr<ReplicaLink> aSelf,
@@ -222,6 +229,7 @@
   void Release(std::shared_ptr<net::HttpLink> aConnection);
   void Learn(const Attempt& aAttempt, AttemptStatus aStatus);
   void Suspect(std::string_view aReason);
+  void SetElsewhere();
   void ForgetStart(core::TimePoint aStart);
 };
 
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -300,7 +300,7 @@
 ReplicaSet::MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const
 {
   const AnnouncedReplica& replica = aLink.Replica();
-  if (replica.isDraining || mDomainsOut.count(replica.failureDomain) > 0) {
+  if (replica.isDraining || aLink.IsElsewhere() || mDomainsOut.count(replica.failureDomain) > 0) {
     return false;
   }
   if (aOrder.tried != nullptr && Contains(*aOrder.tried, replica.id)) {
