Let the soak notice daemons that end by themselves, and keep logs that a folder is named for

Cause: the supervisor started a daemon again whatever its end had been, so that a crash would have passed unseen. Seen failing: two runs on the same ports report vm-1 ended with exit status 1, over a hundred times.

--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -35,6 +35,8 @@
 void
 DaemonProcess::Start()
 {
+  mWasKilled = false;
+  mWasAskedToStop = false;
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(
@@ -66,9 +68,26 @@
 void
 DaemonProcess::Signal(int aSignal)
 {
-  if (IsRunning()) {
-    kill(mId, aSignal);
+  if (!IsRunning()) {
+    return;
+  }
+  mWasKilled = mWasKilled || aSignal == SIGKILL;
+  mWasAskedToStop = mWasAskedToStop || aSignal == SIGTERM;
+  kill(mId, aSignal);
+}
+
+std::string
+DaemonProcess::FaultOfLastEnd() const
+{
+  if (WIFSIGNALED(mLastStatus)) {
+    const int signal = WTERMSIG(mLastStatus);
+    return signal == SIGKILL && mWasKilled ? "" : "ended by signal " + std::to_string(signal);
+  }
+  const int status = WEXITSTATUS(mLastStatus);
+  if (status != 0) {
+    return "ended with exit status " + std::to_string(status);
   }
+  return mWasAskedToStop ? "" : "ended by itself";
 }
 
 } // namespace skylarkwing::soak
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -29,15 +29,21 @@
   /** Sends a signal to the process if it runs. */
   void Signal(int aSignal);
 
-  /** @return the exit status as waitpid() gives it, of the last end. */
-  int LastStatus() const { return mLastStatus; }
+  /**
+   * @return what was wrong with its last end; empty when it was killed here, or asked here to stop
+   *         and said that all went well.
+   */
+  std::string FaultOfLastEnd() const;
 
 private:
   std::string mProgram;
   std::string mSettingsFile;
   std::string mLogFile;
   pid_t mId = -1;
+  /** The exit status as waitpid() gives it, of the last end. */
   int mLastStatus = 0;
+  bool mWasKilled = false;
+  bool mWasAskedToStop = false;
 };
 
 } // namespace skylarkwing::soak
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -19,8 +19,10 @@
   "Usage: soak --program FILE [--seed N] [--seconds N] [--processes N] [--clients N] [--folder "
   "DIR]\n"
   "\n"
-  "Runs daemons as processes under random faults and checks every answer. Exit codes: 0 all\n"
-  "promises kept, 1 one was broken, 2 wrong usage.\n";
+  "Runs daemons as processes under random faults and checks every answer. The logs are kept when "
+  "a\n"
+  "promise was broken or --folder names their place. Exit codes: 0 all promises kept, 1 one was\n"
+  "broken, 2 wrong usage.\n";
 
 bool
 ParseOptions(int aCount, char** aArguments, SoakOptions& aOptions)
@@ -71,7 +73,8 @@
     std::cerr << kHelp;
     return 2;
   }
-  if (options.folder.empty()) {
+  const bool mustKeepLogs = !options.folder.empty();
+  if (!mustKeepLogs) {
     options.folder = (std::filesystem::temp_directory_path() /
                       ("skylarkwing-soak-" + std::to_string(options.seed)))
                        .string();
@@ -99,6 +102,8 @@
     std::cerr << "seed " << options.seed << ": " << error.what() << '\n';
     return 1;
   }
-  std::filesystem::remove_all(options.folder);
+  if (!mustKeepLogs) {
+    std::filesystem::remove_all(options.folder);
+  }
   return 0;
 }
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -203,6 +203,10 @@
   while (!mIsOver) {
     for (Daemon& daemon : mDaemons) {
       if (!daemon.process->IsRunning()) {
+        const std::string fault = daemon.process->FaultOfLastEnd();
+        if (!fault.empty()) {
+          Break(std::string(daemon.name).append(" ").append(fault));
+        }
         daemon.isStopping = false;
         daemon.isPaused = false;
         daemon.process->Start();
