Write the head of a message as one buffer

Cause: a profile of the soak's daemons (perf, 60 clients, 4 daemons, kernel included) showed 11 % of their processor time, a fifth of their own code, in Beast's views of a message's pieces, which its write walks anew for each system call and each check of sizes. The rest is spread: system calls 26 %, malloc and free 12 %, executors of coroutines 4 %. Change: the head is serialized once into a string, and head and body go out by one asio::async_write.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/name_table.h"
 #include "net/endpoint.h"
+#include "net/message_text.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -132,7 +133,9 @@
   }
   const auto message = ToMessage(std::move(aRequest));
   stream.expires_after(aTimeout);
-  const auto [ec, n] = co_await http::async_write(stream, message, kAsTuple);
+  const std::string head = HeadText(message);
+  const auto [ec, n] =
+    co_await asio::async_write(stream, MessageBuffers(head, message.body()), kAsTuple);
   if (!ec) {
     co_return HttpClientError::None;
   }
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/name_table.h"
 #include "net/endpoint.h"
+#include "net/message_text.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -398,7 +399,9 @@
   message.body() = std::move(aResponse.body);
   message.prepare_payload();
   aStream.expires_after(kWriteTimeout);
-  const auto [ec, n] = co_await http::async_write(aStream, message, kAsTuple);
+  const std::string head = HeadText(message);
+  const auto [ec, n] =
+    co_await asio::async_write(aStream, MessageBuffers(head, message.body()), kAsTuple);
   co_return !ec && aKeepAlive;
 }
 
@@ -409,9 +412,9 @@
   message.result(aResponse.status);
   FillHead(message, aResponse, false);
   message.chunked(true);
-  http::response_serializer<http::empty_body> serializer(message);
+  const std::string head = HeadText(message);
   aStream.expires_after(kWriteTimeout);
-  const auto [ec, n] = co_await http::async_write_header(aStream, serializer, kAsTuple);
+  const auto [ec, n] = co_await asio::async_write(aStream, asio::buffer(head), kAsTuple);
   if (ec) {
     co_return false;
   }
