--- a/console/request_story.cpp
+++ b/console/request_story.cpp
@@ -28,7 +28,9 @@
                                                         "stopping" };
 
 /** Events about one replica; they count when the request's lines name it. */
-constexpr std::array<std::string_view, 3> kReplicaEvents{ "replica_suspected",
+constexpr std::array<std::string_view, 5> kReplicaEvents{ "replica_suspected",
+                                                          "replica_elsewhere",
+                                                          "replica_announced",
                                                           "replica_gone",
                                                           "announcement_unreadable" };
 
--- /dev/null
+++ b/core/whole_number.cpp
@@ -0,0 +1,43 @@
+#include "core/whole_number.h"
+
+#include <charconv>
+
+namespace skylarkwing::core {
+
+namespace {
+
+struct ParsedNumber
+{
+  std::uint64_t value = 0;
+  bool isNumber = false;
+  bool isWholeText = false;
+};
+
+ParsedNumber
+Parse(std::string_view aText)
+{
+  ParsedNumber number;
+  const char* const last = aText.data() + aText.size();
+  const auto [end, ec] = std::from_chars(aText.data(), last, number.value);
+  number.isNumber = ec == std::errc() && !aText.empty();
+  number.isWholeText = number.isNumber && end == last;
+  return number;
+}
+
+} // namespace
+
+std::optional<std::uint64_t>
+ParseWhole(std::string_view aText)
+{
+  const ParsedNumber number = Parse(aText);
+  return number.isWholeText ? std::optional<std::uint64_t>(number.value) : std::nullopt;
+}
+
+std::optional<std::uint64_t>
+ParseLeadingWhole(std::string_view aText)
+{
+  const ParsedNumber number = Parse(aText);
+  return number.isNumber ? std::optional<std::uint64_t>(number.value) : std::nullopt;
+}
+
+} // namespace skylarkwing::core
--- a/upstream/replica_roster.cpp
+++ b/upstream/replica_roster.cpp
@@ -1,5 +1,7 @@
 #include "upstream/replica_roster.h"
 
+#include "core/name_table.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -8,6 +10,22 @@
 
 namespace {
 
+constexpr core::NameTable<ReplicaChange, 5> kChangeNames{
+  { "none", "new", "restarted", "draining", "serving" }
+};
+
+ReplicaChange
+ChangeOf(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown)
+{
+  if (aNew.startedAt != aKnown.startedAt || aNew.address != aKnown.address) {
+    return ReplicaChange::Restarted;
+  }
+  if (aNew.isDraining == aKnown.isDraining) {
+    return ReplicaChange::None;
+  }
+  return aNew.isDraining ? ReplicaChange::Draining : ReplicaChange::Serving;
+}
+
 bool
 IsOlder(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown)
 {
@@ -19,6 +37,12 @@
 
 } // namespace
 
+std::string_view
+NameOf(ReplicaChange aChange)
+{
+  return kChangeNames.NameOf(aChange);
+}
+
 ReplicaRoster::ReplicaRoster(ChangeFunction aOnChange, RemoveFunction aOnRemove)
   : mOnChange(std::move(aOnChange))
   , mOnRemove(std::move(aOnRemove))
@@ -32,11 +56,13 @@
   if (it != mReplicas.end() && IsOlder(aReplica, it->second.replica)) {
     return;
   }
+  const ReplicaChange change =
+    it == mReplicas.end() ? ReplicaChange::New : ChangeOf(aReplica, it->second.replica);
   Entry& entry = mReplicas[aReplica.id];
   entry.replica = std::move(aReplica);
   entry.isMissing = false;
   entry.heldUntil.reset();
-  mOnChange(entry.replica);
+  mOnChange(entry.replica, change);
 }
 
 void
--- a/upstream/replica_roster.h
+++ b/upstream/replica_roster.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace skylarkwing::upstream {
 
@@ -29,6 +30,23 @@
   std::uint64_t startedAt = 0;
 };
 
+/** What an announcement changes. */
+enum class ReplicaChange
+{
+  /** Another sign of life. */
+  None,
+  New,
+  /** Another process under the same id, or the same one at another address. */
+  Restarted,
+  Draining,
+  /** It no longer drains. */
+  Serving,
+};
+
+/** @return the name of a change, for logs. */
+std::string_view
+NameOf(ReplicaChange aChange);
+
 /**
  * The replicas that may get work, from what they announce and from how the store that passes it on
  * has behaved.
@@ -39,8 +57,8 @@
 class ReplicaRoster
 {
 public:
-  /** Called with a replica that is new or has changed. */
-  using ChangeFunction = std::function<void(const AnnouncedReplica&)>;
+  /** Called with each announcement that is taken in, and what it changes. */
+  using ChangeFunction = std::function<void(const AnnouncedReplica&, ReplicaChange)>;
 
   /** Called with the id of a replica that may get no more work. */
   using RemoveFunction = std::function<void(const std::string&)>;
--- a/upstream/tests/replica_roster_test.cpp
+++ b/upstream/tests/replica_roster_test.cpp
@@ -16,8 +16,10 @@
 {
   std::set<std::string> usable;
   std::set<std::string> draining;
+  ReplicaChange lastChange = ReplicaChange::None;
   core::TimePoint now = core::TimePoint{} + std::chrono::hours{ 1 };
-  ReplicaRoster roster{ [this](const AnnouncedReplica& aReplica) {
+  ReplicaRoster roster{ [this](const AnnouncedReplica& aReplica, ReplicaChange aChange) {
+                         lastChange = aChange;
                          usable.insert(aReplica.id);
                          draining.erase(aReplica.id);
                          if (aReplica.isDraining) {
@@ -51,6 +53,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(replica_roster, RosterFixture)
 
+BOOST_AUTO_TEST_CASE(tells_what_an_announcement_changes)
+{
+  Announce("a", 5, 1);
+  BOOST_TEST((lastChange == ReplicaChange::New));
+  Announce("a", 5, 2);
+  BOOST_TEST((lastChange == ReplicaChange::None));
+  Announce("a", 5, 3, true);
+  BOOST_TEST((lastChange == ReplicaChange::Draining));
+  Announce("a", 5, 4);
+  BOOST_TEST((lastChange == ReplicaChange::Serving));
+  Announce("a", 6, 1);
+  BOOST_TEST((lastChange == ReplicaChange::Restarted));
+}
+
 BOOST_AUTO_TEST_CASE(a_vanished_entry_ends_work_at_once_while_the_store_answers)
 {
   Announce("a", 5, 1);
