Start in a store outage from another daemon's copy

Cause: a daemon that was killed or replaced while the store was away came back without a configuration and refused everything until the store's return, though others beside it served on. Change: the platform names up to three daemons in the settings (seeds). A feed that has read nothing asks one of them for its copy, however old, between two attempts at the store, and then watches the store from the copy's revision, so that nothing is missed. Old copies are read, never followed or passed on as fresh. Daemons listen to each other at their control address, which the seeds name. Ruled out: offering copies to the seeds (needed only when all of them start again in one outage; noted as open).

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -38,6 +38,10 @@
 /** Ports for the daemons of one run; runs side by side use other ports by their seed. */
 constexpr int kFirstPort = 20000;
 constexpr int kPortsPerDaemon = 4;
+/** The last of a daemon's ports is for other daemons. */
+constexpr int kPeerOffset = 3;
+/** Daemons that others know from their settings, as on the platform. */
+constexpr int kSeeds = 3;
 constexpr int kPortsPerRun = 200;
 constexpr std::uint64_t kPortRuns = 40;
 
@@ -118,11 +122,16 @@
 void
 SoakRun::AddDaemon(int aNumber)
 {
-  const int port = kFirstPort + static_cast<int>(mOptions.seed % kPortRuns) * kPortsPerRun +
-                   aNumber * kPortsPerDaemon;
-  const auto address = [port](int aOffset) {
-    return "127.0.0.1:" + std::to_string(port + aOffset);
+  const auto addressOf = [this](int aDaemon, int aOffset) {
+    const int port = kFirstPort + static_cast<int>(mOptions.seed % kPortRuns) * kPortsPerRun +
+                     aDaemon * kPortsPerDaemon + aOffset;
+    return "127.0.0.1:" + std::to_string(port);
   };
+  const auto address = [&](int aOffset) { return addressOf(aNumber, aOffset); };
+  json seeds = json::array();
+  for (int n = 0; n < std::min(kSeeds, mOptions.processes); ++n) {
+    seeds.push_back(addressOf(n, kPeerOffset));
+  }
   Daemon daemon;
   daemon.name = "vm-" + std::to_string(aNumber);
   daemon.address = address(0);
@@ -135,7 +144,8 @@
                          { { "callers", address(0) },
                            { "readiness", address(1) },
                            { "directory", address(2) },
-                           { "peers", address(3) } } },
+                           { "peers", address(kPeerOffset) } } },
+                       { "seeds", seeds },
                        { "store", { { "address", daemon.storeProxy->Address() } } },
                        { "capacity", { { "share", 1.0 } } },
                        { "extraAttempts", { { "ratio", 0.2 }, { "slack", 60 } } },
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -31,7 +31,7 @@
 core::Task<void>
 KeyFeed::Step()
 {
-  const FeedSource source = mSource();
+  const FeedSource source = NextSource();
   const StoreStatus status = mHasRead ? co_await WatchOnce(source) : co_await ReadOnce(source);
   if (mIsStopped) {
     co_return;
@@ -54,6 +54,7 @@
     co_return;
   }
   mIsAnswering = false;
+  mMayTryCopy = true;
   if (!mIsLost) {
     mIsLost = true;
     mHooks.onLost(status);
@@ -61,6 +62,13 @@
   co_await core::Sleep(mTimers, mHasRead ? mBackoff.Next() : mStartBackoff.Next());
 }
 
+FeedSource
+KeyFeed::NextSource()
+{
+  const bool mustTryCopy = std::exchange(mMayTryCopy, false) && !mHasRead;
+  return mSource(mustTryCopy ? FeedNeed::AnyCopy : FeedNeed::Changes);
+}
+
 core::Task<StoreStatus>
 KeyFeed::ReadOnce(FeedSource aSource)
 {
@@ -76,7 +84,12 @@
   mRevision = read.revision;
   mHasRead = true;
   mMirror.Reset(read.items, read.revision);
-  NoteAnswer(aSource);
+  if (aSource.isOldCopy) {
+    mMirror.SetFresh(false);
+    aSource.onOldCopy(read);
+  } else {
+    NoteAnswer(aSource);
+  }
   mHooks.onAll(read.items);
   co_return StoreStatus::Done;
 }
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -25,26 +25,42 @@
   std::function<void()> onAnswered;
 };
 
+/** What a feed's next call is for. */
+enum class FeedNeed
+{
+  /** To hear of changes soon. */
+  Changes,
+  /** To know anything at all: nothing was read yet, and the store doesn't answer. */
+  AnyCopy,
+};
+
 /** Where a feed makes its next call. */
 struct FeedSource
 {
   std::shared_ptr<KeyValueStore> store;
   /** Whether it is the store itself and not another daemon's copy. */
   bool isDirect = true;
+  /** Whether the copy may be an old one, which is read but not followed. */
+  bool isOldCopy = false;
   /** Pause between two watches; keys that change all the time cost one call a pause. */
   core::Duration pause{};
   /** How long one watch waits: also how long a silent connection stays unnoticed. */
   core::Duration wait = std::chrono::seconds{ 2 };
   /** Called when a call to another daemon failed; the next call must go elsewhere. */
   std::function<void()> onFailed;
+  /** Called when an old copy was read. */
+  std::function<void(const KeyItems&)> onOldCopy;
 };
 
 /** Chooses where the next call goes. */
-using FeedSourceFunction = std::function<FeedSource()>;
+using FeedSourceFunction = std::function<FeedSource(FeedNeed)>;
 
 /**
  * Follows the keys with one prefix: reads them once, then watches, and reads them again when the
  * store has dropped the history in between.
+ *
+ * While the store doesn't answer a feed that has read nothing yet, it asks for any copy between two
+ * attempts. What changed after that copy comes with the first watch at the store.
  */
 class KeyFeed : public std::enable_shared_from_this<KeyFeed>
 {
@@ -85,10 +101,12 @@
   bool mIsAnswering = false;
   bool mIsLost = false;
   bool mIsStopped = false;
+  bool mMayTryCopy = false;
 
   core::Task<void> Step();
   core::Task<StoreStatus> ReadOnce(FeedSource aSource);
   core::Task<StoreStatus> WatchOnce(FeedSource aSource);
+  FeedSource NextSource();
   void NoteAnswer(const FeedSource& aSource);
 };
 
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -109,6 +109,10 @@
   /** Another daemon's copy, and whether it is asked. */
   std::shared_ptr<FakeKeys> relay = std::make_shared<FakeKeys>(loop.timers);
   bool isRelayed = false;
+  /** A copy that another daemon may have kept; empty when there is no other. */
+  std::shared_ptr<FakeKeys> seed;
+  int seedFailures = 0;
+  int oldCopies = 0;
   std::map<std::string, std::string> copy;
   int lost = 0;
   int answered = 0;
@@ -131,8 +135,16 @@
     };
     hooks.onLost = [this](StoreStatus) { ++lost; };
     hooks.onAnswered = [this] { ++answered; };
-    const auto source = [this, aPause] {
+    const auto source = [this, aPause](FeedNeed aNeed) {
       FeedSource chosen;
+      if (aNeed == FeedNeed::AnyCopy && seed) {
+        chosen.store = seed;
+        chosen.isDirect = false;
+        chosen.isOldCopy = true;
+        chosen.onFailed = [this] { ++seedFailures; };
+        chosen.onOldCopy = [this](const KeyItems&) { ++oldCopies; };
+        return chosen;
+      }
       chosen.store = isRelayed ? relay : shared;
       chosen.isDirect = !isRelayed;
       chosen.pause = aPause;
@@ -239,6 +251,53 @@
   BOOST_TEST(feed->Mirror().IsFresh());
 }
 
+BOOST_AUTO_TEST_CASE(a_start_in_an_outage_takes_the_copy_of_another_daemon)
+{
+  seed = std::make_shared<FakeKeys>(loop.timers);
+  seed->Write("a", "1");
+  keys.Write("a", "1");
+  keys.Write("b", "2");
+  keys.outage = StoreStatus::Unknown;
+  Start();
+  loop.Run(std::chrono::seconds{ 2 });
+  BOOST_TEST((copy == seed->keys));
+  BOOST_TEST(oldCopies == 1);
+  // The store is still away, and other daemons must not follow the copy.
+  BOOST_TEST(lost == 1);
+  BOOST_TEST(answered == 0);
+  BOOST_TEST(!feed->Mirror().IsFresh());
+  keys.outage = StoreStatus::Done;
+  loop.Run(std::chrono::seconds{ 2 });
+  BOOST_TEST((copy == keys.keys));
+  BOOST_TEST(answered == 1);
+  BOOST_TEST(feed->Mirror().IsFresh());
+}
+
+BOOST_AUTO_TEST_CASE(an_old_copy_is_asked_for_only_when_nothing_is_known)
+{
+  seed = std::make_shared<FakeKeys>(loop.timers);
+  keys.Write("a", "1");
+  Start();
+  keys.outage = StoreStatus::Unknown;
+  loop.Run(std::chrono::seconds{ 6 });
+  BOOST_TEST(seed->reads == 0);
+  BOOST_TEST((copy == keys.keys));
+}
+
+BOOST_AUTO_TEST_CASE(a_seed_that_knows_nothing_either_keeps_nobody_from_the_store)
+{
+  seed = std::make_shared<FakeKeys>(loop.timers);
+  seed->outage = StoreStatus::Refused;
+  keys.Write("a", "1");
+  keys.outage = StoreStatus::Unknown;
+  Start();
+  loop.Run(std::chrono::seconds{ 3 });
+  BOOST_TEST(seedFailures > 1);
+  keys.outage = StoreStatus::Done;
+  loop.Run(std::chrono::seconds{ 1 });
+  BOOST_TEST((copy == keys.keys));
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_that_is_behind_takes_nothing_back)
 {
   Start();
