Let a new process's share of the slack grow over its first window

Cause: two rolling replacements overlapped, so that each VM had two or three processes within one window. Each new one began with a whole share of the slack, 107 for all of them together where 56 are allowed. Before: a_rolling_replacement_of_all_daemons_keeps_the_bound_in_every_window fails (168 where 162.8 are allowed).

--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -67,6 +67,7 @@
   , mProtocol(std::move(aProtocol))
   , mPlace(std::move(aPlace))
   , mRetryBound(aRetryBound)
+  , mStartedAt(aTimers.Now())
   , mIsAlive(std::make_shared<bool>(true))
 {
 }
@@ -226,7 +227,10 @@
 ReplicaSet::ServiceOf(std::string_view aName)
 {
   const auto it = mServices.find(aName);
-  return it != mServices.end() ? it->second : mServices[std::string(aName)];
+  if (it != mServices.end()) {
+    return it->second;
+  }
+  return mServices.emplace(std::string(aName), Service(mStartedAt)).first->second;
 }
 
 void
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -145,6 +145,11 @@
 private:
   struct Service
   {
+    explicit Service(core::TimePoint aProcessStart = {})
+      : allowance(aProcessStart)
+    {
+    }
+
     std::vector<std::shared_ptr<ReplicaLink>> links;
     RetryAllowance allowance;
     core::TimePoint lastUse{};
@@ -161,6 +166,8 @@
   RetryBound mRetryBound;
   LinkSettings mLinkSettings;
   FleetShares mFleet;
+  /** When this process began, as far as budgets go. */
+  core::TimePoint mStartedAt;
   std::shared_ptr<const declaration::RoutingTable> mTable;
   std::set<std::string> mDomainsOut;
   std::map<std::string, std::shared_ptr<ReplicaLink>> mLinks;
--- a/upstream/retry_allowance.cpp
+++ b/upstream/retry_allowance.cpp
@@ -1,5 +1,7 @@
 #include "upstream/retry_allowance.h"
 
+#include <algorithm>
+
 namespace skylarkwing::upstream {
 
 void
@@ -17,7 +19,8 @@
 {
   mWindow = aBound.window;
   Slice& slice = Advance(aNow);
-  const double whole = (aBound.ratio * mFirstSum + aBound.slack * aShare) * kUsedShare;
+  const double slack = aBound.slack * aShare * GrownShare(aNow);
+  const double whole = (aBound.ratio * mFirstSum + slack) * kUsedShare;
   const double allowed = aKind == ExtraAttempt::Hedge ? whole * (1.0 - kKeptForRetries) : whole;
   if (mExtraSum + 1.0 > allowed) {
     return false;
@@ -27,6 +30,13 @@
   return true;
 }
 
+double
+RetryAllowance::GrownShare(core::TimePoint aNow) const
+{
+  const std::chrono::duration<double> age = aNow - mProcessStart;
+  return std::clamp(age / std::chrono::duration<double>(mWindow), 0.0, 1.0);
+}
+
 RetryAllowance::Slice&
 RetryAllowance::Advance(core::TimePoint aNow)
 {
--- a/upstream/retry_allowance.h
+++ b/upstream/retry_allowance.h
@@ -43,6 +43,16 @@
   /** Share of the bound that is used, since daemons' windows and the count's don't coincide. */
   static constexpr double kUsedShare = 0.85;
 
+  /**
+   * @param aProcessStart since when this process has run. Its share of the slack grows from nothing
+   *        within the first window: the process before it may have used that of the VM, and in
+   *        a rolling replacement each VM has two processes or more in one window.
+   */
+  explicit RetryAllowance(core::TimePoint aProcessStart = {})
+    : mProcessStart(aProcessStart)
+  {
+  }
+
   /** Counts the first attempt of a request. */
   void RecordFirst(core::TimePoint aNow);
 
@@ -63,12 +73,15 @@
     std::uint32_t extra = 0;
   };
 
+  core::TimePoint mProcessStart;
   std::array<Slice, kSlices> mSlices{};
   std::uint32_t mFirstSum = 0;
   std::uint32_t mExtraSum = 0;
   std::int64_t mSliceNumber = 0;
   core::Duration mWindow = std::chrono::seconds{ 10 };
 
+  /** @return which part of its share of the slack this process may use by now. */
+  double GrownShare(core::TimePoint aNow) const;
   Slice& Advance(core::TimePoint aNow);
 };
 
