Let two daemons stand by for the relays of a failure domain

Change: the next two daemons by name stand by. One that has lost all before it asks the store, and the others follow it. Before: one_standby_asks_the_store_for_the_followers_of_a_relay_that_is_cut_off doesn't hold, 13 of 14 would ask the store. a_failed_relay_is_passed_over now counts the standbys among the relays that are tried.

--- a/membership/feed_choice.cpp
+++ b/membership/feed_choice.cpp
@@ -23,27 +23,38 @@
     }
   }
   // Members are in the order of their names, so that all daemons of a domain find the same relays.
-  domain.resize(std::min(domain.size(), 1 + domain.size() / kDaemonsPerRelay));
-  const std::size_t first = std::hash<std::string>()(mVm);
-  for (std::size_t n = 0; n < domain.size(); ++n) {
-    if (domain[n]->vm == mVm) {
-      return std::nullopt;
-    }
+  const std::size_t relays = std::min(domain.size(), 1 + domain.size() / kDaemonsPerRelay);
+  domain.resize(std::min(domain.size(), relays + kStandbys));
+  const auto isSelf = [this](const EntryMember* aMember) { return aMember->vm == mVm; };
+  if (std::any_of(domain.begin(), domain.begin() + static_cast<std::ptrdiff_t>(relays), isSelf)) {
+    return std::nullopt;
   }
-  for (std::size_t n = 0; n < domain.size(); ++n) {
-    const EntryMember& relay = *domain[(first + n) % domain.size()];
-    const auto distrusted = mDistrustedUntil.find(relay.vm);
-    if (distrusted == mDistrustedUntil.end() || distrusted->second <= aNow) {
+  const std::size_t first = relays == 0 ? 0 : std::hash<std::string>()(mVm) % relays;
+  for (std::size_t n = 0; n < relays; ++n) {
+    const EntryMember& relay = *domain[(first + n) % relays];
+    if (IsTrusted(relay, aNow)) {
       return relay;
     }
   }
+  for (std::size_t n = relays; n < domain.size() && !isSelf(domain[n]); ++n) {
+    if (IsTrusted(*domain[n], aNow)) {
+      return *domain[n];
+    }
+  }
   return std::nullopt;
 }
 
+bool
+FeedChoice::IsTrusted(const EntryMember& aMember, core::TimePoint aNow) const
+{
+  const auto it = mDistrustedUntil.find(aMember.vm);
+  return it == mDistrustedUntil.end() || it->second <= aNow;
+}
+
 void
-FeedChoice::Distrust(const std::string& aVm, core::TimePoint aNow)
+FeedChoice::Distrust(const std::string& aVm, core::TimePoint aNow, core::Duration aSpan)
 {
-  mDistrustedUntil[aVm] = aNow + kDistrust;
+  mDistrustedUntil[aVm] = aNow + aSpan;
 }
 
 } // namespace skylarkwing::membership
--- a/membership/tests/feed_choice_test.cpp
+++ b/membership/tests/feed_choice_test.cpp
@@ -66,12 +66,27 @@
   std::set<std::string> relays;
   while (const auto relay = choice.Choose(roll, kNow)) {
     relays.insert(relay->vm);
-    choice.Distrust(relay->vm, kNow);
+    choice.Distrust(relay->vm, kNow, FeedChoice::kDistrust);
   }
-  BOOST_TEST(relays.size() == 2U);
+  BOOST_TEST(relays.size() == 2U + FeedChoice::kStandbys);
   BOOST_TEST(choice.Choose(roll, kNow + FeedChoice::kDistrust).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(one_standby_asks_the_store_for_the_followers_of_a_relay_that_is_cut_off)
+{
+  const EntryRoll roll = MakeRoll(1, 14);
+  std::size_t direct = 0;
+  for (const auto& [vm, member] : roll.Members()) {
+    FeedChoice choice(vm, member.failureDomain);
+    choice.Distrust("d0-0", kNow, FeedChoice::kDistrust);
+    const auto source = choice.Choose(roll, kNow);
+    // The cut relay still believes that it is one, and asks the store as well.
+    direct += source ? 0 : 1;
+    BOOST_TEST((!source || source->vm == "d0-1"));
+  }
+  BOOST_TEST(direct == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(who_knows_nobody_asks_the_store)
 {
   BOOST_TEST(!FeedChoice("a", "d").Choose(EntryRoll(), kNow).has_value());
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -50,7 +50,7 @@
   mMirror.SetFresh(false);
   if (!source.isDirect) {
     // The store may well answer, so that nothing is lost yet.
-    source.onFailed();
+    source.onFailed(status);
     co_return;
   }
   mIsAnswering = false;
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -47,7 +47,7 @@
   /** How long one watch waits: also how long a silent connection stays unnoticed. */
   core::Duration wait = std::chrono::seconds{ 2 };
   /** Called when a call to another daemon failed; the next call must go elsewhere. */
-  std::function<void()> onFailed;
+  std::function<void(StoreStatus)> onFailed;
   /** Called when an old copy was read. */
   std::function<void(const KeyItems&)> onOldCopy;
 };
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -141,7 +141,7 @@
         chosen.store = seed;
         chosen.isDirect = false;
         chosen.isOldCopy = true;
-        chosen.onFailed = [this] { ++seedFailures; };
+        chosen.onFailed = [this](StoreStatus) { ++seedFailures; };
         chosen.onOldCopy = [this](const KeyItems&) { ++oldCopies; };
         return chosen;
       }
@@ -149,7 +149,7 @@
       chosen.isDirect = !isRelayed;
       chosen.pause = aPause;
       chosen.wait = milliseconds{ 2500 };
-      chosen.onFailed = [this] {
+      chosen.onFailed = [this](StoreStatus) {
         ++relay->failures;
         isRelayed = false;
       };
