--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -47,10 +47,8 @@
 core::Duration
 PartAttempts::Expected() const
 {
-  upstream::AttemptOrder order;
-  order.service = mPlan.service;
-  order.regions = &mPlan.route->regions;
-  return mReplicas.Expected(order).value_or(core::Duration::zero());
+  // Nothing was tried before the first attempt, so that any replica may take it.
+  return mReplicas.Expected(MakeOrder()).value_or(core::Duration::zero());
 }
 
 void
@@ -64,11 +62,7 @@
   // A hedge that comes too late as well only adds load. Later, any answer will do.
   const core::TimePoint end = now < mPlan.objective ? mPlan.objective : mPlan.deadline;
   const core::Duration left = end - now;
-  upstream::AttemptOrder order;
-  order.service = mPlan.service;
-  order.regions = &mPlan.route->regions;
-  order.tried = &mTried;
-  const auto expected = mReplicas.Expected(order);
+  const auto expected = mReplicas.Expected(MakeOrder());
   if (left < kLeastTime || !expected || *expected >= left) {
     mNoHedgeBefore = std::max(now + kHedgeReview, now < mPlan.objective ? mPlan.objective : now);
     return;
@@ -146,14 +140,21 @@
   return story;
 }
 
-bool
-PartAttempts::TrySend(core::Duration aFasterThan)
+upstream::AttemptOrder
+PartAttempts::MakeOrder() const
 {
   upstream::AttemptOrder order;
   order.service = mPlan.service;
   order.regions = &mPlan.route->regions;
   order.tried = &mTried;
   order.deadline = mPlan.deadline;
+  return order;
+}
+
+bool
+PartAttempts::TrySend(core::Duration aFasterThan)
+{
+  upstream::AttemptOrder order = MakeOrder();
   order.fasterThan = aFasterThan;
   const std::size_t index = mAttempts.size();
   mAttempts.emplace_back();
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -78,9 +78,6 @@
   /** @return whether any attempt may have run. */
   bool MayHaveRun() const;
 
-  /** @return whether an attempt runs at a replica now. */
-  bool IsRunning() const;
-
   /** @return how many attempts were sent. */
   std::size_t SentCount() const { return mSent; }
 
@@ -118,6 +115,8 @@
   /** No hedge before this: there was no replica that would answer in time. */
   core::TimePoint mNoHedgeBefore{};
 
+  bool IsRunning() const;
+  upstream::AttemptOrder MakeOrder() const;
   bool TrySend(core::Duration aFasterThan);
   void SendOrWait();
   void OnResult(std::size_t aIndex, upstream::AttemptResult aResult);
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -151,9 +151,9 @@
   const std::shared_ptr<PartAttempts>& part = mParts.front();
   const core::Duration age = mTimers.Now() - mPlan.arrival;
   const core::Duration limit = mPlan.deadline - mPlan.arrival - kDeadlineMargin;
-  const bool hasResponse = part->State() == PartState::Answered ||
-                           part->Result().status == upstream::AttemptStatus::Failed;
-  if (part->State() == PartState::Answered || (part->State() == PartState::Failed && hasResponse)) {
+  const bool isAnswered = part->State() == PartState::Answered;
+  const bool isFailed = part->State() == PartState::Failed;
+  if (isAnswered || (isFailed && part->Result().status == upstream::AttemptStatus::Failed)) {
     RequestResult result;
     result.outcome = RequestOutcome::Passed;
     result.response = std::move(part->Result().response);
@@ -161,7 +161,7 @@
     Finish(std::move(result));
     return;
   }
-  if (part->State() == PartState::Failed || age >= limit) {
+  if (isFailed || age >= limit) {
     Finish(FailureOf(age >= limit));
     return;
   }
