Leave a store alone that all relays have lost

What a follower needs then is to hear when a relay hears again. Change: a follower without a usable relay asks the store at once, as before, and then each 2 s only; in between it waits until a relay may be asked again. Standbys keep their duty, and first reads don't wait. Before: followers_leave_a_store_alone_that_all_relays_have_lost fails when the store is asked whenever no relay is left.

--- a/membership/feed_choice.cpp
+++ b/membership/feed_choice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <functional>
 #include <utility>
-#include <vector>
 
 namespace skylarkwing::membership {
 
@@ -13,8 +12,8 @@
 {
 }
 
-std::optional<EntryMember>
-FeedChoice::Choose(const EntryRoll& aRoll, core::TimePoint aNow)
+FeedTarget
+FeedChoice::Choose(const EntryRoll& aRoll, const std::string& aFeed, core::TimePoint aNow)
 {
   std::vector<const EntryMember*> domain;
   for (const auto& [vm, member] : aRoll.Members()) {
@@ -27,28 +26,49 @@
   domain.resize(std::min(domain.size(), relays + kStandbys));
   const auto isSelf = [this](const EntryMember* aMember) { return aMember->vm == mVm; };
   if (std::any_of(domain.begin(), domain.begin() + static_cast<std::ptrdiff_t>(relays), isSelf)) {
-    return std::nullopt;
+    return {};
   }
   const std::size_t first = relays == 0 ? 0 : std::hash<std::string>()(mVm) % relays;
   for (std::size_t n = 0; n < relays; ++n) {
     const EntryMember& relay = *domain[(first + n) % relays];
-    if (IsTrusted(relay, aNow)) {
-      return relay;
+    if (TrustedAt(relay) <= aNow) {
+      return { relay };
     }
   }
-  for (std::size_t n = relays; n < domain.size() && !isSelf(domain[n]); ++n) {
-    if (IsTrusted(*domain[n], aNow)) {
-      return *domain[n];
+  for (std::size_t n = relays; n < domain.size(); ++n) {
+    if (isSelf(domain[n])) {
+      return {};
     }
+    if (TrustedAt(*domain[n]) <= aNow) {
+      return { *domain[n] };
+    }
+  }
+  return WithoutRelay(domain, aFeed, aNow);
+}
+
+FeedTarget
+FeedChoice::WithoutRelay(const std::vector<const EntryMember*>& aRelays,
+                         const std::string& aFeed,
+                         core::TimePoint aNow)
+{
+  const auto [it, isFirst] = mDirectAt.try_emplace(aFeed, aNow);
+  const core::TimePoint directAt = isFirst ? aNow : it->second + kDirectInterval;
+  const auto isSooner = [this](const EntryMember* aLeft, const EntryMember* aRight) {
+    return TrustedAt(*aLeft) < TrustedAt(*aRight);
+  };
+  const auto next = std::min_element(aRelays.begin(), aRelays.end(), isSooner);
+  if (next != aRelays.end() && TrustedAt(**next) < directAt) {
+    return { **next, TrustedAt(**next) - aNow };
   }
-  return std::nullopt;
+  it->second = std::max(aNow, directAt);
+  return { std::nullopt, it->second - aNow };
 }
 
-bool
-FeedChoice::IsTrusted(const EntryMember& aMember, core::TimePoint aNow) const
+core::TimePoint
+FeedChoice::TrustedAt(const EntryMember& aMember) const
 {
   const auto it = mDistrustedUntil.find(aMember.vm);
-  return it == mDistrustedUntil.end() || it->second <= aNow;
+  return it == mDistrustedUntil.end() ? core::TimePoint::min() : it->second;
 }
 
 void
--- a/membership/feed_choice.h
+++ b/membership/feed_choice.h
@@ -7,9 +7,19 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace skylarkwing::membership {
 
+/** Where the next call of a feed goes, and when. */
+struct FeedTarget
+{
+  /** The daemon to ask, nothing for the store itself. */
+  std::optional<EntryMember> relay;
+  /** How long to wait first. */
+  core::Duration delay{};
+};
+
 /**
  * Decides from whom this daemon hears what stands in the store: from the store itself, or from
  * another daemon of its failure domain that follows the store.
@@ -17,7 +27,8 @@
  * Answers the load that watches put on the store: with a few relays in each failure domain its
  * calls grow with the failure domains and not with the daemons. Also answers the load of followers
  * whose relay is cut off: the next daemons by name stand by, and without one of them the store is
- * asked.
+ * asked. And the load on a store in an outage, which all relays have lost: their followers wait for
+ * them and ask the store itself only now and then.
  */
 class FeedChoice
 {
@@ -35,10 +46,16 @@
    */
   static constexpr core::Duration kRefusedDistrust = std::chrono::seconds{ 1 };
 
+  /**
+   * How often a follower without a relay asks the store: what the operator changes must be in force
+   * within 3 s.
+   */
+  static constexpr core::Duration kDirectInterval = std::chrono::seconds{ 2 };
+
   FeedChoice(std::string aVm, std::string aFailureDomain);
 
-  /** @return the daemon to ask, nothing for the store itself. */
-  std::optional<EntryMember> Choose(const EntryRoll& aRoll, core::TimePoint aNow);
+  /** @param aFeed names the feed; each asks the store at its own times. */
+  FeedTarget Choose(const EntryRoll& aRoll, const std::string& aFeed, core::TimePoint aNow);
 
   /** Takes in that a relay failed, for how long it is passed over. */
   void Distrust(const std::string& aVm, core::TimePoint aNow, core::Duration aSpan);
@@ -47,8 +64,13 @@
   std::string mVm;
   std::string mFailureDomain;
   std::map<std::string, core::TimePoint> mDistrustedUntil;
+  /** When each feed last asked the store for want of a relay. */
+  std::map<std::string, core::TimePoint> mDirectAt;
 
-  bool IsTrusted(const EntryMember& aMember, core::TimePoint aNow) const;
+  core::TimePoint TrustedAt(const EntryMember& aMember) const;
+  FeedTarget WithoutRelay(const std::vector<const EntryMember*>& aRelays,
+                          const std::string& aFeed,
+                          core::TimePoint aNow);
 };
 
 } // namespace skylarkwing::membership
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -36,6 +36,9 @@
   const core::TimePoint begin = mTimers.Now();
   const FeedNeed need = NextNeed();
   const FeedSource source = mSource(need);
+  if (source.delay > core::Duration::zero()) {
+    co_await core::Sleep(mTimers, source.delay);
+  }
   const StoreStatus status = mHasRead ? co_await WatchOnce(source) : co_await ReadOnce(source);
   if (mIsStopped) {
     co_return;
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -48,6 +48,8 @@
   bool isDirect = true;
   /** Whether the copy may be an old one, which is read but not followed. */
   bool isOldCopy = false;
+  /** How long to wait before the call. */
+  core::Duration delay{};
   /** Pause between two watches; keys that change all the time cost one call a pause. */
   core::Duration pause{};
   /** How long one watch waits: also how long a silent connection stays unnoticed. */
