Refuse a query that would lack too many shards before any shard is asked

A daemon that knows 20 of 200 replicas sent the parts that it could, then found too few shards and answered 502, which says nothing on what ran and when to come again, and let replicas work for nobody. Ruled out: replicas over their connection limit (they reset 493 connections, but the log shows no_replica for the requests that failed), relays that hear nothing for two seconds (the store's history was dropped at that moment). Change: the parts that no replica can take fail first. The expected time of a part is asked for once.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -44,11 +44,11 @@
   SendOrWait();
 }
 
-core::Duration
+std::optional<core::Duration>
 PartAttempts::Expected() const
 {
   // Nothing was tried before the first attempt, so that any replica may take it.
-  return mReplicas.Expected(MakeOrder()).value_or(core::Duration::zero());
+  return mReplicas.Expected(MakeOrder());
 }
 
 void
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -52,8 +52,9 @@
                PartPlan aPlan,
                std::function<void()> aOnChange);
 
-  /** @return how long the part would take if it were sent now, zero when that isn't known. */
-  core::Duration Expected() const;
+  /** @return how long the part would take if it were sent now, nothing when no replica may take it.
+   */
+  std::optional<core::Duration> Expected() const;
 
   /** Sends the first attempt, or waits for room. */
   void Start();
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -34,6 +34,15 @@
 
 void
 RequestRun::Start()
+{
+  MakeParts();
+  StartParts();
+  mIsStarting = false;
+  Review();
+}
+
+void
+RequestRun::MakeParts()
 {
   mParts.reserve(mPlan.services.size());
   for (const std::string& service : mPlan.services) {
@@ -46,28 +55,43 @@
         }
       }));
   }
-  const std::vector<std::size_t> deferred = DeferredParts();
+}
+
+void
+RequestRun::StartParts()
+{
+  std::vector<core::Duration> expected;
+  expected.reserve(mParts.size());
+  std::size_t hopeless = 0;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    const auto time = part->Expected();
+    expected.push_back(time.value_or(core::Duration::zero()));
+    if (!time) {
+      // No replica can take it, so that it fails at once.
+      part->Start();
+      ++hopeless;
+    }
+  }
+  if (mParts.size() - hopeless < mPlan.route->LeastShards()) {
+    // What the other shards answered would serve nobody.
+    return;
+  }
+  const std::vector<std::size_t> deferred = DeferredParts(expected);
   for (std::size_t n = 0; n < mParts.size(); ++n) {
-    if (std::find(deferred.begin(), deferred.end(), n) == deferred.end()) {
+    const bool isDeferred = std::find(deferred.begin(), deferred.end(), n) != deferred.end();
+    if (!isDeferred && mParts[n]->State() == PartState::Deferred) {
       mParts[n]->Start();
     }
   }
-  mIsStarting = false;
-  Review();
 }
 
 std::vector<std::size_t>
-RequestRun::DeferredParts() const
+RequestRun::DeferredParts(const std::vector<core::Duration>& aExpected) const
 {
   if (!mPlan.route->IsFanOut()) {
     return {};
   }
-  std::vector<core::Duration> expected;
-  expected.reserve(mParts.size());
-  for (const std::shared_ptr<PartAttempts>& part : mParts) {
-    expected.push_back(part->Expected());
-  }
-  return ChooseDeferred(expected, mPlan.route->LeastShards(), mPlan.route->objective);
+  return ChooseDeferred(aExpected, mPlan.route->LeastShards(), mPlan.route->objective);
 }
 
 void
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -52,7 +52,9 @@
   bool mIsStarting = true;
   bool mIsDone = false;
 
-  std::vector<std::size_t> DeferredParts() const;
+  void MakeParts();
+  void StartParts();
+  std::vector<std::size_t> DeferredParts(const std::vector<core::Duration>& aExpected) const;
   void AskDeferred();
   void Review();
   void ReviewGather();
--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -113,6 +113,20 @@
   BOOST_TEST(after.complete >= after.asked * 95 / 100);
 }
 
+BOOST_AUTO_TEST_CASE(a_query_that_would_lack_too_many_shards_is_refused_before_any_is_asked)
+{
+  // After a restart of all, the store lacks most of the replicas for a while.
+  for (std::size_t n = 0; n < 8; ++n) {
+    AddService(n, PausingModel());
+  }
+  const declaration::Route route = MakeRoute(10, 9, milliseconds{ 150 });
+  const LoadOutcome outcome = Play(route, 20.0, seconds{ 2 });
+  BOOST_TEST(outcome.notRun == outcome.asked);
+  for (const auto& [id, replica] : replicas) {
+    BOOST_TEST(replica.arrivals == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(what_cannot_be_served_is_refused_at_once_as_not_run)
 {
   const declaration::Route route = MakeRoute(10, 9, milliseconds{ 150 });
