Give tests of the peer bus ports that the system hands to nobody

Cause: of 320 runs of the suite in eight loops at once, 97 failed with bus.Listen(address), and one could bind no port at all; none was stuck in a close. The tests bound a free port, gave it up and listened there a moment later; the new test does so 120 times, and other tests' connections take such ports. Change: addresses below the range for connections, another one at each call, with a second choice when one is taken. The checks stay.

--- a/net/tests/nng_peer_bus_test.cpp
+++ b/net/tests/nng_peer_bus_test.cpp
@@ -1,5 +1,4 @@
 #include "core/asio_timer_service.h"
-#include "net/http_server.h"
 #include "net/nng_peer_bus.h"
 
 #include <boost/test/unit_test.hpp>
@@ -7,6 +6,9 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <string>
+
+#include <unistd.h>
 
 namespace skylarkwing::net {
 
@@ -31,23 +33,34 @@
   return false;
 }
 
-/** @return a loopback address that was free a moment ago. */
+/**
+ * @return a loopback address, another one at each call. Its port is none that the system gives to
+ *         connections, which other tests make all the time.
+ */
 std::string
-FreeAddress(boost::asio::io_context& aLoop)
+NextAddress()
 {
-  HttpServer probe(aLoop, {}, nullptr);
-  BOOST_REQUIRE(probe.Listen("127.0.0.1:0"));
-  return probe.Address();
+  constexpr unsigned kFirstPort = 10000;
+  constexpr unsigned kPorts = 20000;
+  constexpr unsigned kPortsPerProcess = 251;
+  static unsigned next = static_cast<unsigned>(getpid()) * kPortsPerProcess;
+  return "127.0.0.1:" + std::to_string(kFirstPort + next++ % kPorts);
 }
 
 struct Daemon
 {
   Daemon(boost::asio::io_context& aLoop, const std::string& aCluster, const std::string& aVm)
     : timers(aLoop)
-    , address(FreeAddress(aLoop))
     , bus(aLoop, timers, metrics, { aCluster, aVm, aVm + "-1" })
   {
-    BOOST_REQUIRE(bus.Listen(address));
+    // Another process may listen at an address.
+    constexpr int kTries = 100;
+    bool isListening = false;
+    for (int n = 0; n < kTries && !isListening; ++n) {
+      address = NextAddress();
+      isListening = bus.Listen(address);
+    }
+    BOOST_REQUIRE(isListening);
     bus.OnMessage("number", [this](const PeerMessageOrigin& aOrigin, const nlohmann::json& aBody) {
       lastOrigin = aOrigin;
       received.push_back(aBody.at("n").get<int>());
