Heed replicas that leave or want rest; bound answers without end; read answers while a body is sent

Cause: no answer's Server-Leaving or Retry-After was read, what frames a chunk or a trailer was buffered without a bound, bytes after an answer passed for the next one, and a body was written whole before its answer was read. Requests that waited for room were not told when the last replica of their service left.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <tuple>
 #include <utility>
 
 namespace skylarkwing::net {
@@ -22,7 +23,11 @@
 constexpr core::NameTable<HttpClientError, 6> kErrorNames{
   { "none", "connect_failed", "nothing_sent", "broken", "timed_out", "malformed" }
 };
-constexpr std::uint64_t kLargestAnswerBytes = std::uint64_t{ 16 } * 1024 * 1024;
+/** Far above any answer: the store sends at most 1 MB in base64. */
+constexpr std::uint64_t kLargestAnswerBytes = std::uint64_t{ 4 } * 1024 * 1024;
+/** What is received and not yet parsed: a head, or what frames a chunk, must fit into it. */
+constexpr std::size_t kLargestUnparsedBytes = std::size_t{ 128 } * 1024;
+constexpr std::uint32_t kLargestHeadBytes = std::uint32_t{ 16 } * 1024;
 constexpr std::size_t kPieceBytes = std::size_t{ 64 } * 1024;
 
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
@@ -66,6 +71,28 @@
   return message;
 }
 
+/** A request while it is written. */
+struct RequestWrite
+{
+  http::request<http::string_body> message;
+  std::string head;
+  bool isDone = false;
+  beast::error_code error;
+  std::size_t written = 0;
+};
+
+HttpClientError
+WriteErrorOf(const RequestWrite& aWrite)
+{
+  if (!aWrite.error) {
+    return HttpClientError::None;
+  }
+  if (aWrite.error == beast::error::timeout) {
+    return HttpClientError::TimedOut;
+  }
+  return aWrite.written == 0 ? HttpClientError::NothingSent : HttpClientError::Broken;
+}
+
 template<typename Message>
 HttpResponse
 ToResponse(const Message& aMessage)
@@ -88,7 +115,7 @@
 }
 
 /** The connection itself; an exchange keeps it alive when its owner goes away. */
-struct HttpConnection::State
+struct HttpConnection::State : std::enable_shared_from_this<HttpConnection::State>
 {
   explicit State(asio::any_io_executor aExecutor)
     : stream(std::move(aExecutor))
@@ -96,7 +123,8 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  /** Bounded, since a faulty server may send without end. */
+  beast::flat_buffer buffer{ kLargestUnparsedBytes };
   std::optional<http::response_parser<http::buffer_body>> streamed;
   bool isOpen = false;
 
@@ -107,15 +135,21 @@
     stream.socket().close(ec);
   }
 
-  bool IsClosedByPeer();
+  bool IsSpoilt();
   core::Task<HttpClientError> Send(HttpRequest aRequest, core::Duration aTimeout);
+  void StartWrite(std::shared_ptr<RequestWrite> aWrite);
+  core::Task<HttpReply> ExchangeBody(HttpRequest aRequest, core::Duration aTimeout);
   core::Task<HttpReply> ReadReply();
 };
 
 bool
-HttpConnection::State::IsClosedByPeer()
+HttpConnection::State::IsSpoilt()
 {
-  // Without a request outstanding, readable means closed or broken.
+  // Without a request outstanding, bytes belong to no answer: they came too late, or twice.
+  if (buffer.size() > 0) {
+    return true;
+  }
+  // Readable means closed, broken, or the same.
   beast::error_code ec;
   auto& socket = stream.socket();
   socket.non_blocking(true, ec);
@@ -127,29 +161,73 @@
 core::Task<HttpClientError>
 HttpConnection::State::Send(HttpRequest aRequest, core::Duration aTimeout)
 {
-  if (!isOpen || IsClosedByPeer()) {
+  if (!isOpen || IsSpoilt()) {
     Close();
     co_return HttpClientError::NothingSent;
   }
-  const auto message = ToMessage(std::move(aRequest));
+  RequestWrite write;
+  write.message = ToMessage(std::move(aRequest));
   stream.expires_after(aTimeout);
-  const std::string head = HeadText(message);
-  const auto [ec, n] =
-    co_await asio::async_write(stream, MessageBuffers(head, message.body()), kAsTuple);
-  if (!ec) {
-    co_return HttpClientError::None;
+  write.head = HeadText(write.message);
+  std::tie(write.error, write.written) =
+    co_await asio::async_write(stream, MessageBuffers(write.head, write.message.body()), kAsTuple);
+  if (write.error) {
+    Close();
   }
-  Close();
-  if (n == 0 && ec != beast::error::timeout) {
-    co_return HttpClientError::NothingSent;
+  co_return WriteErrorOf(write);
+}
+
+void
+HttpConnection::State::StartWrite(std::shared_ptr<RequestWrite> aWrite)
+{
+  const auto buffers = MessageBuffers(aWrite->head, aWrite->message.body());
+  auto onWritten = [self = shared_from_this(), aWrite](beast::error_code aError, std::size_t aN) {
+    aWrite->isDone = true;
+    aWrite->error = aError;
+    aWrite->written = aN;
+    if (aError && aN == 0) {
+      // No answer can come to a request of which nothing was sent.
+      self->Close();
+    }
+  };
+  asio::async_write(stream, buffers, std::move(onWritten));
+}
+
+/**
+ * Writes a request with a body while its answer is read: a server may answer before it has read the
+ * body, and never read on. The connection isn't used again with a part of a body still due.
+ */
+core::Task<HttpReply>
+HttpConnection::State::ExchangeBody(HttpRequest aRequest, core::Duration aTimeout)
+{
+  if (!isOpen || IsSpoilt()) {
+    Close();
+    co_return Fail(HttpClientError::NothingSent);
+  }
+  const auto write = std::make_shared<RequestWrite>();
+  write->message = ToMessage(std::move(aRequest));
+  write->head = HeadText(write->message);
+  stream.expires_after(aTimeout);
+  StartWrite(write);
+  HttpReply reply = co_await ReadReply();
+  if (reply.error != HttpClientError::None && write->isDone && write->error) {
+    reply.error = WriteErrorOf(*write);
+  }
+  if (!write->isDone || write->error) {
+    Close();
+  }
+  while (!write->isDone) {
+    // The write was cancelled above; its handler is queued already.
+    co_await asio::post(stream.get_executor(), asio::use_awaitable);
   }
-  co_return ec == beast::error::timeout ? HttpClientError::TimedOut : HttpClientError::Broken;
+  co_return reply;
 }
 
 core::Task<HttpReply>
 HttpConnection::State::ReadReply()
 {
   http::response_parser<http::string_body> parser;
+  parser.header_limit(kLargestHeadBytes);
   parser.body_limit(kLargestAnswerBytes);
   const auto [ec, n] = co_await http::async_read(stream, buffer, parser, kAsTuple);
   if (ec) {
@@ -200,6 +278,9 @@
 HttpConnection::Exchange(HttpRequest aRequest, core::Duration aTimeout)
 {
   const auto state = mState;
+  if (!aRequest.body.empty()) {
+    co_return co_await state->ExchangeBody(std::move(aRequest), aTimeout);
+  }
   const HttpClientError sendError = co_await state->Send(std::move(aRequest), aTimeout);
   if (sendError != HttpClientError::None) {
     co_return Fail(sendError);
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <unordered_map>
 #include <utility>
 
@@ -26,6 +27,10 @@
 constexpr core::NameTable<HttpServerFault, 5> kFaultNames{
   { "malformed", "header_too_large", "body_too_large", "too_slow", "too_many_connections" }
 };
+/** Room for the first bytes of a request, which are mostly all of it. */
+constexpr std::size_t kFirstReadBytes = std::size_t{ 16 } * 1024;
+/** Besides a head, what is received and not yet parsed: what frames a chunk must fit into it. */
+constexpr std::size_t kLargestUnparsedBytes = std::size_t{ 128 } * 1024;
 constexpr int kAcceptBacklog = 1024;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
 constexpr core::Duration kWriteTimeout = std::chrono::seconds{ 30 };
@@ -358,7 +363,7 @@
     asio::steady_timer limit(loop);
     CancelAfter(
       limit, limits.idleTimeout - (std::chrono::steady_clock::now() - start), aStream, isLate);
-    auto room = aBuffer.prepare(limits.headerBytes);
+    auto room = aBuffer.prepare(std::min(limits.headerBytes, kFirstReadBytes));
     const auto [ec, n] = co_await aStream->async_read_some(room, kAsTuple);
     aBuffer.commit(n);
     // The limits may have become longer while the connection was idle.
@@ -375,6 +380,8 @@
                         beast::flat_buffer& aBuffer,
                         Parser& aParser)
 {
+  // The limits may have changed since the last request.
+  aBuffer.max_size(limits.headerBytes + kLargestUnparsedBytes);
   // The first byte may take as long as a client keeps an idle connection; the rest may not.
   if (aBuffer.size() == 0) {
     const beast::error_code ec = co_await AwaitFirstByte(aStream, aBuffer);
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -113,6 +113,12 @@
   });
 }
 
+std::optional<core::Duration>
+PartAttempts::RestLeft() const
+{
+  return mReplicas.RestLeft(MakeOrder());
+}
+
 bool
 PartAttempts::IsRunning() const
 {
@@ -187,7 +193,7 @@
   if (TrySend(core::Duration::zero())) {
     return;
   }
-  if (mRefusal == SendRefusal::NoReplica) {
+  if (mRefusal != SendRefusal::NoRoom) {
     Fail();
     return;
   }
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -79,6 +79,9 @@
   /** @return whether any attempt may have run. */
   bool MayHaveRun() const;
 
+  /** @return after how long replicas that want rest may be asked again, nothing when none does. */
+  std::optional<core::Duration> RestLeft() const;
+
   /** @return how many attempts were sent. */
   std::size_t SentCount() const { return mSent; }
 
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -236,6 +236,27 @@
   Finish(std::move(result));
 }
 
+core::Duration
+RequestRun::RetryAfter() const
+{
+  std::vector<core::Duration> waits;
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    if (part->State() == PartState::Failed) {
+      waits.push_back(part->RestLeft().value_or(kRetryAfterNotRun));
+    }
+  }
+  if (waits.empty()) {
+    return kRetryAfterNotRun;
+  }
+  // As soon as enough of the failed shards are back, a query can be answered again.
+  const std::size_t least = mPlan.route->IsFanOut() ? mPlan.route->LeastShards() : 1;
+  const std::size_t whole = mParts.size() - waits.size();
+  const std::size_t lacking =
+    std::clamp<std::size_t>(least - std::min(least, whole), 1, waits.size());
+  std::sort(waits.begin(), waits.end());
+  return std::max(waits[lacking - 1], kRetryAfterNotRun);
+}
+
 RequestResult
 RequestRun::FailureOf(bool aIsLate) const
 {
@@ -249,7 +270,7 @@
       result.reason += part->Story() + "; ";
     }
   }
-  result.retryAfter = kRetryAfterNotRun;
+  result.retryAfter = RetryAfter();
   result.outcome = !mayHaveRun ? RequestOutcome::NotRun
                    : aIsLate   ? RequestOutcome::TimedOut
                                : RequestOutcome::Failed;
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -61,6 +61,7 @@
   void ReviewSingle();
   void ScheduleReview(core::Duration aAge);
   void AnswerGather();
+  core::Duration RetryAfter() const;
   RequestResult FailureOf(bool aIsLate) const;
   void Finish(RequestResult aResult);
 };
--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -113,6 +113,98 @@
   BOOST_TEST(after.complete >= after.asked * 95 / 100);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_says_it_leaves_gets_nothing_more_until_it_is_another_process)
+{
+  for (std::size_t n = 0; n < 10; ++n) {
+    AddService(n, PausingModel());
+  }
+  ReplicaModel& leaving = replicas.at("s3-near");
+  leaving.isLeaving = true;
+  const declaration::Route route = MakeRoute(10, 10, milliseconds{ 150 });
+  const LoadOutcome outcome = Play(route, 40.0, seconds{ 10 });
+  BOOST_TEST(outcome.complete >= outcome.asked * 95 / 100);
+  const std::uint32_t arrivals = leaving.arrivals;
+  BOOST_TEST(arrivals <= 3U);
+  // Neither a later announcement nor an entry that vanishes and comes back makes it another
+  // process.
+  upstream::AnnouncedReplica replica;
+  replica.id = "s3-near";
+  replica.service = "s3";
+  replica.address = replica.id;
+  replica.failureDomain = "near";
+  replica.slots = 2;
+  replica.sequence = 9;
+  set->Change(replica);
+  Play(route, 40.0, seconds{ 1 });
+  set->Remove(replica.id);
+  set->Change(replica);
+  Play(route, 40.0, seconds{ 1 });
+  BOOST_TEST(leaving.arrivals == arrivals);
+  leaving.isLeaving = false;
+  replica.startedAt = 7;
+  set->Change(replica);
+  Play(route, 40.0, seconds{ 1 });
+  BOOST_TEST(leaving.arrivals > arrivals);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_wants_rest_gets_none_of_the_load_and_no_answer_is_missing)
+{
+  for (std::size_t n = 0; n < 10; ++n) {
+    AddService(n, PausingModel());
+  }
+  ReplicaModel& resting = replicas.at("s3-near");
+  resting.rest = seconds{ 5 };
+  const declaration::Route route = MakeRoute(10, 10, milliseconds{ 250 });
+  const LoadOutcome outcome = Play(route, 40.0, seconds{ 4 });
+  BOOST_TEST(outcome.complete >= outcome.asked * 95 / 100);
+  // What was under way before the first answer came, and not one more.
+  BOOST_TEST(resting.arrivals <= 3U);
+  resting.rest = core::Duration::zero();
+  Play(route, 40.0, seconds{ 4 });
+  BOOST_TEST(resting.arrivals > 20U);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_refused_at_once_while_all_replicas_of_a_shard_want_rest)
+{
+  for (std::size_t n = 0; n < 10; ++n) {
+    AddService(n, PausingModel());
+  }
+  for (const char* id : { "s3-near", "s3-far", "s3-farther" }) {
+    replicas.at(id).rest = seconds{ 6 };
+  }
+  const declaration::Route route = MakeRoute(10, 10, milliseconds{ 250 });
+  Play(route, 40.0, milliseconds{ 200 });
+  const LoadOutcome outcome = Play(route, 40.0, milliseconds{ 500 });
+  BOOST_TEST(outcome.notRun == outcome.asked);
+  BOOST_TEST((outcome.longestRefusal == core::Duration::zero()));
+  BOOST_TEST_REQUIRE(!outcome.retryAfters.empty());
+  // They come back when a replica does, and not all at the same moment.
+  const auto [least, most] =
+    std::minmax_element(outcome.retryAfters.begin(), outcome.retryAfters.end());
+  BOOST_TEST((*least >= milliseconds{ 500 }));
+  BOOST_TEST((*most <= milliseconds{ 6000 * 25 / 16 }));
+  BOOST_TEST((*most - *least >= milliseconds{ 100 }));
+}
+
+BOOST_AUTO_TEST_CASE(what_waits_for_room_is_told_at_once_when_the_last_replica_leaves)
+{
+  ReplicaModel model;
+  model.work = milliseconds{ 300 };
+  model.slots = 1;
+  AddService(0, model);
+  table->AddService({ "s0", 1, {}, 0.0 });
+  for (const char* id : { "s0-far", "s0-farther" }) {
+    set->Remove(id);
+  }
+  replicas.at("s0-near").isLeaving = true;
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 250 });
+  // Two run, since there are two connections, and all others wait.
+  const LoadOutcome outcome = Play(route, 50.0, milliseconds{ 200 });
+  BOOST_TEST(outcome.asked >= 10U);
+  BOOST_TEST(outcome.notRun >= outcome.asked - 2);
+  BOOST_TEST((outcome.longestRefusal < milliseconds{ 600 }));
+}
+
 BOOST_AUTO_TEST_CASE(a_query_that_would_lack_too_many_shards_is_refused_before_any_is_asked)
 {
   // After a restart of all, the store lacks most of the replicas for a while.
--- a/query/tests/replica_world.cpp
+++ b/query/tests/replica_world.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t kConnections = 26;
 constexpr const char* kShedMark = "X-Shed";
 constexpr const char* kElsewhereMark = "X-Elsewhere";
+constexpr const char* kLeavingMark = "X-Leaving";
+constexpr const char* kRestMark = "X-Rest-Ms";
 
 /** A connection to a model replica. */
 class ModelLink : public net::HttpLink
@@ -48,7 +50,8 @@
     // Most work takes about as long as usual, some a good deal longer.
     const double factor = mRandom.Fraction() < 0.01 ? 5.0 : 0.6 + 0.9 * mRandom.Fraction();
     const auto work = std::chrono::duration_cast<core::Duration>(mReplica->work * factor);
-    const auto done = mReplica->Accept(mLoop.timers.Now(), work);
+    const bool isResting = mReplica->rest > core::Duration::zero();
+    const auto done = isResting ? std::nullopt : mReplica->Accept(mLoop.timers.Now(), work);
     const core::TimePoint back = done.value_or(mLoop.timers.Now()) + mReplica->way / 2;
     if (back > end || mReplica->isDown) {
       co_await core::Sleep(mLoop.timers, end - mLoop.timers.Now());
@@ -57,6 +60,13 @@
       co_return reply;
     }
     reply.response.headers = aRequest.headers;
+    if (mReplica->isLeaving) {
+      reply.response.headers.push_back({ kLeavingMark, "1" });
+    }
+    if (isResting) {
+      const auto rest = std::chrono::duration_cast<milliseconds>(mReplica->rest);
+      reply.response.headers.push_back({ kRestMark, std::to_string(rest.count()) });
+    }
     if (mReplica->isElsewhere) {
       co_await core::Sleep(mLoop.timers, mReplica->way / 2);
       reply.response.headers.push_back({ kElsewhereMark, "1" });
@@ -100,6 +110,10 @@
   protocol.readAnswer = [](const net::HttpResponse& aResponse, const std::string& aId) {
     upstream::DecodedAnswer answer;
     answer.signature = aId;
+    answer.notice.isLeaving = aResponse.Header(kLeavingMark).has_value();
+    if (const auto rest = aResponse.Header(kRestMark)) {
+      answer.notice.rest = milliseconds(std::stoll(*rest));
+    }
     if (aResponse.Header(kElsewhereMark)) {
       answer.kind = upstream::AnswerKind::WrongReplica;
       return answer;
@@ -238,6 +252,10 @@
         outcome.failed += isAnswer || aResult.outcome == RequestOutcome::NotRun ? 0 : 1;
         outcome.inTime += isAnswer && took <= aRoute.objective - milliseconds{ 10 } ? 1 : 0;
         outcome.attempts += aResult.attempts;
+        if (aResult.outcome == RequestOutcome::NotRun) {
+          outcome.retryAfters.push_back(aResult.retryAfter);
+          outcome.longestRefusal = std::max(outcome.longestRefusal, took);
+        }
       });
     run->Start();
     loop.Run(gap);
--- a/query/tests/replica_world.h
+++ b/query/tests/replica_world.h
@@ -27,6 +27,10 @@
   bool isDown = false;
   /** Another replica has its address now. */
   bool isElsewhere = false;
+  /** Says in all its answers that it leaves. */
+  bool isLeaving = false;
+  /** Turns every request away and wants no other for so long; zero means it doesn't. */
+  core::Duration rest{};
   std::vector<core::TimePoint> slotFreeAt;
   /** When what waits or runs will be answered. */
   std::vector<core::TimePoint> ends;
@@ -48,6 +52,9 @@
   std::size_t notRun = 0;
   std::size_t failed = 0;
   std::size_t attempts = 0;
+  /** What refused callers were told, and how long the slowest refusal took. */
+  std::vector<core::Duration> retryAfters;
+  core::Duration longestRefusal{};
 };
 
 /** One daemon before model replicas under virtual time. */
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -114,7 +114,8 @@
                          LinkSettings aSettings,
                          AnnouncedReplica aReplica,
                          core::Duration aWay,
-                         std::function<void()> aOnFree)
+                         ReplicaStanding aStanding,
+                         LinkHooks aHooks)
   : mExecutor(std::move(aExecutor))
   , mTimers(aTimers)
   , mMakeLink(std::move(aMakeLink))
@@ -122,7 +123,8 @@
   , mSettings(aSettings)
   , mReplica(std::move(aReplica))
   , mWay(aWay)
-  , mOnFree(std::move(aOnFree))
+  , mStanding(aStanding)
+  , mHooks(std::move(aHooks))
   , mIdleTimeout(aSettings.idleTimeout)
   , mUsual(aWay + aSettings.assumedWork)
   , mLastAnswerAt(aTimers.Now())
@@ -133,8 +135,7 @@
 void
 ReplicaLink::Update(AnnouncedReplica aReplica)
 {
-  const bool isNewProcess =
-    aReplica.startedAt != mReplica.startedAt || aReplica.address != mReplica.address;
+  const bool isNewProcess = !IsSameProcess(aReplica, mReplica);
   // What was announced before the answer came says nothing against it.
   if (isNewProcess || aReplica.sequence > mReplica.sequence) {
     mIsElsewhere = false;
@@ -147,6 +148,7 @@
     mFailures = 0;
     mSuspectUntil = {};
     mLoad = {};
+    mStanding = {};
   }
 }
 
@@ -167,7 +169,8 @@
   }
   // Without an open connection the way is made twice, and the replica has a handshake to do.
   view.usual += mIdle.empty() ? mWay + mSettings.handshake : core::Duration::zero();
-  view.hasRoom = !mIsRetired && mStarts.size() < mQuota.most;
+  const std::size_t most = std::min<std::size_t>(mQuota.most, mStanding.MostInFlight(now));
+  view.hasRoom = !mIsRetired && mStarts.size() < most;
   view.isSuspect = now < mSuspectUntil;
   view.isCold = now < mColdUntil;
   return view;
@@ -208,7 +211,7 @@
     Learn(*aAttempt, result.status);
   }
   aCallback(std::move(result));
-  mOnFree();
+  mHooks.onFree();
 }
 
 core::Task<AttemptResult>
@@ -223,10 +226,10 @@
     if (!isReused && !co_await Connect(aAttempt, aDeadline)) {
       co_return Result(AttemptStatus::NothingSent);
     }
-    const core::Duration remaining = aDeadline - mTimers.Now();
-    if (aAttempt->mIsCancelled || mIsRetired || remaining <= core::Duration::zero()) {
+    if (!MaySend(*aAttempt, aDeadline)) {
       co_return Result(AttemptStatus::NothingSent);
     }
+    const core::Duration remaining = aDeadline - mTimers.Now();
     const std::shared_ptr<net::HttpLink> connection = aAttempt->mConnection;
     net::HttpReply reply = co_await connection->Exchange(
       mProtocol.makeRequest(*aRequest, mReplica.id, remaining), remaining + mSettings.answerSlack);
@@ -237,6 +240,24 @@
   }
 }
 
+bool
+ReplicaLink::MaySend(const Attempt& aAttempt, core::TimePoint aDeadline) const
+{
+  // While the connection was made, another answer may have said that the replica wants nothing.
+  const core::TimePoint now = mTimers.Now();
+  return !aAttempt.mIsCancelled && !mIsRetired && !mStanding.IsLeaving() &&
+         !mStanding.IsResting(now) && aDeadline > now;
+}
+
+void
+ReplicaLink::TakeNotice(const ReplicaNotice& aNotice)
+{
+  const StandingChange change = mStanding.Take(aNotice, mHooks.drawSpread(), mTimers.Now());
+  if (change != StandingChange::None) {
+    mHooks.onStanding(change);
+  }
+}
+
 core::Task<bool>
 ReplicaLink::Connect(std::shared_ptr<Attempt> aAttempt, core::TimePoint aDeadline)
 {
@@ -321,6 +342,7 @@
   int foreign = 0;
   while (aReply.error == net::HttpClientError::None) {
     answer = mProtocol.readAnswer(aReply.response, aId);
+    TakeNotice(answer.notice);
     const core::Duration remaining = aDeadline - mTimers.Now();
     if (answer.kind != AnswerKind::Foreign) {
       break;
@@ -385,6 +407,7 @@
   const core::TimePoint now = mTimers.Now();
   switch (aStatus) {
     case AttemptStatus::Answered: {
+      mStanding.RecordAnswer(now);
       mFailures = 0;
       mSuspectUntil = {};
       mLastAnswerAt = now;
--- a/upstream/replica_link.h
+++ b/upstream/replica_link.h
@@ -6,6 +6,7 @@
 #include "upstream/replica_choice.h"
 #include "upstream/replica_protocol.h"
 #include "upstream/replica_roster.h"
+#include "upstream/replica_standing.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -107,6 +108,17 @@
   core::Duration statisticsAge = std::chrono::seconds{ 3 };
 };
 
+/** What a link tells its owner, and asks of it. */
+struct LinkHooks
+{
+  /** Called whenever a connection becomes free. */
+  std::function<void()> onFree;
+  /** Called when the replica says that it leaves, or a rest begins. */
+  std::function<void(StandingChange)> onStanding;
+  /** @return a random number from 0 to 1. */
+  std::function<double()> drawSpread;
+};
+
 /**
  * The connections to one replica, and what its answers tell about it.
  *
@@ -117,7 +129,7 @@
 public:
   /**
    * @param aWay usual time there and back, from where the replica stands.
-   * @param aOnFree called whenever a connection becomes free.
+   * @param aStanding what an earlier link has learned of the same process.
    */
   ReplicaLink(boost::asio::any_io_executor aExecutor,
               core::TimerService& aTimers,
@@ -126,7 +138,8 @@
               LinkSettings aSettings,
               AnnouncedReplica aReplica,
               core::Duration aWay,
-              std::function<void()> aOnFree);
+              ReplicaStanding aStanding,
+              LinkHooks aHooks);
 
   /** Takes in what the replica announces. A new process starts with no history. */
   void Update(AnnouncedReplica aReplica);
@@ -160,6 +173,9 @@
    */
   bool IsElsewhere() const { return mIsElsewhere; }
 
+  /** @return what the replica has asked for in its answers. */
+  const ReplicaStanding& Standing() const { return mStanding; }
+
   /** The part of a cold replica's rate that this daemon may use. */
   ColdRate& Cold() { return mColdRate; }
 
@@ -191,7 +207,8 @@
   AnnouncedReplica mReplica;
   core::Duration mWay;
   bool mIsWayMeasured = false;
-  std::function<void()> mOnFree;
+  ReplicaStanding mStanding;
+  LinkHooks mHooks;
   ConnectionQuota mQuota;
   /** How long the replica keeps idle connections, as it last said. */
   core::Duration mIdleTimeout;
@@ -222,6 +239,8 @@
                                           net::HttpReply aReply,
                                           const std::string& aId,
                                           core::TimePoint aDeadline);
+  bool MaySend(const Attempt& aAttempt, core::TimePoint aDeadline) const;
+  void TakeNotice(const ReplicaNotice& aNotice);
   core::Task<void> Warm(std::shared_ptr<ReplicaLink> aSelf);
   void MeasureWay(core::Duration aConnectTime);
   void DropStale();
--- a/upstream/replica_protocol.h
+++ b/upstream/replica_protocol.h
@@ -2,6 +2,7 @@
 
 #include "core/timer_service.h"
 #include "net/http_message.h"
+#include "upstream/replica_standing.h"
 
 #include <cstdint>
 #include <functional>
@@ -53,6 +54,8 @@
   std::optional<LoadReport> load;
   /** How long the replica keeps the connection when it is idle. */
   std::optional<core::Duration> idleTimeout;
+  /** What the replica asks for, whichever request the answer belongs to. */
+  ReplicaNotice notice;
 };
 
 /** How requests to replicas and their answers are written; the decisions don't know it. */
--- a/upstream/replica_roster.cpp
+++ b/upstream/replica_roster.cpp
@@ -17,7 +17,7 @@
 ReplicaChange
 ChangeOf(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown)
 {
-  if (aNew.startedAt != aKnown.startedAt || aNew.address != aKnown.address) {
+  if (!IsSameProcess(aNew, aKnown)) {
     return ReplicaChange::Restarted;
   }
   if (aNew.isDraining == aKnown.isDraining) {
@@ -37,6 +37,20 @@
 
 } // namespace
 
+bool
+IsSameProcess(const AnnouncedReplica& aLeft, const AnnouncedReplica& aRight)
+{
+  return aLeft.startedAt == aRight.startedAt && aLeft.address == aRight.address;
+}
+
+bool
+IsNewerProcess(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown)
+{
+  // An announcement that names no start may still tell another process by its address.
+  const bool hasNoStart = aNew.startedAt == 0 || aKnown.startedAt == 0;
+  return hasNoStart ? aNew.address != aKnown.address : aNew.startedAt > aKnown.startedAt;
+}
+
 std::string_view
 NameOf(ReplicaChange aChange)
 {
--- a/upstream/replica_roster.h
+++ b/upstream/replica_roster.h
@@ -30,6 +30,14 @@
   std::uint64_t startedAt = 0;
 };
 
+/** @return whether two announcements of one replica come from the same process. */
+bool
+IsSameProcess(const AnnouncedReplica& aLeft, const AnnouncedReplica& aRight);
+
+/** @return whether an announcement comes from a process that started after the known one. */
+bool
+IsNewerProcess(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown);
+
 /** What an announcement changes. */
 enum class ReplicaChange
 {
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -8,13 +8,18 @@
 
 namespace {
 
-constexpr core::NameTable<SendRefusal, 3> kRefusalNames{ { "none", "no_replica", "no_room" } };
+constexpr core::NameTable<SendRefusal, 5> kRefusalNames{
+  { "none", "no_replica", "replica_leaving", "replica_resting", "no_room" }
+};
 
 /** Assumed until measured: the way there and back, by distance. */
 constexpr core::Duration kWayInDomain = std::chrono::microseconds{ 600 };
 constexpr core::Duration kWayInRegion = std::chrono::milliseconds{ 2 };
 constexpr core::Duration kWayToRegion = std::chrono::milliseconds{ 25 };
 
+/** Callers that were refused because of a rest come back over this share of it. */
+constexpr double kRefusalSpread = 0.25;
+
 /** A daemon that had no request for a service for so long keeps no connections for it. */
 constexpr core::Duration kWarmAfterUse = std::chrono::seconds{ 10 };
 
@@ -100,6 +105,9 @@
 {
   if (aIsOut) {
     mDomainsOut.insert(aFailureDomain);
+    for (auto& [name, service] : mServices) {
+      WakeIfHopeless(name);
+    }
   } else {
     mDomainsOut.erase(aFailureDomain);
   }
@@ -111,16 +119,12 @@
   const auto it = mLinks.find(aReplica.id);
   if (it != mLinks.end() && it->second->Replica().service == aReplica.service) {
     it->second->Update(aReplica);
+    WakeIfHopeless(aReplica.service);
     return;
   }
   if (it != mLinks.end()) {
     Remove(aReplica.id);
   }
-  auto onFree = [this, isAlive = mIsAlive, service = aReplica.service] {
-    if (*isAlive) {
-      WakeWaiter(service);
-    }
-  };
   auto link = std::make_shared<ReplicaLink>(mExecutor,
                                             mTimers,
                                             mMakeLink,
@@ -128,7 +132,8 @@
                                             mLinkSettings,
                                             aReplica,
                                             mPlace.WayTo(aReplica.failureDomain),
-                                            std::move(onFree));
+                                            mFormer.Take(aReplica),
+                                            HooksFor(aReplica));
   SetQuotaOf(*link);
   mLinks.emplace(aReplica.id, link);
   ServiceOf(aReplica.service).links.push_back(std::move(link));
@@ -142,9 +147,42 @@
   if (it == mLinks.end()) {
     return;
   }
-  it->second->Retire();
-  Unlist(it->second);
+  const std::shared_ptr<ReplicaLink> link = it->second;
+  link->Retire();
+  mFormer.Keep(link->Replica(), link->Standing(), mTimers.Now());
+  Unlist(link);
   mLinks.erase(it);
+  WakeIfHopeless(link->Replica().service);
+}
+
+LinkHooks
+ReplicaSet::HooksFor(const AnnouncedReplica& aReplica)
+{
+  LinkHooks hooks;
+  hooks.onFree = [this, isAlive = mIsAlive, service = aReplica.service] {
+    if (*isAlive) {
+      WakeWaiter(service);
+    }
+  };
+  hooks.onStanding = [this, isAlive = mIsAlive, id = aReplica.id](StandingChange aChange) {
+    if (*isAlive) {
+      StandingChanged(id, aChange);
+    }
+  };
+  hooks.drawSpread = [this, isAlive = mIsAlive] { return *isAlive ? mRandom.Fraction() : 0.0; };
+  return hooks;
+}
+
+void
+ReplicaSet::StandingChanged(const std::string& aId, StandingChange aChange)
+{
+  const auto it = mLinks.find(aId);
+  if (it == mLinks.end()) {
+    return;
+  }
+  const ReplicaLink& link = *it->second;
+  mOnStanding(link.Replica(), aChange, link.Standing().RestEnd() - mTimers.Now());
+  WakeIfHopeless(link.Replica().service);
 }
 
 std::optional<core::Duration>
@@ -161,20 +199,47 @@
   return shortest;
 }
 
+std::optional<core::Duration>
+ReplicaSet::RestLeft(AttemptOrder aOrder)
+{
+  // A new request may try every replica again.
+  aOrder.tried = nullptr;
+  std::optional<core::TimePoint> earliest;
+  for (const std::shared_ptr<ReplicaLink>& link : ServiceOf(aOrder.service).links) {
+    const SendRefusal refusal = WhyNot(*link, aOrder);
+    if (refusal == SendRefusal::None) {
+      return std::nullopt;
+    }
+    if (refusal == SendRefusal::Resting) {
+      const core::TimePoint end = link->Standing().RestEnd();
+      earliest = std::min(earliest.value_or(end), end);
+    }
+  }
+  if (!earliest) {
+    return std::nullopt;
+  }
+  const core::Duration left = *earliest - mTimers.Now();
+  return std::chrono::duration_cast<core::Duration>(left *
+                                                    (1.0 + kRefusalSpread * mRandom.Fraction()));
+}
+
 Placement
 ReplicaSet::Send(const AttemptOrder& aOrder,
                  std::shared_ptr<const ForwardedRequest> aRequest,
                  AttemptCallback aCallback)
 {
   std::vector<std::shared_ptr<ReplicaLink>> usable;
+  SendRefusal refusal = SendRefusal::NoReplica;
   for (const std::shared_ptr<ReplicaLink>& link : ServiceOf(aOrder.service).links) {
-    if (MayUse(*link, aOrder)) {
+    const SendRefusal whyNot = WhyNot(*link, aOrder);
+    if (whyNot == SendRefusal::None) {
       usable.push_back(link);
     }
+    refusal = std::max(refusal, whyNot);
   }
   Placement placement;
   if (usable.empty()) {
-    placement.refusal = SendRefusal::NoReplica;
+    placement.refusal = refusal;
     return placement;
   }
   const std::shared_ptr<ReplicaLink> link = Choose(usable, aOrder.fasterThan);
@@ -300,18 +365,35 @@
   }
 }
 
-bool
-ReplicaSet::MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const
+SendRefusal
+ReplicaSet::WhyNot(const ReplicaLink& aLink, const AttemptOrder& aOrder) const
 {
   const AnnouncedReplica& replica = aLink.Replica();
-  if (replica.isDraining || aLink.IsElsewhere() || mDomainsOut.count(replica.failureDomain) > 0) {
-    return false;
+  const bool isTried = aOrder.tried != nullptr && Contains(*aOrder.tried, replica.id);
+  const bool isInRegion = aOrder.regions == nullptr || aOrder.regions->empty() ||
+                          Contains(*aOrder.regions, mPlace.RegionOf(replica.failureDomain));
+  if (isTried || !isInRegion || aLink.IsElsewhere() ||
+      mDomainsOut.count(replica.failureDomain) > 0) {
+    return SendRefusal::NoReplica;
   }
-  if (aOrder.tried != nullptr && Contains(*aOrder.tried, replica.id)) {
-    return false;
+  if (replica.isDraining || aLink.Standing().IsLeaving()) {
+    return SendRefusal::Leaving;
   }
-  return aOrder.regions == nullptr || aOrder.regions->empty() ||
-         Contains(*aOrder.regions, mPlace.RegionOf(replica.failureDomain));
+  return aLink.Standing().IsResting(mTimers.Now()) ? SendRefusal::Resting : SendRefusal::None;
+}
+
+bool
+ReplicaSet::MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const
+{
+  return WhyNot(aLink, aOrder) == SendRefusal::None;
+}
+
+bool
+ReplicaSet::HasUsable(std::string_view aService)
+{
+  const auto& links = ServiceOf(aService).links;
+  return std::any_of(
+    links.begin(), links.end(), [this](const auto& aLink) { return MayUse(*aLink, {}); });
 }
 
 bool
@@ -349,8 +431,9 @@
 }
 
 void
-ReplicaSet::WakeWaiter(const std::string& aService)
+ReplicaSet::WakeWaiter(std::string_view aService)
 {
+  WakeIfHopeless(aService);
   auto& waiters = ServiceOf(aService).waiters;
   if (waiters.empty()) {
     return;
@@ -360,6 +443,20 @@
   callback();
 }
 
+void
+ReplicaSet::WakeIfHopeless(std::string_view aService)
+{
+  Service& service = ServiceOf(aService);
+  if (service.waiters.empty() || HasUsable(aService)) {
+    return;
+  }
+  // No room will come, so that all of them are told now and not at their deadlines.
+  const auto waiters = std::exchange(service.waiters, {});
+  for (const auto& [key, callback] : waiters) {
+    callback();
+  }
+}
+
 void
 ReplicaSet::Unlist(const std::shared_ptr<ReplicaLink>& aLink)
 {
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -42,6 +42,10 @@
   None,
   /** No replica of the service may be used that wasn't tried. */
   NoReplica,
+  /** The same, and one of them leaves. */
+  Leaving,
+  /** The same, and one of them wants no requests for a while. */
+  Resting,
   /** All that may be used are busy. */
   NoRoom,
 };
@@ -50,6 +54,10 @@
 std::string_view
 NameOf(SendRefusal aRefusal);
 
+/** Called when a replica says that it leaves, or for how long it wants no requests. */
+using StandingHook =
+  std::function<void(const AnnouncedReplica&, StandingChange, core::Duration aRest)>;
+
 /** One attempt to be placed. */
 struct AttemptOrder
 {
@@ -92,6 +100,9 @@
   ReplicaSet(const ReplicaSet&) = delete;
   ReplicaSet& operator=(const ReplicaSet&) = delete;
 
+  /** Sets what is called when an answer changes what a replica wants. */
+  void OnStanding(StandingHook aHook) { mOnStanding = std::move(aHook); }
+
   /** Takes in what the services bear. */
   void SetTable(std::shared_ptr<const declaration::RoutingTable> aTable);
 
@@ -116,6 +127,12 @@
   /** @return how long an attempt at the best replica would take, nothing when there is none. */
   std::optional<core::Duration> Expected(const AttemptOrder& aOrder);
 
+  /**
+   * @return after how long a request may come again because the rest of a replica is over, spread
+   * so that callers don't come together; nothing when no rest stands in the way.
+   */
+  std::optional<core::Duration> RestLeft(AttemptOrder aOrder);
+
   /** Starts an attempt at the best replica. */
   Placement Send(const AttemptOrder& aOrder,
                  std::shared_ptr<const ForwardedRequest> aRequest,
@@ -160,6 +177,7 @@
   boost::asio::any_io_executor mExecutor;
   core::TimerService& mTimers;
   core::RandomSource& mRandom;
+  StandingHook mOnStanding = [](const AnnouncedReplica&, StandingChange, core::Duration) {};
   net::HttpLinkFactory mMakeLink;
   ReplicaProtocol mProtocol;
   Place mPlace;
@@ -171,6 +189,7 @@
   std::shared_ptr<const declaration::RoutingTable> mTable;
   std::set<std::string> mDomainsOut;
   std::map<std::string, std::shared_ptr<ReplicaLink>> mLinks;
+  FormerStandings mFormer;
   std::map<std::string, Service, std::less<>> mServices;
   WaiterId mLastWaiter = 0;
   /** Lets callbacks that come after this object's end find out. */
@@ -180,11 +199,16 @@
   void SetQuotaOf(ReplicaLink& aLink) const;
   void ShareWays();
   bool IsInUse(const Service& aService) const;
+  SendRefusal WhyNot(const ReplicaLink& aLink, const AttemptOrder& aOrder) const;
   bool MayUse(const ReplicaLink& aLink, const AttemptOrder& aOrder) const;
+  bool HasUsable(std::string_view aService);
+  LinkHooks HooksFor(const AnnouncedReplica& aReplica);
+  void StandingChanged(const std::string& aId, StandingChange aChange);
   bool TakeColdRate(ReplicaLink& aLink);
   std::shared_ptr<ReplicaLink> Choose(const std::vector<std::shared_ptr<ReplicaLink>>& aLinks,
                                       core::Duration aFasterThan);
-  void WakeWaiter(const std::string& aService);
+  void WakeWaiter(std::string_view aService);
+  void WakeIfHopeless(std::string_view aService);
   void Unlist(const std::shared_ptr<ReplicaLink>& aLink);
 };
 
