--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -103,7 +103,9 @@
 core::Task<StoreStatus>
 KeyFeed::ReadOnce(FeedSource aSource)
 {
-  const KeyItems read = co_await aSource.store->ReadAll(mPrefix);
+  // Whatever a first read lacks comes with the watch after it. A later one must take nothing back.
+  const ReadAge age = mRevision == 0 ? ReadAge::MayLag : ReadAge::Current;
+  const KeyItems read = co_await aSource.store->ReadAll(mPrefix, age);
   if (read.status != StoreStatus::Done) {
     // A range read knows no history; this keeps the loop from asking again without a pause.
     co_return read.status == StoreStatus::HistoryLost ? StoreStatus::Garbled : read.status;
--- a/store/key_value_store.h
+++ b/store/key_value_store.h
@@ -51,6 +51,15 @@
   std::uint64_t revision = 0;
 };
 
+/** How old the answer to a read may be. */
+enum class ReadAge
+{
+  /** It shows every write that was acknowledged before. */
+  Current,
+  /** It may be seconds old, and costs the store a fraction. */
+  MayLag,
+};
+
 /** A lease, or why there is none. */
 struct LeaseGrant
 {
@@ -69,7 +78,7 @@
   virtual ~KeyValueStore() = default;
 
   /** Reads every key with a prefix. What changed since `revision` can be watched. */
-  virtual core::Task<KeyItems> ReadAll(std::string aPrefix) = 0;
+  virtual core::Task<KeyItems> ReadAll(std::string aPrefix, ReadAge aAge) = 0;
 
   /** Waits for changes of keys with a prefix after a revision; no item when the wait was over. */
   virtual core::Task<KeyItems> Watch(std::string aPrefix,
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
   core::Duration timeout = kPatientTimeout;
   int reads = 0;
   int watches = 0;
+  /** What reads that may lag return, when it differs from the present. */
+  std::optional<KeyItems> laggingCopy;
+  int laggingReads = 0;
 
   void Write(const std::string& aKey, const std::string& aValue)
   {
@@ -58,10 +62,15 @@
     historyFrom = revision;
   }
 
-  core::Task<KeyItems> ReadAll([[maybe_unused]] std::string aPrefix) override
+  core::Task<KeyItems> ReadAll([[maybe_unused]] std::string aPrefix, ReadAge aAge) override
   {
     ++reads;
     KeyItems items;
+    if (aAge == ReadAge::MayLag && laggingCopy) {
+      ++laggingReads;
+      co_await core::Sleep(mTimers, answerTime);
+      co_return *laggingCopy;
+    }
     if (isSilent || answerTime > timeout) {
       co_await core::Sleep(mTimers, timeout);
       co_return items;
@@ -213,6 +222,40 @@
   BOOST_TEST(keys.reads == 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_first_read_that_lags_is_made_up_for_by_the_watch)
+{
+  keys.Write("gone", "1");
+  keys.Write("kept", "1");
+  KeyItems lagging;
+  lagging.status = StoreStatus::Done;
+  lagging.items = keys.history;
+  lagging.revision = keys.revision;
+  keys.laggingCopy = lagging;
+  keys.Delete("gone");
+  keys.Write("kept", "2");
+  Start();
+  loop.Run(milliseconds{ 40 });
+  BOOST_TEST(keys.laggingReads == 1);
+  BOOST_TEST(copy.count("gone") == 0U);
+  BOOST_TEST(copy["kept"] == "2");
+}
+
+BOOST_AUTO_TEST_CASE(a_read_after_a_lost_history_may_not_lag)
+{
+  keys.Write("a", "1");
+  KeyItems lagging;
+  lagging.status = StoreStatus::Done;
+  lagging.revision = 1;
+  keys.laggingCopy = lagging;
+  // The copy is older than the history that is left, so that its watch finds none.
+  keys.DropHistory();
+  Start();
+  loop.Run(milliseconds{ 200 });
+  BOOST_TEST(keys.laggingReads == 1);
+  BOOST_TEST(keys.reads == 2);
+  BOOST_TEST(copy["a"] == "1");
+}
+
 BOOST_AUTO_TEST_CASE(comes_back_after_an_outage_without_flooding_the_store)
 {
   Start();
