Count how often each replica fails, and ask one again that has turned a part away

Ruled out: processor time (0.04 of 0.5 cores at most) and connections. Decisions: upstream/failure_share (a share that fades within seconds, weighed against the way to a sound replica) and, in query/part_attempts, asking again after a pause what was turned away, within max_attempts replicas and the budget of extra attempts.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -17,12 +17,33 @@
 /** Attempts for which no connection was made; they cost the replicas nothing. */
 constexpr std::size_t kMostNothingSent = 3;
 
+/** Times that a part is turned away before it is given up. */
+constexpr std::size_t kMostRefusals = 6;
+
+/**
+ * Pause before a replica is asked again that has turned the part away; doubles each time. It is
+ * about the time of one request, in which a slot becomes free.
+ */
+constexpr core::Duration kRefusalPause = std::chrono::milliseconds{ 8 };
+
 /** When a hedge that found no replica is considered again. */
 constexpr core::Duration kHedgeReview = std::chrono::milliseconds{ 25 };
 
 /** An attempt isn't worth a start with less time than this. */
 constexpr core::Duration kLeastTime = std::chrono::milliseconds{ 10 };
 
+bool
+Contains(const std::vector<std::string>& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+void
+Erase(std::vector<std::string>& aNames, const std::string& aName)
+{
+  aNames.erase(std::remove(aNames.begin(), aNames.end(), aName), aNames.end());
+}
+
 } // namespace
 
 PartAttempts::PartAttempts(upstream::ReplicaSet& aReplicas,
@@ -77,7 +98,7 @@
 PartAttempts::HedgeDue() const
 {
   const bool isHedgeable = mState == PartState::Running && !mWasHedged && !mIsAbandoned &&
-                           mPlan.route->isIdempotent && mSent < mPlan.route->maxAttempts;
+                           mPlan.route->isIdempotent && mAsked.size() < mPlan.route->maxAttempts;
   if (!isHedgeable || mAttempts.empty() || !mAttempts.back().attempt) {
     return std::nullopt;
   }
@@ -152,7 +173,8 @@
   upstream::AttemptOrder order;
   order.service = mPlan.service;
   order.regions = &mPlan.route->regions;
-  order.tried = &mTried;
+  order.tried = IsAskingAgain() ? nullptr : &mTried;
+  order.among = IsAskingAgain() ? &mTurnedAway : nullptr;
   order.deadline = mPlan.deadline;
   return order;
 }
@@ -176,12 +198,40 @@
     mRefusal = placement.refusal;
     return false;
   }
-  mAttempts[index].replica = placement.attempt->Replica();
-  mTried.push_back(placement.attempt->Replica());
-  mAttempts[index].attempt = std::move(placement.attempt);
+  Sent& sent = mAttempts[index];
+  sent.replica = placement.attempt->Replica();
+  sent.isFirst = !Contains(mAsked, sent.replica);
+  if (sent.isFirst) {
+    mAsked.push_back(sent.replica);
+    mTried.push_back(sent.replica);
+  }
+  Erase(mTurnedAway, sent.replica);
+  sent.attempt = std::move(placement.attempt);
   return true;
 }
 
+bool
+PartAttempts::IsAskingAgain() const
+{
+  return mIsOutOfOthers || mAsked.size() >= mPlan.route->maxAttempts;
+}
+
+void
+PartAttempts::AskAgainLater()
+{
+  if (!mReplicas.Expected(MakeOrder())) {
+    Fail();
+    return;
+  }
+  mState = PartState::Waiting;
+  const core::Duration pause = kRefusalPause * (1U << (mRefusals - 1));
+  mTimers.Schedule(pause, [self = shared_from_this()] {
+    if (!self->mIsAbandoned) {
+      self->SendOrWait();
+    }
+  });
+}
+
 void
 PartAttempts::SendOrWait()
 {
@@ -193,6 +243,11 @@
   if (TrySend(core::Duration::zero())) {
     return;
   }
+  if (mRefusal != SendRefusal::NoRoom && !IsAskingAgain() && !mTurnedAway.empty()) {
+    mIsOutOfOthers = true;
+    AskAgainLater();
+    return;
+  }
   if (mRefusal != SendRefusal::NoRoom) {
     Fail();
     return;
@@ -209,14 +264,7 @@
 void
 PartAttempts::OnResult(std::size_t aIndex, AttemptResult aResult)
 {
-  Sent& sent = mAttempts[aIndex];
-  sent.status = aResult.status;
-  sent.endedAt = mTimers.Now();
-  sent.attempt.reset();
-  if (aResult.status == AttemptStatus::NothingSent) {
-    --mSent;
-    ++mNothingSent;
-  }
+  NoteEnd(mAttempts[aIndex], aResult.status);
   if (mIsAbandoned || mState == PartState::Answered || mState == PartState::Failed) {
     return;
   }
@@ -232,11 +280,34 @@
   if (IsRunning()) {
     return;
   }
-  if (MayRetry(status)) {
+  if (!MayRetry(status)) {
+    Fail();
+  } else if (status == AttemptStatus::NotRun && IsAskingAgain()) {
+    AskAgainLater();
+  } else {
     SendOrWait();
-    return;
   }
-  Fail();
+}
+
+void
+PartAttempts::NoteEnd(Sent& aSent, AttemptStatus aStatus)
+{
+  aSent.status = aStatus;
+  aSent.endedAt = mTimers.Now();
+  aSent.attempt.reset();
+  if (aStatus == AttemptStatus::NotRun) {
+    ++mRefusals;
+    mTurnedAway.push_back(aSent.replica);
+  }
+  if (aStatus == AttemptStatus::NothingSent) {
+    --mSent;
+    ++mNothingSent;
+    if (aSent.isFirst) {
+      Erase(mAsked, aSent.replica);
+    } else {
+      mTurnedAway.push_back(aSent.replica);
+    }
+  }
 }
 
 bool
@@ -248,7 +319,11 @@
   if (aStatus == AttemptStatus::NothingSent) {
     return mNothingSent < kMostNothingSent && (mPlan.route->isIdempotent || !MayHaveRun());
   }
-  if (mSent >= mPlan.route->maxAttempts || (!mPlan.route->isIdempotent && MayHaveRun())) {
+  if (!mPlan.route->isIdempotent && MayHaveRun()) {
+    return false;
+  }
+  // A replica that has turned the part away may be asked again: it is no further replica.
+  if ((IsAskingAgain() && mTurnedAway.empty()) || mRefusals > kMostRefusals) {
     return false;
   }
   return mReplicas.TakeExtra(mPlan.service, ExtraAttempt::Retry);
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -95,6 +95,8 @@
   struct Sent
   {
     std::string replica;
+    /** Whether the replica had not been asked before. */
+    bool isFirst = true;
     std::shared_ptr<upstream::Attempt> attempt;
     std::optional<upstream::AttemptStatus> status;
     core::TimePoint startedAt;
@@ -108,6 +110,13 @@
   PartState mState = PartState::Deferred;
   std::vector<Sent> mAttempts;
   std::vector<std::string> mTried;
+  /** Replicas that were sent the part, each once. */
+  std::vector<std::string> mAsked;
+  /** Those of them that have turned it away, and may be asked again. */
+  std::vector<std::string> mTurnedAway;
+  std::size_t mRefusals = 0;
+  /** Whether no replica is left that was never asked. */
+  bool mIsOutOfOthers = false;
   std::size_t mSent = 0;
   std::size_t mNothingSent = 0;
   upstream::ReplicaSet::WaiterId mWaiter = 0;
@@ -123,6 +132,9 @@
   upstream::AttemptOrder MakeOrder() const;
   bool TrySend(core::Duration aFasterThan);
   void SendOrWait();
+  bool IsAskingAgain() const;
+  void AskAgainLater();
+  void NoteEnd(Sent& aSent, upstream::AttemptStatus aStatus);
   void OnResult(std::size_t aIndex, upstream::AttemptResult aResult);
   bool MayRetry(upstream::AttemptStatus aStatus);
   void Fail();
--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -113,6 +113,50 @@
   BOOST_TEST(after.complete >= after.asked * 95 / 100);
 }
 
+BOOST_AUTO_TEST_CASE(replicas_that_turn_away_a_part_of_the_load_cost_few_answers)
+{
+  for (std::size_t n = 0; n < 20; ++n) {
+    AddService(n, PausingModel());
+  }
+  const declaration::Route route = MakeRoute(20, 19, milliseconds{ 250 });
+  // The daemon's share of the extra attempts grows in its first window.
+  Play(route, 10.0, seconds{ 12 });
+  for (std::size_t n = 0; n < 20; ++n) {
+    const std::string service = "s" + std::to_string(n);
+    // Of every other service all replicas do it, of the rest one does not.
+    replicas.at(service + "-near").shedShare = 0.5;
+    replicas.at(service + "-far").shedShare = 0.5;
+    replicas.at(service + "-farther").shedShare = n % 2 == 0 ? 0.5 : 0.0;
+  }
+  const LoadOutcome outcome = Play(route, 10.0, seconds{ 5 });
+  BOOST_TEST(outcome.complete + outcome.partial >= outcome.asked * 9 / 10);
+  BOOST_TEST(outcome.inTime >= outcome.asked * 9 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(replicas_that_lose_answers_get_less_than_sound_ones_farther_away)
+{
+  for (std::size_t n = 0; n < 20; ++n) {
+    const std::string service = AddService(n, PausingModel());
+    replicas.at(service + "-near").loseShare = 0.25;
+    replicas.at(service + "-far").loseShare = 0.25;
+  }
+  const declaration::Route route = MakeRoute(20, 19, milliseconds{ 250 });
+  Play(route, 20.0, seconds{ 2 });
+  for (auto& [id, replica] : replicas) {
+    replica.arrivals = 0;
+  }
+  const LoadOutcome outcome = Play(route, 20.0, seconds{ 8 });
+  BOOST_TEST(outcome.complete + outcome.partial >= outcome.asked * 95 / 100);
+  BOOST_TEST(outcome.inTime >= outcome.asked * 95 / 100);
+  std::uint32_t sound = 0;
+  std::uint32_t lossy = 0;
+  for (const auto& [id, replica] : replicas) {
+    (replica.loseShare > 0.0 ? lossy : sound) += replica.arrivals;
+  }
+  // Two of three replicas are lossy, and the nearest is among them.
+  BOOST_TEST(lossy * 5 <= (sound + lossy) * 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_says_it_leaves_gets_nothing_more_until_it_is_another_process)
 {
   for (std::size_t n = 0; n < 10; ++n) {
--- a/query/tests/replica_world.cpp
+++ b/query/tests/replica_world.cpp
@@ -51,7 +51,8 @@
     const double factor = mRandom.Fraction() < 0.01 ? 5.0 : 0.6 + 0.9 * mRandom.Fraction();
     const auto work = std::chrono::duration_cast<core::Duration>(mReplica->work * factor);
     const bool isResting = mReplica->rest > core::Duration::zero();
-    const auto done = isResting ? std::nullopt : mReplica->Accept(mLoop.timers.Now(), work);
+    const bool isShed = isResting || mRandom.Fraction() < mReplica->shedShare;
+    const auto done = isShed ? std::nullopt : mReplica->Accept(mLoop.timers.Now(), work);
     const core::TimePoint back = done.value_or(mLoop.timers.Now()) + mReplica->way / 2;
     if (back > end || mReplica->isDown) {
       co_await core::Sleep(mLoop.timers, end - mLoop.timers.Now());
@@ -73,6 +74,11 @@
       co_return reply;
     }
     co_await core::Sleep(mLoop.timers, back - mLoop.timers.Now());
+    if (done && mRandom.Fraction() < mReplica->loseShare) {
+      mIsOpen = false;
+      reply.error = net::HttpClientError::Broken;
+      co_return reply;
+    }
     if (!done) {
       reply.response.headers.push_back({ kShedMark, "1" });
     }
--- a/query/tests/replica_world.h
+++ b/query/tests/replica_world.h
@@ -27,6 +27,9 @@
   bool isDown = false;
   /** Another replica has its address now. */
   bool isElsewhere = false;
+  /** Share of its requests that it turns away, and share of its answers that are lost. */
+  double shedShare = 0.0;
+  double loseShare = 0.0;
   /** Says in all its answers that it leaves. */
   bool isLeaving = false;
   /** Turns every request away and wants no other for so long; zero means it doesn't. */
--- a/upstream/replica_choice.cpp
+++ b/upstream/replica_choice.cpp
@@ -45,7 +45,8 @@
     if (!aReplicas[index].hasRoom) {
       continue;
     }
-    const core::Duration time = ExpectedTime(aReplicas[index]);
+    const core::Duration time =
+      ExpectedTime(aReplicas[index]) + Times(kFailureCost, aReplicas[index].failureShare);
     if (!best || time < bestTime) {
       best = index;
       bestTime = time;
--- a/upstream/replica_choice.h
+++ b/upstream/replica_choice.h
@@ -29,6 +29,8 @@
   bool isSuspect = false;
   /** Whether it has just started and is slow. */
   bool isCold = false;
+  /** Share of its recent requests that came to nothing. */
+  double failureShare = 0.0;
 };
 
 /** Lengthens the estimate of a replica that has just started, which works at about half speed. */
@@ -43,15 +45,23 @@
 /** What a failing replica costs in a comparison: it is taken only when nothing else is left. */
 constexpr core::Duration kSuspectPenalty = std::chrono::seconds{ 10 };
 
+/**
+ * What a certain failure costs in a comparison: the time for another attempt, and the risk that
+ * none is left. A replica in another region is worth its way when the nearest one fails one request
+ * in ten.
+ */
+constexpr core::Duration kFailureCost = std::chrono::milliseconds{ 250 };
+
 /** @return the expected time of one more exchange with a replica. */
 core::Duration
 ExpectedTime(const ReplicaView& aReplica);
 
 /**
- * Chooses the replica with the shortest expected time.
+ * Chooses the replica with the shortest expected time, and the time that its failures may cost.
  *
  * Answers the load of replicas that pause now and then, are slow for a while, or fail: work goes to
- * the nearest replica and moves to farther ones as soon as it owes answers for too long.
+ * the nearest replica and moves to farther ones as soon as it owes answers for too long, or while
+ * it fails a part of what it gets.
  *
  * @param aReplicas the candidates, without those that may not be used.
  * @param aTieBreak a random number; equal replicas share the work.
--- a/upstream/replica_link.cpp
+++ b/upstream/replica_link.cpp
@@ -146,6 +146,7 @@
     mIdle.clear();
     mUsual = mWay + mSettings.assumedWork;
     mFailures = 0;
+    mFailureShare = {};
     mSuspectUntil = {};
     mLoad = {};
     mStanding = {};
@@ -173,6 +174,7 @@
   view.hasRoom = !mIsRetired && mStarts.size() < most;
   view.isSuspect = now < mSuspectUntil;
   view.isCold = now < mColdUntil;
+  view.failureShare = mFailureShare.At(now);
   return view;
 }
 
@@ -408,6 +410,7 @@
   switch (aStatus) {
     case AttemptStatus::Answered: {
       mStanding.RecordAnswer(now);
+      mFailureShare.Record(false, now);
       mFailures = 0;
       mSuspectUntil = {};
       mLastAnswerAt = now;
@@ -419,12 +422,14 @@
     }
     case AttemptStatus::NotRun:
       mLastAnswerAt = now;
+      mFailureShare.Record(true, now);
       mSuspectUntil = std::max(mSuspectUntil, now + mSettings.leastSuspicion / 8);
       break;
     case AttemptStatus::Failed:
     case AttemptStatus::Lost:
     case AttemptStatus::Garbled:
       mLastAnswerAt = now;
+      mFailureShare.Record(true, now);
       Suspect(NameOf(aStatus));
       break;
     case AttemptStatus::WrongReplica:
@@ -432,6 +437,7 @@
       break;
     case AttemptStatus::NothingSent:
     case AttemptStatus::TimedOut:
+      mFailureShare.Record(true, now);
       // Silent connections stay silent, so that none that is open now is used again.
       mIdle.clear();
       Suspect(NameOf(aStatus));
--- a/upstream/replica_link.h
+++ b/upstream/replica_link.h
@@ -2,6 +2,7 @@
 
 #include "core/timer_service.h"
 #include "net/http_client.h"
+#include "upstream/failure_share.h"
 #include "upstream/fleet_share.h"
 #include "upstream/replica_choice.h"
 #include "upstream/replica_protocol.h"
@@ -221,7 +222,9 @@
   ColdRate mColdRate;
   LoadReport mLoad;
   core::TimePoint mLoadAt{};
+  /** Failures in a row. */
   std::uint32_t mFailures = 0;
+  FailureShare mFailureShare;
   core::TimePoint mSuspectUntil{};
   bool mIsElsewhere = false;
   bool mIsRetired = false;
--- a/upstream/replica_set.cpp
+++ b/upstream/replica_set.cpp
@@ -204,6 +204,7 @@
 {
   // A new request may try every replica again.
   aOrder.tried = nullptr;
+  aOrder.among = nullptr;
   std::optional<core::TimePoint> earliest;
   for (const std::shared_ptr<ReplicaLink>& link : ServiceOf(aOrder.service).links) {
     const SendRefusal refusal = WhyNot(*link, aOrder);
@@ -369,7 +370,8 @@
 ReplicaSet::WhyNot(const ReplicaLink& aLink, const AttemptOrder& aOrder) const
 {
   const AnnouncedReplica& replica = aLink.Replica();
-  const bool isTried = aOrder.tried != nullptr && Contains(*aOrder.tried, replica.id);
+  const bool isTried = (aOrder.tried != nullptr && Contains(*aOrder.tried, replica.id)) ||
+                       (aOrder.among != nullptr && !Contains(*aOrder.among, replica.id));
   const bool isInRegion = aOrder.regions == nullptr || aOrder.regions->empty() ||
                           Contains(*aOrder.regions, mPlace.RegionOf(replica.failureDomain));
   if (isTried || !isInRegion || aLink.IsElsewhere() ||
--- a/upstream/replica_set.h
+++ b/upstream/replica_set.h
@@ -66,6 +66,8 @@
   const std::vector<std::string>* regions = nullptr;
   /** Replicas that were tried before. */
   const std::vector<std::string>* tried = nullptr;
+  /** The only replicas that may be used; null means any. */
+  const std::vector<std::string>* among = nullptr;
   core::TimePoint deadline;
   /** Only a replica that would answer sooner than this; zero means any. */
   core::Duration fasterThan{};
--- a/upstream/tests/sharing_test.cpp
+++ b/upstream/tests/sharing_test.cpp
@@ -1,3 +1,4 @@
+#include "upstream/failure_share.h"
 #include "upstream/fleet_share.h"
 #include "upstream/replica_choice.h"
 #include "upstream/retry_allowance.h"
@@ -80,6 +81,35 @@
   BOOST_TEST(ChooseReplica(views, 0).value() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_fails_a_part_loses_to_a_sound_one_in_another_region)
+{
+  std::vector<ReplicaView> views{ MakeView(milliseconds{ 1 }, milliseconds{ 8 }),
+                                  MakeView(milliseconds{ 17 }, milliseconds{ 8 }) };
+  views[0].failureShare = 0.03;
+  BOOST_TEST(ChooseReplica(views, 0).value() == 0U);
+  views[0].failureShare = 0.2;
+  BOOST_TEST(ChooseReplica(views, 0).value() == 1U);
+  // No worse than one that fails as often, or one that pauses.
+  views[1].failureShare = 0.2;
+  BOOST_TEST(ChooseReplica(views, 0).value() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(failures_between_successes_count_and_fade)
+{
+  const core::TimePoint start{ std::chrono::seconds{ 100 } };
+  FailureShare share;
+  BOOST_TEST(share.At(start) == 0.0);
+  share.Record(true, start);
+  BOOST_TEST(share.At(start) < 0.2);
+  for (int n = 0; n < 50; ++n) {
+    share.Record(n % 5 < 2, start + n * milliseconds{ 20 });
+  }
+  const core::TimePoint end = start + std::chrono::seconds{ 1 };
+  BOOST_TEST(share.At(end) > 0.3);
+  BOOST_TEST(share.At(end) < 0.4);
+  BOOST_TEST(share.At(end + std::chrono::seconds{ 12 }) < 0.05);
+}
+
 BOOST_AUTO_TEST_CASE(a_failing_replica_is_taken_only_when_nothing_else_is_left)
 {
   std::vector<ReplicaView> views{ MakeView(milliseconds{ 1 }, milliseconds{ 8 }),
