--- a/membership/feed_choice.cpp
+++ b/membership/feed_choice.cpp
@@ -13,7 +13,10 @@
 }
 
 FeedTarget
-FeedChoice::Choose(const EntryRoll& aRoll, const std::string& aFeed, core::TimePoint aNow)
+FeedChoice::Choose(const EntryRoll& aRoll,
+                   const std::string& aFeed,
+                   core::TimePoint aNow,
+                   core::Duration aAloneDelay)
 {
   std::vector<const EntryMember*> domain;
   for (const auto& [vm, member] : aRoll.Members()) {
@@ -21,6 +24,9 @@
       domain.push_back(&member);
     }
   }
+  if (domain.empty()) {
+    return { std::nullopt, aAloneDelay };
+  }
   // Members are in the order of their names, so that all daemons of a domain find the same relays.
   const std::size_t relays = std::min(domain.size(), 1 + domain.size() / kDaemonsPerRelay);
   domain.resize(std::min(domain.size(), relays + kStandbys));
@@ -28,7 +34,7 @@
   if (std::any_of(domain.begin(), domain.begin() + static_cast<std::ptrdiff_t>(relays), isSelf)) {
     return {};
   }
-  const std::size_t first = relays == 0 ? 0 : std::hash<std::string>()(mVm) % relays;
+  const std::size_t first = std::hash<std::string>()(mVm) % relays;
   for (std::size_t n = 0; n < relays; ++n) {
     const EntryMember& relay = *domain[(first + n) % relays];
     if (TrustedAt(relay) <= aNow) {
@@ -51,9 +57,6 @@
                          const std::string& aFeed,
                          core::TimePoint aNow)
 {
-  if (aRelays.empty()) {
-    return {};
-  }
   const auto [it, isFirst] = mDirectAt.try_emplace(aFeed, aNow);
   // A feed that doesn't wait, since it knows nothing yet, must not put its later calls off.
   const core::TimePoint directAt = isFirst ? aNow : std::min(it->second, aNow) + kDirectInterval;
--- a/membership/feed_choice.h
+++ b/membership/feed_choice.h
@@ -28,7 +28,8 @@
  * calls grow with the failure domains and not with the daemons. Also answers the load of followers
  * whose relay is cut off: the next daemons by name stand by, and without one of them the store is
  * asked. And the load on a store in an outage, which all relays have lost: their followers wait for
- * them and ask the store itself only now and then.
+ * them and ask the store itself only now and then. And the load of a start of all daemons, when
+ * none is listed yet: they wait a moment for the first relays instead of all following the store.
  */
 class FeedChoice
 {
@@ -52,10 +53,24 @@
    */
   static constexpr core::Duration kDirectInterval = std::chrono::seconds{ 2 };
 
+  /**
+   * How long a daemon that knows of none in its failure domain waits before it follows the store:
+   * daemons that start together are listed within half a second, and the feed that tells of them
+   * goes first.
+   */
+  static constexpr core::Duration kFirstMembersDelay = std::chrono::milliseconds{ 600 };
+  static constexpr core::Duration kFirstRelayDelay = std::chrono::milliseconds{ 900 };
+
   FeedChoice(std::string aVm, std::string aFailureDomain);
 
-  /** @param aFeed names the feed; each asks the store at its own times. */
-  FeedTarget Choose(const EntryRoll& aRoll, const std::string& aFeed, core::TimePoint aNow);
+  /**
+   * @param aFeed names the feed; each asks the store at its own times.
+   * @param aAloneDelay how long the feed waits while no daemon of the failure domain is known.
+   */
+  FeedTarget Choose(const EntryRoll& aRoll,
+                    const std::string& aFeed,
+                    core::TimePoint aNow,
+                    core::Duration aAloneDelay = {});
 
   /** Takes in that a relay failed, for how long it is passed over. */
   void Distrust(const std::string& aVm, core::TimePoint aNow, core::Duration aSpan);
--- a/membership/tests/feed_choice_test.cpp
+++ b/membership/tests/feed_choice_test.cpp
@@ -174,6 +174,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(daemons_that_start_together_wait_for_their_first_relays)
+{
+  const auto delay = FeedChoice::kFirstRelayDelay;
+  FeedChoice choice("vm-9", "gent");
+  BOOST_TEST((choice.Choose(EntryRoll(), kFeed, kNow, delay).delay == delay));
+  // Daemons of another failure domain are no relays of this one.
+  EntryRoll roll;
+  EntryMember other;
+  other.vm = "vm-1";
+  other.failureDomain = "namur";
+  roll.Put(other);
+  BOOST_TEST((choice.Choose(roll, kFeed, kNow, delay).delay == delay));
+  other.vm = "vm-2";
+  other.failureDomain = "gent";
+  roll.Put(other);
+  const FeedTarget target = choice.Choose(roll, kFeed, kNow, delay);
+  BOOST_TEST(target.relay.value().vm == "vm-2");
+  BOOST_TEST((target.delay == core::Duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::membership::tests
