--- a/caller/entry_admission.cpp
+++ b/caller/entry_admission.cpp
@@ -9,6 +9,9 @@
 /** How long a measured lag counts. */
 constexpr core::Duration kLagMemory = std::chrono::milliseconds{ 100 };
 
+/** Weight of the newest lag in the running mean; there are twenty a second. */
+constexpr double kNewestLagWeight = 0.05;
+
 /** A request of the next lower priority is refused at this share of the bounds. */
 constexpr double kPriorityStep = 0.85;
 
@@ -23,6 +26,7 @@
 void
 EntryAdmission::RecordLag(core::Duration aLag, core::TimePoint aNow)
 {
+  mUsualLag += std::chrono::duration_cast<core::Duration>((aLag - mUsualLag) * kNewestLagWeight);
   if (aNow - mLagAt > kLagMemory || aLag > mLag) {
     mLag = aLag;
     mLagAt = aNow;
--- a/caller/entry_admission.h
+++ b/caller/entry_admission.h
@@ -35,6 +35,9 @@
   /** Takes in how late a timer of the loop came; the worst of the last moments counts. */
   void RecordLag(core::Duration aLag, core::TimePoint aNow);
 
+  /** @return how late timers of the loop come on average, over about a second. */
+  core::Duration UsualLag() const { return mUsualLag; }
+
   /**
    * @param aPriority 0 is the most important.
    * @return nothing when the request is taken on, else when its caller may come again.
@@ -55,6 +58,7 @@
   std::size_t mRunning = 0;
   core::Duration mLag{};
   core::TimePoint mLagAt{};
+  core::Duration mUsualLag{};
 };
 
 } // namespace skylarkwing::caller
--- a/caller/entry_front.cpp
+++ b/caller/entry_front.cpp
@@ -176,6 +176,7 @@
   plan.request = std::move(forwarded);
   plan.services = ServicesFor(aRoute);
   plan.arrival = aArrival;
+  plan.lag = mAdmission.UsualLag();
   const core::Duration timeout = aRoute.timeout;
   plan.deadline = aArrival + std::min(aTerms.deadline.value_or(timeout), timeout);
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -137,7 +137,7 @@
 
   bool IsSpoilt();
   core::Task<HttpClientError> Send(HttpRequest aRequest, core::Duration aTimeout);
-  void StartWrite(std::shared_ptr<RequestWrite> aWrite);
+  void StartWrite(const std::shared_ptr<RequestWrite>& aWrite);
   core::Task<HttpReply> ExchangeBody(HttpRequest aRequest, core::Duration aTimeout);
   core::Task<HttpReply> ReadReply();
 };
@@ -178,13 +178,14 @@
 }
 
 void
-HttpConnection::State::StartWrite(std::shared_ptr<RequestWrite> aWrite)
+HttpConnection::State::StartWrite(const std::shared_ptr<RequestWrite>& aWrite)
 {
   const auto buffers = MessageBuffers(aWrite->head, aWrite->message.body());
-  auto onWritten = [self = shared_from_this(), aWrite](beast::error_code aError, std::size_t aN) {
-    aWrite->isDone = true;
-    aWrite->error = aError;
-    aWrite->written = aN;
+  auto onWritten = [self = shared_from_this(), write = aWrite](beast::error_code aError,
+                                                               std::size_t aN) {
+    write->isDone = true;
+    write->error = aError;
+    write->written = aN;
     if (aError && aN == 0) {
       // No answer can come to a request of which nothing was sent.
       self->Close();
--- a/net/tests/endless_answer_test.cpp
+++ b/net/tests/endless_answer_test.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -93,19 +95,20 @@
   std::vector<bool> wasOpen;
 
   /** Sends a beginning, and then pieces without end until the connection is closed. */
-  void ServeEndless(std::string aBegin, std::string aPiece)
+  void ServeEndless(const std::string& aBegin, const std::string& aPiece)
   {
-    server.emplace(loop, [this, aBegin, aPiece](tcp::socket& aSocket) -> core::Task<void> {
-      co_await ReadHead(aSocket);
-      co_await Write(aSocket, aBegin);
-      while (true) {
-        const auto [ec, n] = co_await asio::async_write(aSocket, asio::buffer(aPiece), kAsTuple);
-        server->written += n;
-        if (ec || server->written > 4 * kMostTaken) {
-          co_return;
+    server.emplace(
+      loop, [this, begin = aBegin, piece = aPiece](tcp::socket& aSocket) -> core::Task<void> {
+        co_await ReadHead(aSocket);
+        co_await Write(aSocket, begin);
+        while (true) {
+          const auto [ec, n] = co_await asio::async_write(aSocket, asio::buffer(piece), kAsTuple);
+          server->written += n;
+          if (ec || server->written > 4 * kMostTaken) {
+            co_return;
+          }
         }
-      }
-    });
+      });
   }
 
   core::Task<void> Ask(std::size_t aCount, std::string aBody, core::Duration aTimeout)
--- a/query/gather_policy.cpp
+++ b/query/gather_policy.cpp
@@ -9,7 +9,13 @@
 core::Duration
 PartialTime(const GatherProgress& aProgress)
 {
-  return aProgress.objective - std::min(kDeliveryTime, aProgress.objective / 4);
+  const auto lags = std::chrono::duration_cast<core::Duration>(aProgress.lag * kLagsPerAnswer);
+  const auto earliest =
+    std::chrono::duration_cast<core::Duration>(aProgress.objective * kEarliestAnswerShare);
+  const auto most =
+    std::chrono::duration_cast<core::Duration>(aProgress.objective * kMostDeliveryShare);
+  const core::Duration usual = std::min(kDeliveryTime, most);
+  return std::max(earliest, aProgress.objective - usual - lags);
 }
 
 core::Duration
--- a/query/gather_policy.h
+++ b/query/gather_policy.h
@@ -21,6 +21,8 @@
   /** Time since the request arrived. */
   core::Duration age{};
   core::Duration objective{};
+  /** How late the daemon's loop usually is. */
+  core::Duration lag{};
   /** Time from arrival to the deadline. */
   core::Duration limit{};
 };
@@ -39,9 +41,22 @@
 
 /**
  * How long before the objective an answer leaves, to be with the caller in time: the objective
- * counts from the caller's side, so that a connection, the request and the answer have to travel.
+ * counts from the caller's first step. One that has to ask for addresses and to connect spends
+ * eight ways of 3 ms before the answer is there, and the processes on the way their time.
  */
-constexpr core::Duration kDeliveryTime = std::chrono::milliseconds{ 20 };
+constexpr core::Duration kDeliveryTime = std::chrono::milliseconds{ 30 };
+
+/** Short objectives leave less, since an answer that leaves too soon lacks many shards. */
+constexpr double kMostDeliveryShare = 0.375;
+
+/**
+ * A busy loop adds its lag before it has read the request, when the parts are due, and before the
+ * answer is written: an answer leaves sooner by so many times the usual lag.
+ */
+constexpr double kLagsPerAnswer = 3.0;
+
+/** An answer leaves no sooner than this part of the objective: it would lack too many shards. */
+constexpr double kEarliestAnswerShare = 0.6;
 
 /**
  * A shard is left out at first when it is expected to take longer than this part of the objective:
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -147,6 +147,7 @@
   progress.least = mPlan.route->LeastShards();
   progress.age = mTimers.Now() - mPlan.arrival;
   progress.objective = mPlan.route->objective;
+  progress.lag = mPlan.lag;
   progress.limit = mPlan.deadline - mPlan.arrival;
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
     progress.answered += part->State() == PartState::Answered ? 1 : 0;
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -19,6 +19,8 @@
   std::vector<std::string> services;
   core::TimePoint arrival;
   core::TimePoint deadline;
+  /** How late the daemon's loop usually is. */
+  core::Duration lag{};
 };
 
 /**
--- a/query/tests/gather_policy_test.cpp
+++ b/query/tests/gather_policy_test.cpp
@@ -43,6 +43,20 @@
   BOOST_TEST((NextStep(MakeProgress(9, 0, milliseconds{ 131 })) == GatherStep::Answer));
 }
 
+BOOST_AUTO_TEST_CASE(a_partial_answer_leaves_sooner_when_the_loop_is_late)
+{
+  GatherProgress progress = MakeProgress(9, 0, milliseconds{ 117 });
+  BOOST_TEST((NextStep(progress) == GatherStep::Wait));
+  progress.lag = milliseconds{ 5 };
+  BOOST_TEST((NextStep(progress) == GatherStep::Answer));
+  BOOST_TEST((NextReview(progress) > progress.age));
+  // Not much sooner, however late it is.
+  progress.lag = milliseconds{ 500 };
+  progress.age = milliseconds{ 89 };
+  BOOST_TEST((NextStep(progress) == GatherStep::Wait));
+  BOOST_TEST((NextReview(progress) == milliseconds{ 90 }));
+}
+
 BOOST_AUTO_TEST_CASE(a_partial_answer_goes_out_when_nothing_more_can_come)
 {
   BOOST_TEST((NextStep(MakeProgress(9, 1, milliseconds{ 5 })) == GatherStep::Answer));
