--- a/console/request_story.cpp
+++ b/console/request_story.cpp
@@ -28,11 +28,10 @@
                                                         "stopping" };
 
 /** Events about one replica; they count when the request's lines name it. */
-constexpr std::array<std::string_view, 5> kReplicaEvents{ "replica_suspected",
-                                                          "replica_elsewhere",
-                                                          "replica_announced",
-                                                          "replica_gone",
-                                                          "announcement_unreadable" };
+constexpr std::array<std::string_view, 7> kReplicaEvents{
+  "replica_suspected", "replica_elsewhere", "replica_leaving",        "replica_resting",
+  "replica_announced", "replica_gone",      "announcement_unreadable"
+};
 
 template<typename Names>
 bool
@@ -47,14 +46,24 @@
   return aLeft.time < aRight.time;
 }
 
-/** @return whether any line of the request names a replica. */
+/** @return whether any line of the request names a replica, or a service. */
 bool
-IsNamed(const std::vector<LogLine>& aLines, const std::string& aReplica)
+IsNamed(const std::vector<LogLine>& aLines, const std::string& aName)
 {
-  return !aReplica.empty() &&
-         std::any_of(aLines.begin(), aLines.end(), [&aReplica](const LogLine& aLine) {
-           return aLine.Field("reason").find(aReplica) != std::string::npos;
-         });
+  return !aName.empty() && std::any_of(aLines.begin(), aLines.end(), [&aName](const auto& aLine) {
+    return aLine.Field("reason").find(aName) != std::string::npos;
+  });
+}
+
+/** @return whether a line tells of a replica that the request met, or kept away from. */
+bool
+IsOfItsReplicas(const std::vector<LogLine>& aLines, const LogLine& aLine)
+{
+  // A replica that wants nothing is named by its service only.
+  const bool isNotice = aLine.event == "replica_leaving" || aLine.event == "replica_resting";
+  return Contains(kReplicaEvents, aLine.event) &&
+         (IsNamed(aLines, aLine.Field("replica")) ||
+          (isNotice && IsNamed(aLines, aLine.Field("service") + ':')));
 }
 
 void
@@ -74,8 +83,7 @@
       latest[{ line.vm, line.event }] = &line;
     }
     const bool isDomain = line.event == "domain_out";
-    if (isDomain ||
-        (Contains(kReplicaEvents, line.event) && IsNamed(aStory.lines, line.Field("replica")))) {
+    if (isDomain || IsOfItsReplicas(aStory.lines, line)) {
       aStory.context.push_back(line);
     }
   }
--- a/console/tests/request_story_test.cpp
+++ b/console/tests/request_story_test.cpp
@@ -16,6 +16,9 @@
 {"time":"2026-04-15T12:58:01.210Z","level":"warning","vm":"front-1","slice":"upstream","event":"replica_suspected","replica":"i-9","reason":"timed_out"}
 {"time":"2026-04-15T12:58:01.220Z","level":"warning","vm":"front-2","slice":"store","event":"replica_feed_lost","status":"refused"}
 {"time":"2026-04-15T12:58:01.300Z","level":"warning","vm":"front-1","slice":"caller","event":"request_ended","request":"abc","outcome":"partial","reason":"s1: i-1=running@0- i-2=lost@20-24; "}
+{"time":"2026-04-15T12:58:01.310Z","level":"info","vm":"front-1","slice":"upstream","event":"replica_resting","replica":"i-3","service":"s2","rest_ms":"3000"}
+{"time":"2026-04-15T12:58:01.320Z","level":"info","vm":"front-1","slice":"upstream","event":"replica_leaving","replica":"i-4","service":"s22","rest_ms":"0"}
+{"time":"2026-04-15T12:58:01.330Z","level":"warning","vm":"front-1","slice":"caller","event":"request_ended","request":"xyz","outcome":"not_run","reason":"s2: replica_resting; "}
 {"time":"2026-04-15T12:58:01.400Z","level":"info","vm":"front-1","slice":"declaration","event":"configuration_in_force","version":"9","routes":"3","revision":"14"}
 {"time":"2026-04-15T12:58:02.000Z","level":"info","vm":"front-1","slice":"caller","event":"lines_dropped","failures":"12","successes":"90"}
 )";
@@ -40,6 +43,13 @@
   BOOST_TEST(story.context[1].Field("replica") == "i-1");
 }
 
+BOOST_AUTO_TEST_CASE(a_request_without_attempts_names_the_replicas_that_wanted_none)
+{
+  const RequestStory story = Tell("xyz");
+  BOOST_TEST_REQUIRE(story.context.size() == 2U);
+  BOOST_TEST(story.context[1].Field("replica") == "i-3");
+}
+
 BOOST_AUTO_TEST_CASE(says_what_the_logs_cannot_tell)
 {
   BOOST_TEST(Tell("abc").unknown.size() == 2U);
--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -19,6 +19,19 @@
   return model;
 }
 
+/** @return what the near replica of a service announces. */
+upstream::AnnouncedReplica
+AnnounceNearest(const std::string& aService)
+{
+  upstream::AnnouncedReplica replica;
+  replica.id = aService + "-near";
+  replica.service = aService;
+  replica.address = replica.id;
+  replica.failureDomain = "near";
+  replica.slots = 2;
+  return replica;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(forwarding_load, ReplicaWorld)
@@ -99,12 +112,7 @@
   BOOST_TEST(moved.arrivals >= 1U);
   BOOST_TEST(moved.arrivals <= 2U);
   moved.isElsewhere = false;
-  upstream::AnnouncedReplica replica;
-  replica.id = "s3-near";
-  replica.service = "s3";
-  replica.address = replica.id;
-  replica.failureDomain = "near";
-  replica.slots = 2;
+  upstream::AnnouncedReplica replica = AnnounceNearest("s3");
   set->Change(replica);
   BOOST_TEST(Play(route, 20.0, seconds{ 1 }).complete == 0U);
   replica.sequence = 1;
@@ -171,12 +179,7 @@
   BOOST_TEST(arrivals <= 3U);
   // Neither a later announcement nor an entry that vanishes and comes back makes it another
   // process.
-  upstream::AnnouncedReplica replica;
-  replica.id = "s3-near";
-  replica.service = "s3";
-  replica.address = replica.id;
-  replica.failureDomain = "near";
-  replica.slots = 2;
+  upstream::AnnouncedReplica replica = AnnounceNearest("s3");
   replica.sequence = 9;
   set->Change(replica);
   Play(route, 40.0, seconds{ 1 });
