--- a/membership/feed_choice.h
+++ b/membership/feed_choice.h
@@ -34,11 +34,8 @@
 class FeedChoice
 {
 public:
-  /**
-   * One relay serves so many daemons: each makes three calls a second at most, some 0.1 ms of
-   * processor time a call. A second relay doubles what a failure domain asks of the store.
-   */
-  static constexpr std::size_t kDaemonsPerRelay = 100;
+  /** One relay serves so many daemons: a watch a second each is a small part of its work. */
+  static constexpr std::size_t kDaemonsPerRelay = 50;
 
   /** Daemons that stand by for the relays of a failure domain. */
   static constexpr std::size_t kStandbys = 2;
