--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -28,11 +28,16 @@
                                                              "stopping" };
 
 /** Events about one replica; part of the context when a line of the request names it. */
-constexpr std::array<std::string_view, 7> kReplicaEvents{
-  "replica_suspected", "replica_elsewhere", "replica_leaving",        "replica_resting",
-  "replica_announced", "replica_gone",      "announcement_unreadable"
+constexpr std::array<std::string_view, 8> kReplicaEvents{
+  "replica_suspected", "replica_elsewhere", "replica_leaving", "replica_resting",
+  "replica_limited",   "replica_announced", "replica_gone",    "announcement_unreadable"
 };
 
+/** Those after which a replica accepts no work, or less. */
+constexpr std::array<std::string_view, 3> kNoticeEvents{ "replica_leaving",
+                                                         "replica_resting",
+                                                         "replica_limited" };
+
 template<typename Names>
 bool
 Contains(const Names& aNames, std::string_view aName)
@@ -60,7 +65,7 @@
 ConcernsRequestReplica(const std::vector<LogLine>& aLines, const LogLine& aLine)
 {
   // A replica that accepts no work is named in the request by its service only.
-  const bool isNotice = aLine.event == "replica_leaving" || aLine.event == "replica_resting";
+  const bool isNotice = Contains(kNoticeEvents, aLine.event);
   return Contains(kReplicaEvents, aLine.event) &&
          (IsMentioned(aLines, aLine.Field("replica")) ||
           (isNotice && IsMentioned(aLines, aLine.Field("service") + ':')));
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+using upstream::AttemptKind;
 using upstream::AttemptResult;
 using upstream::AttemptStatus;
 using upstream::ExtraAttempt;
@@ -91,7 +92,7 @@
   }
   mWasHedged = true;
   if (mReplicas.TryTakeExtraAttempt(mPlan.service, ExtraAttempt::Hedge)) {
-    TrySend(left);
+    TrySend(AttemptKind::Hedge, left);
   }
 }
 
@@ -182,9 +183,10 @@
 }
 
 bool
-PartAttempts::TrySend(core::Duration aMaxExpectedTime)
+PartAttempts::TrySend(AttemptKind aKind, core::Duration aMaxExpectedTime)
 {
   upstream::AttemptRequest request = MakeAttemptRequest();
+  request.kind = aKind;
   request.maxExpectedTime = aMaxExpectedTime;
   const std::size_t index = mAttempts.size();
   mAttempts.emplace_back();
@@ -242,7 +244,7 @@
     return;
   }
   mState = PartState::Running;
-  if (TrySend(core::Duration::zero())) {
+  if (TrySend(mAsked.empty() ? AttemptKind::First : AttemptKind::Retry, core::Duration::zero())) {
     return;
   }
   if (mRefusal != SendRefusal::NoRoom && !IsRetryingRefusers() && !mRefusedBy.empty()) {
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -129,7 +129,7 @@
 
   bool IsRunning() const;
   upstream::AttemptRequest MakeAttemptRequest() const;
-  bool TrySend(core::Duration aMaxExpectedTime);
+  bool TrySend(upstream::AttemptKind aKind, core::Duration aMaxExpectedTime);
   void SendOrWait();
   bool IsRetryingRefusers() const;
   void RetryAfterBackoff();
--- a/query/tests/replica_simulation.cpp
+++ b/query/tests/replica_simulation.cpp
@@ -17,6 +17,7 @@
 constexpr const char* kShedHeader = "X-Shed";
 constexpr const char* kWrongReplicaHeader = "X-Elsewhere";
 constexpr const char* kLeavingHeader = "X-Leaving";
+constexpr const char* kMaxRateHeader = "X-Max-Rate";
 constexpr const char* kBackoffHeader = "X-Rest-Ms";
 
 /** A connection to a simulated replica. */
@@ -47,6 +48,7 @@
     const core::TimePoint end = mLoop.timers.Now() + aTimeout;
     co_await core::Sleep(mLoop.timers, mReplica->roundTrip / 2);
     ++mReplica->arrivals;
+    mReplica->arrivalTimes.push_back(mLoop.timers.Now());
     // Most requests take about the typical time, 1 % take five times as long.
     const double factor = mRandom.Fraction() < 0.01 ? 5.0 : 0.6 + 0.9 * mRandom.Fraction();
     const auto work = std::chrono::duration_cast<core::Duration>(mReplica->work * factor);
@@ -64,6 +66,9 @@
     if (mReplica->isLeaving) {
       reply.response.headers.push_back({ kLeavingHeader, "1" });
     }
+    if (mReplica->maxRate) {
+      reply.response.headers.push_back({ kMaxRateHeader, std::to_string(*mReplica->maxRate) });
+    }
     if (isBackingOff) {
       const auto backoff = std::chrono::duration_cast<milliseconds>(mReplica->backoff);
       reply.response.headers.push_back({ kBackoffHeader, std::to_string(backoff.count()) });
@@ -117,6 +122,10 @@
     upstream::DecodedAnswer answer;
     answer.signature = aId;
     answer.notice.isLeaving = aResponse.Header(kLeavingHeader).has_value();
+    answer.notice.hasRateState = true;
+    if (const auto maxRate = aResponse.Header(kMaxRateHeader)) {
+      answer.notice.maxRate = std::stod(*maxRate);
+    }
     if (const auto backoff = aResponse.Header(kBackoffHeader)) {
       answer.notice.backoff = milliseconds(std::stoll(*backoff));
     }
@@ -155,15 +164,29 @@
   return end;
 }
 
-ReplicaSimulation::ReplicaSimulation()
+std::size_t
+SimulatedReplica::MostArrivals(core::TimePoint aFrom, core::Duration aSpan) const
+{
+  std::size_t most = 0;
+  for (auto first = arrivalTimes.begin(); first != arrivalTimes.end(); ++first) {
+    if (*first >= aFrom) {
+      const auto end = std::lower_bound(first, arrivalTimes.end(), *first + aSpan);
+      most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+  }
+  return most;
+}
+
+std::unique_ptr<upstream::ReplicaBalancer>
+ReplicaSimulation::MakeDaemon(const std::string& aVm)
 {
   upstream::Locality locality;
   locality.failureDomain = "near";
   locality.region = "near";
   locality.regions = { { "near", "near" }, { "far", "far" }, { "farther", "farther" } };
-  locality.vm = "vm";
+  locality.vm = aVm;
   const upstream::RetryBudgetSettings bound{ 0.2, 54.0, std::chrono::seconds{ 10 } };
-  set = std::make_unique<upstream::ReplicaBalancer>(
+  return std::make_unique<upstream::ReplicaBalancer>(
     loop.io.get_executor(),
     loop.timers,
     random,
@@ -173,12 +196,45 @@
     bound);
 }
 
+ReplicaSimulation::ReplicaSimulation()
+  : set(MakeDaemon("vm0"))
+{
+}
+
 // NOLINTNEXTLINE(bugprone-exception-escape): an exception here ends the test, as it should.
 ReplicaSimulation::~ReplicaSimulation()
 {
   loop.Run(std::chrono::seconds{ 20 });
 }
 
+upstream::FleetWeights
+ReplicaSimulation::EqualWeights(std::size_t aDaemons)
+{
+  upstream::FleetWeights fleet;
+  fleet.domains = { { "near", static_cast<double>(aDaemons) } };
+  for (std::size_t n = 0; n < aDaemons; ++n) {
+    fleet.vms.push_back("vm" + std::to_string(n));
+  }
+  return fleet;
+}
+
+void
+ReplicaSimulation::AddDaemons(std::size_t aNumber)
+{
+  while (others.size() + 1 < aNumber) {
+    others.push_back(MakeDaemon("vm" + std::to_string(others.size() + 1)));
+  }
+  for (std::size_t n = 0; n < aNumber; ++n) {
+    Daemon(n).SetFleetWeights(EqualWeights(aNumber));
+  }
+}
+
+upstream::ReplicaBalancer&
+ReplicaSimulation::Daemon(std::size_t aNumber)
+{
+  return aNumber == 0 ? *set : *others.at(aNumber - 1);
+}
+
 std::string
 ReplicaSimulation::AddService(std::size_t aNumber, const SimulatedReplica& aReplica)
 {
@@ -197,7 +253,9 @@
     // Pauses of different replicas are spread over time.
     model.pauseOffset = milliseconds(static_cast<std::int64_t>(aNumber * 1571 + n++ * 977));
     replicas.emplace(replica.id, model);
-    set->AddOrUpdate(replica);
+    for (std::size_t daemon = 0; daemon <= others.size(); ++daemon) {
+      Daemon(daemon).AddOrUpdate(replica);
+    }
   }
   return name;
 }
@@ -223,7 +281,9 @@
                            double aPerSecond,
                            core::Duration aSpan)
 {
-  set->SetTable(table);
+  for (std::size_t n = 0; n <= others.size(); ++n) {
+    Daemon(n).SetTable(table);
+  }
   LoadOutcome outcome;
   const auto gap =
     std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(1.0 / aPerSecond));
@@ -232,7 +292,9 @@
   while (loop.timers.Now() < end) {
     if (loop.timers.Now() >= warmAt) {
       warmAt += milliseconds{ 400 };
-      set->KeepWarm();
+      for (std::size_t n = 0; n <= others.size(); ++n) {
+        Daemon(n).KeepWarm();
+      }
     }
     RequestPlan plan;
     plan.route = &aRoute;
@@ -247,7 +309,7 @@
     ++outcome.requests;
     const core::TimePoint arrival = plan.arrival;
     auto run = std::make_shared<RequestRun>(
-      *set,
+      Daemon(mLastId % (others.size() + 1)),
       loop.timers,
       std::move(plan),
       [this, arrival, &outcome, &aRoute](const RequestResult& aResult) {
--- a/query/tests/replica_simulation.h
+++ b/query/tests/replica_simulation.h
@@ -33,15 +33,24 @@
   double lostAnswerShare = 0.0;
   /** Announces in every answer that it is leaving. */
   bool isLeaving = false;
+  /** It names this limit on its requests per second in every answer. */
+  std::optional<double> maxRate;
   /** It refuses every request and requests this backoff; zero means it does not. */
   core::Duration backoff{};
   std::vector<core::TimePoint> slotFreeAt;
   /** End times of the queued and running requests. */
   std::vector<core::TimePoint> ends;
   std::uint32_t arrivals = 0;
+  std::vector<core::TimePoint> arrivalTimes;
   std::uint32_t shed = 0;
   std::uint32_t connections = 0;
 
+  /**
+   * @return the greatest number of arrivals in any span of a length, of those that begin at or
+   *         after a time.
+   */
+  std::size_t MostArrivals(core::TimePoint aFrom, core::Duration aSpan) const;
+
   /** @return the time at which an arriving request ends, nothing when it is shed. */
   std::optional<core::TimePoint> Accept(core::TimePoint aNow, core::Duration aWork);
 };
@@ -61,7 +70,7 @@
   core::Duration longestRefusalTime{};
 };
 
-/** A daemon with simulated replicas in virtual time. */
+/** Daemons with simulated replicas in virtual time. */
 class ReplicaSimulation
 {
 public:
@@ -75,6 +84,17 @@
   std::shared_ptr<declaration::RoutingTable> table = std::make_shared<declaration::RoutingTable>();
   std::map<std::string, SimulatedReplica> replicas;
   std::unique_ptr<upstream::ReplicaBalancer> set;
+  /** Further daemons of the fleet; see AddDaemons(). */
+  std::vector<std::unique_ptr<upstream::ReplicaBalancer>> others;
+
+  /** @return the weights of a fleet of equal daemons. */
+  static upstream::FleetWeights EqualWeights(std::size_t aDaemons);
+
+  /** Adds daemons up to a number, which all know each other; before any service. */
+  void AddDaemons(std::size_t aNumber);
+
+  /** @return the daemon with a number, of which 0 is `set`. */
+  upstream::ReplicaBalancer& Daemon(std::size_t aNumber);
 
   /**
    * Adds a service of three replicas, one nearby and two in other regions.
@@ -88,11 +108,13 @@
                                       std::size_t aLeast,
                                       core::Duration aObjective);
 
-  /** Activates the route and sends requests at a constant rate. */
+  /** Activates the route and sends requests at a constant rate, to all daemons in turn. */
   LoadOutcome RunLoad(const declaration::Route& aRoute, double aPerSecond, core::Duration aSpan);
 
 private:
   std::uint64_t mLastId = 0;
+
+  std::unique_ptr<upstream::ReplicaBalancer> MakeDaemon(const std::string& aVm);
 };
 
 } // namespace skylarkwing::query::tests
--- a/upstream/replica_availability.cpp
+++ b/upstream/replica_availability.cpp
@@ -67,7 +67,8 @@
                       const ReplicaAvailability& aAvailability,
                       core::TimePoint aNow)
 {
-  if (!aAvailability.IsLeaving() && !aAvailability.IsBackingOff(aNow)) {
+  if (!aAvailability.IsLeaving() && !aAvailability.IsBackingOff(aNow) &&
+      !aAvailability.RateLimit().MaxRate()) {
     return;
   }
   const auto known = mRemoved.find(aReplica.id);
--- a/upstream/replica_availability.h
+++ b/upstream/replica_availability.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "upstream/replica_rate_limit.h"
 #include "upstream/replica_registry.h"
 
 #include <cstddef>
@@ -19,6 +20,13 @@
   bool isLeaving = false;
   /** Time for which it wants no requests from this daemon. */
   std::optional<core::Duration> backoff;
+  /**
+   * Whether maxRate is the replica's state; not so for an answer to an unknown request, which may
+   * be old, or when the limit can't be read.
+   */
+  bool hasRateState = false;
+  /** Requests per second that it accepts from all daemons together; nothing means no limit. */
+  std::optional<double> maxRate{};
 };
 
 /** What a notice changes. */
@@ -68,6 +76,10 @@
    */
   AvailabilityChange Apply(const ReplicaNotice& aNotice, double aJitter, core::TimePoint aNow);
 
+  /** The limit on the rate of requests from all daemons together. */
+  ReplicaRateLimit& RateLimit() { return mRateLimit; }
+  const ReplicaRateLimit& RateLimit() const { return mRateLimit; }
+
   /** Records that a request got an answer other than a rejection. */
   void RecordAnswer(core::TimePoint aNow);
 
@@ -82,6 +94,7 @@
 
 private:
   bool mIsLeaving = false;
+  ReplicaRateLimit mRateLimit;
   core::TimePoint mBackoffEnd{};
   /** Limit of requests in flight during the ramp after a backoff; nothing when there is no ramp. */
   std::optional<std::size_t> mRampLimit;
@@ -97,7 +110,7 @@
   /** Most replicas that are kept; a few times those of a large deployment. */
   static constexpr std::size_t kMaxReplicas = 4096;
 
-  /** Keeps the availability of a removed replica that is shutting down or backing off. */
+  /** Keeps the availability of a removed replica that leaves, backs off or limits its rate. */
   void Keep(const AnnouncedReplica& aReplica,
             const ReplicaAvailability& aAvailability,
             core::TimePoint aNow);
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -173,6 +173,11 @@
         OnAvailabilityChanged(id, aChange);
       }
     };
+  hooks.onRateLimitChange = [this, isAlive = mIsAlive, id = aReplica.id](RateLimitChange aChange) {
+    if (*isAlive) {
+      OnRateLimitChanged(id, aChange);
+    }
+  };
   hooks.drawJitter = [this, isAlive = mIsAlive] { return *isAlive ? mRandom.Fraction() : 0.0; };
   return hooks;
 }
@@ -190,6 +195,30 @@
   WakeAllIfUnusable(client.Replica().service);
 }
 
+void
+ReplicaBalancer::OnRateLimitChanged(const std::string& aId, RateLimitChange aChange)
+{
+  const auto it = mClients.find(aId);
+  if (it != mClients.end()) {
+    const ReplicaClient& client = *it->second;
+    mOnRateLimitChange(client.Replica(), aChange, client.Availability().RateLimit().MaxRate());
+  }
+}
+
+std::vector<LimitedUseReport>
+ReplicaBalancer::TakeLimitedUse()
+{
+  std::vector<LimitedUseReport> reports;
+  for (const auto& [id, client] : mClients) {
+    const LimitedUse use = client->TakeLimitedUse();
+    if (use.first + use.extra > 0) {
+      const double maxRate = client->Availability().RateLimit().MaxRate().value_or(0.0);
+      reports.push_back({ id, client->Replica().service, maxRate, use });
+    }
+  }
+  return reports;
+}
+
 std::optional<core::Duration>
 ReplicaBalancer::ShortestExpectedTime(const AttemptRequest& aRequest)
 {
@@ -253,7 +282,8 @@
     result.refusal = SendRefusal::NoRoom;
     return result;
   }
-  result.attempt = client->Send(std::move(aMessage), aRequest.deadline, std::move(aCallback));
+  result.attempt = client->Send(
+    std::move(aMessage), aRequest.kind, aRequest.deadline, std::move(aCallback));
   return result;
 }
 
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -58,10 +58,25 @@
 using AvailabilityHook =
   std::function<void(const AnnouncedReplica&, AvailabilityChange, core::Duration aBackoff)>;
 
+/** Called when the limit on the rate of requests to a replica changes. */
+using RateLimitHook = std::function<void(const AnnouncedReplica&,
+                                         RateLimitChange,
+                                         std::optional<double> aMaxRate)>;
+
+/** The use of one rate-limited replica by this daemon, since the last report. */
+struct LimitedUseReport
+{
+  std::string replica;
+  std::string service;
+  double maxRate = 0.0;
+  LimitedUse use;
+};
+
 /** The constraints of one attempt. */
 struct AttemptRequest
 {
   std::string_view service;
+  AttemptKind kind = AttemptKind::First;
   /** Regions whose replicas may be used; null or empty means all. */
   const std::vector<std::string>* regions = nullptr;
   /** Replicas that were tried before. */
@@ -106,6 +121,12 @@
   /** Sets the callback for changes of a replica's availability. */
   void OnAvailabilityChange(AvailabilityHook aHook) { mOnAvailabilityChange = std::move(aHook); }
 
+  /** Sets the callback for changes of a replica's rate limit. */
+  void OnRateLimitChange(RateLimitHook aHook) { mOnRateLimitChange = std::move(aHook); }
+
+  /** @return the use of each rate-limited replica since the last call, without unused ones. */
+  std::vector<LimitedUseReport> TakeLimitedUse();
+
   /** Sets the routing table with the limits of the services. */
   void SetTable(std::shared_ptr<const declaration::RoutingTable> aTable);
 
@@ -185,6 +206,8 @@
   core::RandomSource& mRandom;
   AvailabilityHook mOnAvailabilityChange =
     [](const AnnouncedReplica&, AvailabilityChange, core::Duration) {};
+  RateLimitHook mOnRateLimitChange =
+    [](const AnnouncedReplica&, RateLimitChange, std::optional<double>) {};
   net::HttpConnectionFactory mMakeConnection;
   ReplicaProtocol mProtocol;
   Locality mLocality;
@@ -211,6 +234,7 @@
   bool HasUsableReplica(std::string_view aService);
   ReplicaClientHooks HooksFor(const AnnouncedReplica& aReplica);
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
+  void OnRateLimitChanged(const std::string& aId, RateLimitChange aChange);
   bool TryAcquireColdSend(ReplicaClient& aClient);
   std::shared_ptr<ReplicaClient> Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
                                         core::Duration aMaxExpectedTime);
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -184,10 +184,14 @@
 
 std::shared_ptr<Attempt>
 ReplicaClient::Send(std::shared_ptr<const ForwardedRequest> aRequest,
+                    AttemptKind aKind,
                     core::TimePoint aDeadline,
                     AttemptCallback aCallback)
 {
   const core::TimePoint now = mTimers.Now();
+  if (mAvailability.RateLimit().MaxRate()) {
+    ++(aKind == AttemptKind::First ? mLimitedUse.first : mLimitedUse.extra);
+  }
   auto attempt = std::make_shared<Attempt>(mReplica.id, now, mTypicalTime);
   mAttemptStarts.push_back(now);
   core::Start(
@@ -235,14 +239,16 @@
     if (!MaySend(*aAttempt, aDeadline)) {
       co_return Result(AttemptStatus::NothingSent);
     }
-    const core::Duration remaining = aDeadline - mTimers.Now();
+    const core::TimePoint sentAt = mTimers.Now();
+    const core::Duration remaining = aDeadline - sentAt;
     const std::shared_ptr<net::HttpConnection> connection = aAttempt->mConnection;
     net::HttpResult reply = co_await connection->Exchange(
       mProtocol.makeRequest(*aRequest, mReplica.id, remaining), remaining + mSettings.answerSlack);
     if (reply.error == net::HttpClientError::NothingSent && isReused) {
       continue;
     }
-    co_return co_await ReadOwnAnswer(connection, std::move(reply), aRequest->id, aDeadline);
+    co_return co_await ReadOwnAnswer(
+      connection, std::move(reply), aRequest->id, sentAt, aDeadline);
   }
 }
 
@@ -256,10 +262,17 @@
 }
 
 void
-ReplicaClient::HandleNotice(const ReplicaNotice& aNotice)
+ReplicaClient::HandleNotice(const ReplicaNotice& aNotice, core::TimePoint aSentAt)
 {
-  const AvailabilityChange change =
-    mAvailability.Apply(aNotice, mHooks.drawJitter(), mTimers.Now());
+  const core::TimePoint now = mTimers.Now();
+  if (aNotice.hasRateState) {
+    const RateLimitChange change =
+      mAvailability.RateLimit().Apply(aNotice.maxRate, aSentAt, now);
+    if (change != RateLimitChange::None) {
+      mHooks.onRateLimitChange(change);
+    }
+  }
+  const AvailabilityChange change = mAvailability.Apply(aNotice, mHooks.drawJitter(), now);
   if (change != AvailabilityChange::None) {
     mHooks.onAvailabilityChange(change);
   }
@@ -343,13 +356,14 @@
 ReplicaClient::ReadOwnAnswer(std::shared_ptr<net::HttpConnection> aConnection,
                              net::HttpResult aReply,
                              const std::string& aId,
+                             core::TimePoint aSentAt,
                              core::TimePoint aDeadline)
 {
   DecodedAnswer answer;
   int foreign = 0;
   while (aReply.error == net::HttpClientError::None) {
     answer = mProtocol.readAnswer(aReply.response, aId);
-    HandleNotice(answer.notice);
+    HandleNotice(answer.notice, aSentAt);
     const core::Duration remaining = aDeadline - mTimers.Now();
     if (answer.kind != AnswerKind::Foreign) {
       break;
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace skylarkwing::upstream {
@@ -112,6 +113,22 @@
   core::Duration statisticsAge = std::chrono::seconds{ 3 };
 };
 
+/** Why a request is sent to a replica. */
+enum class AttemptKind
+{
+  First,
+  Retry,
+  Hedge,
+};
+
+/** Requests that this daemon sent to a replica while its rate was limited. */
+struct LimitedUse
+{
+  std::uint32_t first = 0;
+  /** Retries and hedges. */
+  std::uint32_t extra = 0;
+};
+
 /** The callbacks of a client to its owner. */
 struct ReplicaClientHooks
 {
@@ -119,6 +136,8 @@
   std::function<void()> onFree;
   /** Called when the replica says that it shuts down, or asks for a pause in requests. */
   std::function<void(AvailabilityChange)> onAvailabilityChange;
+  /** Called when the limit on the rate of requests changes. */
+  std::function<void(RateLimitChange)> onRateLimitChange;
   /** @return a random number from 0 to 1. */
   std::function<double()> drawJitter;
 };
@@ -189,14 +208,19 @@
   /**
    * Sends a request.
    *
+   * @param aKind counted while the rate is limited.
    * @param aDeadline when the caller stops waiting; the replica is told the remaining time.
    * @param aCallback receives the result, exactly once.
    * @return the attempt, which can be cancelled.
    */
   std::shared_ptr<Attempt> Send(std::shared_ptr<const ForwardedRequest> aRequest,
+                                AttemptKind aKind,
                                 core::TimePoint aDeadline,
                                 AttemptCallback aCallback);
 
+  /** @return what was sent while the rate was limited since the last call. */
+  LimitedUse TakeLimitedUse() { return std::exchange(mLimitedUse, {}); }
+
   /** Closes idle connections and lets running attempts end. No further request may be sent. */
   void Retire();
 
@@ -228,6 +252,7 @@
   core::TimePoint mLastAnswerAt;
   core::TimePoint mColdUntil{};
   ColdRateLimiter mColdRate;
+  LimitedUse mLimitedUse;
   LoadReport mLoad;
   core::TimePoint mLoadAt{};
   /** Consecutive failures. */
@@ -249,9 +274,10 @@
   core::Task<AttemptResult> ReadOwnAnswer(std::shared_ptr<net::HttpConnection> aConnection,
                                           net::HttpResult aReply,
                                           const std::string& aId,
+                                          core::TimePoint aSentAt,
                                           core::TimePoint aDeadline);
   bool MaySend(const Attempt& aAttempt, core::TimePoint aDeadline) const;
-  void HandleNotice(const ReplicaNotice& aNotice);
+  void HandleNotice(const ReplicaNotice& aNotice, core::TimePoint aSentAt);
   core::Task<void> Preconnect(std::shared_ptr<ReplicaClient> aSelf);
   void RecordRoundTrip(core::Duration aConnectTime);
   void DropStale();
