Share the rate limit that a replica names among the daemons

Callers saw nothing; replicas in need got up to 1.5 times what the rule on limits allows (308 requests in 4 s where 201 are allowed), since no daemon read the header and requests were placed by expected time alone.

Each daemon now keeps a token bucket for its share of a replica's limit: half of it for the failure domains near the replica, equal parts for the domains, split by weight within one. All buckets together hold one second of the limit and 2.5 requests; where daemons outnumber that, only the greatest of each domain get a share. A daemon that vanishes from the list keeps its share for 6 s, so that a list that shrinks in an outage of the store raises nobody's. A lower limit counts at once, a higher one or the end only by an answer to a later request. A part that would wait for longer than half of the time left fails at once, those that wait go by priority, and hedges only take what a daemon doesn't use. Retry-After is the wait for a token.

Ruled out: hedges and retries as the cause (at most 7 of 200 sends in 5 s).

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -30,6 +30,9 @@
 /** Delay before a hedge that found no suitable replica is considered again. */
 constexpr core::Duration kHedgeRecheckInterval = std::chrono::milliseconds{ 25 };
 
+/** Longest wait for a rate limit, as a share of the time that is left for wait and exchange. */
+constexpr double kMaxWaitShare = 0.5;
+
 /** No attempt is started with less time than this left. */
 constexpr core::Duration kMinAttemptTime = std::chrono::milliseconds{ 10 };
 
@@ -70,6 +73,9 @@
 PartAttempts::ExpectedLatency() const
 {
   // Nothing has been tried before the first attempt, so any replica may take the part.
+  if (MustWaitTooLong()) {
+    return std::nullopt;
+  }
   return mReplicas.ShortestExpectedTime(MakeAttemptRequest());
 }
 
@@ -84,7 +90,9 @@
   // A hedge that would miss the objective only adds load. After the objective, the deadline counts.
   const core::TimePoint latest = now < mPlan.objective ? mPlan.objective : mPlan.deadline;
   const core::Duration left = latest - now;
-  const auto expected = mReplicas.ShortestExpectedTime(MakeAttemptRequest());
+  upstream::AttemptRequest request = MakeAttemptRequest();
+  request.kind = AttemptKind::Hedge;
+  const auto expected = mReplicas.ShortestExpectedTime(request);
   if (left < kMinAttemptTime || !expected || *expected >= left) {
     mNoHedgeBefore =
       std::max(now + kHedgeRecheckInterval, now < mPlan.objective ? mPlan.objective : now);
@@ -92,7 +100,8 @@
   }
   mWasHedged = true;
   if (mReplicas.TryTakeExtraAttempt(mPlan.service, ExtraAttempt::Hedge)) {
-    TrySend(AttemptKind::Hedge, left);
+    request.maxExpectedTime = left;
+    TrySend(std::move(request));
   }
 }
 
@@ -137,9 +146,26 @@
 }
 
 std::optional<core::Duration>
-PartAttempts::RemainingBackoff() const
+PartAttempts::RetryDelay() const
 {
-  return mReplicas.RemainingBackoff(MakeAttemptRequest());
+  return mReplicas.RetryDelay(MakeAttemptRequest());
+}
+
+core::Duration
+PartAttempts::MaxWait() const
+{
+  const core::TimePoint now = mTimers.Now();
+  const core::Duration left =
+    now < mPlan.objective ? mPlan.objective - now
+                          : std::min<core::Duration>(mPlan.route->objective, mPlan.deadline - now);
+  return std::chrono::duration_cast<core::Duration>(left * kMaxWaitShare);
+}
+
+bool
+PartAttempts::MustWaitTooLong() const
+{
+  const auto wait = mReplicas.RateLimitWait(MakeAttemptRequest());
+  return wait && *wait >= MaxWait();
 }
 
 bool
@@ -175,6 +201,7 @@
 {
   upstream::AttemptRequest request;
   request.service = mPlan.service;
+  request.priority = mPlan.route->priority;
   request.regions = &mPlan.route->regions;
   request.triedReplicas = IsRetryingRefusers() ? nullptr : &mTried;
   request.allowedReplicas = IsRetryingRefusers() ? &mRefusedBy : nullptr;
@@ -183,17 +210,14 @@
 }
 
 bool
-PartAttempts::TrySend(AttemptKind aKind, core::Duration aMaxExpectedTime)
+PartAttempts::TrySend(upstream::AttemptRequest aRequest)
 {
-  upstream::AttemptRequest request = MakeAttemptRequest();
-  request.kind = aKind;
-  request.maxExpectedTime = aMaxExpectedTime;
   const std::size_t index = mAttempts.size();
   mAttempts.emplace_back();
   mAttempts.back().startedAt = mTimers.Now();
   ++mSent;
   upstream::SendResult sendResult = mReplicas.Send(
-    request, mPlan.request, [self = shared_from_this(), index](AttemptResult aResult) {
+    aRequest, mPlan.request, [self = shared_from_this(), index](AttemptResult aResult) {
       self->OnResult(index, std::move(aResult));
     });
   if (!sendResult.attempt) {
@@ -237,31 +261,52 @@
 }
 
 void
-PartAttempts::SendOrWait()
+PartAttempts::SendOrWait(bool aHasWaited)
 {
   if (mPlan.deadline - mTimers.Now() < kMinAttemptTime) {
     Fail();
     return;
   }
   mState = PartState::Running;
-  if (TrySend(mAsked.empty() ? AttemptKind::First : AttemptKind::Retry, core::Duration::zero())) {
+  upstream::AttemptRequest request = MakeAttemptRequest();
+  request.kind = mAsked.empty() ? AttemptKind::First : AttemptKind::Retry;
+  request.hasWaited = aHasWaited;
+  if (TrySend(std::move(request))) {
     return;
   }
-  if (mRefusal != SendRefusal::NoRoom && !IsRetryingRefusers() && !mRefusedBy.empty()) {
+  const bool mayHaveRoomLater =
+    mRefusal == SendRefusal::NoRoom || mRefusal == SendRefusal::RateLimited;
+  if (!mayHaveRoomLater && !IsRetryingRefusers() && !mRefusedBy.empty()) {
     mHasTriedAllReplicas = true;
     RetryAfterBackoff();
     return;
   }
-  if (mRefusal != SendRefusal::NoRoom) {
+  if (!mayHaveRoomLater || (mRefusal == SendRefusal::RateLimited && MustWaitTooLong())) {
     Fail();
     return;
   }
+  Wait();
+}
+
+void
+PartAttempts::Wait()
+{
   mState = PartState::Waiting;
+  if (mRefusal == SendRefusal::RateLimited) {
+    // More important requests may take the place of this one again and again.
+    mTimers.Schedule(MaxWait(), [self = shared_from_this()] {
+      if (self->mState == PartState::Waiting && self->mWaiter != 0 &&
+          self->mRefusal == SendRefusal::RateLimited) {
+        self->mReplicas.CancelWait(self->mPlan.service, std::exchange(self->mWaiter, 0));
+        self->Fail();
+      }
+    });
+  }
   mWaiter =
     mReplicas.WaitForRoom(mPlan.service, mPlan.route->priority, [self = shared_from_this()] {
       self->mWaiter = 0;
       if (!self->mIsAbandoned) {
-        self->SendOrWait();
+        self->SendOrWait(true);
       }
     });
 }
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -53,7 +53,10 @@
                PartPlan aPlan,
                std::function<void()> aOnChange);
 
-  /** @return the expected latency of a part sent now, nothing when no replica may take it. */
+  /**
+   * @return the expected latency of a part sent now, nothing when no replica may take it, or none
+   *         soon enough.
+   */
   std::optional<core::Duration> ExpectedLatency() const;
 
   /** Sends the first attempt, or waits for a replica with free capacity. */
@@ -79,9 +82,11 @@
   /** @return whether a replica may have run the part. */
   bool MayHaveRun() const;
 
-  /** @return the time until replicas that requested a backoff accept work, nothing when none did.
+  /**
+   * @return the time until a replica accepts work whose backoff or rate limit prevents the part,
+   *         nothing when neither does.
    */
-  std::optional<core::Duration> RemainingBackoff() const;
+  std::optional<core::Duration> RetryDelay() const;
 
   std::size_t SentCount() const { return mSent; }
 
@@ -128,9 +133,12 @@
   core::TimePoint mNoHedgeBefore{};
 
   bool IsRunning() const;
+  core::Duration MaxWait() const;
+  bool MustWaitTooLong() const;
+  void Wait();
   upstream::AttemptRequest MakeAttemptRequest() const;
-  bool TrySend(upstream::AttemptKind aKind, core::Duration aMaxExpectedTime);
-  void SendOrWait();
+  bool TrySend(upstream::AttemptRequest aRequest);
+  void SendOrWait(bool aHasWaited = false);
   bool IsRetryingRefusers() const;
   void RetryAfterBackoff();
   void RecordEnd(SentAttempt& aAttempt, upstream::AttemptStatus aStatus);
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -244,7 +244,7 @@
   std::vector<core::Duration> waits;
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
     if (part->State() == PartState::Failed) {
-      waits.push_back(part->RemainingBackoff().value_or(kRetryAfterNotRun));
+      waits.push_back(part->RetryDelay().value_or(kRetryAfterNotRun));
     }
   }
   if (waits.empty()) {
--- a/upstream/fleet_weights.cpp
+++ b/upstream/fleet_weights.cpp
@@ -2,14 +2,12 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace skylarkwing::upstream {
 
 namespace {
 
-/** Share of a replica's connections that goes to the daemons near it. */
-constexpr double kNearShare = 0.5;
-
 /** Keeps a share such as 2.0 from being truncated to 1 by floating-point rounding. */
 constexpr double kRoundingSlack = 1e-9;
 
@@ -22,6 +20,13 @@
 
 } // namespace
 
+void
+FleetWeights::Add(FleetMember aMember)
+{
+  domains[aMember.failureDomain] += aMember.weight;
+  members.push_back(std::move(aMember));
+}
+
 double
 FleetWeights::Total() const
 {
@@ -48,7 +53,7 @@
 }
 
 bool
-MaySendCold(const std::vector<std::string>& aVms,
+MaySendCold(const std::vector<FleetMember>& aMembers,
             const std::string& aOwnVm,
             const std::string& aReplica)
 {
@@ -57,24 +62,10 @@
   const std::hash<std::string> hash;
   const std::size_t own = hash(aOwnVm + aReplica);
   std::size_t before = 0;
-  for (const std::string& vm : aVms) {
-    before += vm != aOwnVm && hash(vm + aReplica) < own ? 1 : 0;
+  for (const FleetMember& member : aMembers) {
+    before += member.vm != aOwnVm && hash(member.vm + aReplica) < own ? 1 : 0;
   }
   return before < kColdSenders;
 }
 
-bool
-ColdRateLimiter::TryAcquire(double aRate, std::size_t aSenders, core::TimePoint aNow)
-{
-  const double rate = aRate / static_cast<double>(std::max<std::size_t>(1, aSenders));
-  const std::chrono::duration<double> since = aNow - mRefilledAt;
-  mTokens = std::min(1.0, mTokens + std::max(0.0, since.count()) * rate);
-  mRefilledAt = aNow;
-  if (mTokens < 1.0) {
-    return false;
-  }
-  mTokens -= 1.0;
-  return true;
-}
-
 } // namespace skylarkwing::upstream
--- a/upstream/fleet_weights.h
+++ b/upstream/fleet_weights.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "core/timer_service.h"
-
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -10,16 +8,27 @@
 
 namespace skylarkwing::upstream {
 
+/** A daemon among those that share limits. */
+struct FleetMember
+{
+  /** Name of its VM. */
+  std::string vm;
+  std::string failureDomain;
+  double weight = 1.0;
+};
+
 /** The load-balancing weights of all live daemons, this one included. */
 struct FleetWeights
 {
   /** Sum of the daemons' weights for each failure domain. */
   std::map<std::string, double> domains;
-  /** Names of the daemons' VMs. */
-  std::vector<std::string> vms;
+  std::vector<FleetMember> members;
   /** Weight of this daemon. */
   double own = 1.0;
 
+  /** Adds a daemon to the members and to its domain. */
+  void Add(FleetMember aMember);
+
   /** @return the sum of all weights, at least that of this daemon. */
   double Total() const;
 
@@ -30,6 +39,9 @@
   double OwnShare() const { return own / Total(); }
 };
 
+/** Share of what a replica accepts that goes to the daemons near it, which prefer it to others. */
+constexpr double kNearShare = 0.5;
+
 /** Limits on the connections of this daemon to one replica. */
 struct ConnectionQuota
 {
@@ -61,26 +73,8 @@
 
 /** @return whether this daemon is one of those that may send to a cold replica. */
 bool
-MaySendCold(const std::vector<std::string>& aVms,
+MaySendCold(const std::vector<FleetMember>& aMembers,
             const std::string& aOwnVm,
             const std::string& aReplica);
 
-/** A token bucket that keeps this daemon within its share of the request rate of a cold replica. */
-class ColdRateLimiter
-{
-public:
-  /**
-   * Takes one token, if there is one.
-   *
-   * @param aRate requests per second that the replica accepts from all daemons while it is cold.
-   * @param aSenders number of daemons that share the rate.
-   * @return whether a request may be sent now.
-   */
-  bool TryAcquire(double aRate, std::size_t aSenders, core::TimePoint aNow);
-
-private:
-  double mTokens = 1.0;
-  core::TimePoint mRefilledAt{};
-};
-
 } // namespace skylarkwing::upstream
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -8,18 +8,21 @@
 
 namespace {
 
-constexpr core::NameTable<SendRefusal, 5> kRefusalNames{
-  { "none", "no_replica", "replica_leaving", "replica_resting", "no_room" }
+constexpr core::NameTable<SendRefusal, 6> kRefusalNames{
+  { "none", "no_replica", "replica_leaving", "replica_resting", "replica_limited", "no_room" }
 };
 
+/** Shortest time between two attempts to serve a request that waits for a rate limit. */
+constexpr core::Duration kMinRateWake = std::chrono::milliseconds{ 2 };
+
 /** Assumed round trips by distance, until they are measured. */
 constexpr core::Duration kRoundTripInDomain = std::chrono::microseconds{ 600 };
 constexpr core::Duration kRoundTripInRegion = std::chrono::milliseconds{ 2 };
 constexpr core::Duration kRoundTripToOtherRegion = std::chrono::milliseconds{ 25 };
 
 /**
- * Random extension of the retry time that is told to callers refused because of a backoff, as a
- * share of it.
+ * Random extension of the retry time that is told to callers refused because of a backoff or a rate
+ * limit, as a share of it.
  */
 constexpr double kRetryAfterJitter = 0.25;
 
@@ -97,12 +100,21 @@
 void
 ReplicaBalancer::SetFleetWeights(FleetWeights aFleet)
 {
+  mRecentFleet.Update(aFleet, mTimers.Now());
+  UpdateSharingFleet();
   mFleet = std::move(aFleet);
   for (const auto& [id, client] : mClients) {
     SetQuotaOf(*client);
   }
 }
 
+void
+ReplicaBalancer::UpdateSharingFleet()
+{
+  mSharingFleet = mRecentFleet.Fleet();
+  mAreRateSharesStale = true;
+}
+
 void
 ReplicaBalancer::SetDomainOut(const std::string& aFailureDomain, bool aIsOut)
 {
@@ -199,10 +211,13 @@
 ReplicaBalancer::OnRateLimitChanged(const std::string& aId, RateLimitChange aChange)
 {
   const auto it = mClients.find(aId);
-  if (it != mClients.end()) {
-    const ReplicaClient& client = *it->second;
-    mOnRateLimitChange(client.Replica(), aChange, client.Availability().RateLimit().MaxRate());
+  if (it == mClients.end()) {
+    return;
   }
+  const ReplicaClient& client = *it->second;
+  mOnRateLimitChange(client.Replica(), aChange, client.RateLimit().MaxRate());
+  // Those that wait may be served at once now, or have to wait for too long.
+  WakeAll(client.Replica().service);
 }
 
 std::vector<LimitedUseReport>
@@ -212,7 +227,7 @@
   for (const auto& [id, client] : mClients) {
     const LimitedUse use = client->TakeLimitedUse();
     if (use.first + use.extra > 0) {
-      const double maxRate = client->Availability().RateLimit().MaxRate().value_or(0.0);
+      const double maxRate = client->RateLimit().MaxRate().value_or(0.0);
       reports.push_back({ id, client->Replica().service, maxRate, use });
     }
   }
@@ -224,37 +239,90 @@
 {
   std::optional<core::Duration> shortest;
   for (const std::shared_ptr<ReplicaClient>& client : ServiceOf(aRequest.service).clients) {
-    if (!MayUse(*client, aRequest)) {
+    const bool isHedge = aRequest.kind == AttemptKind::Hedge;
+    if (!MayUse(*client, aRequest) || (isHedge && !IsWithinRateLimit(*client, aRequest.kind))) {
       continue;
     }
-    const core::Duration expected = ExpectedTime(client->Candidate());
+    const core::Duration expected = ExpectedTime(client->Candidate()) + RateLimitWaitOf(*client);
     shortest = std::min(shortest.value_or(expected), expected);
   }
   return shortest;
 }
 
+double
+ReplicaBalancer::RateShareOf(const ReplicaClient& aClient)
+{
+  if (mAreRateSharesStale) {
+    mRateShares = RateShares(mSharingFleet.members, mLocality.vm, mLocality.regions);
+    mAreRateSharesStale = false;
+  }
+  return mRateShares.ShareOf(aClient.RateLimit().MaxSenders(),
+                             mLocality.RegionOf(aClient.Replica().failureDomain));
+}
+
+core::Duration
+ReplicaBalancer::RateLimitWaitOf(const ReplicaClient& aClient)
+{
+  if (!aClient.RateLimit().MaxRate()) {
+    return core::Duration::zero();
+  }
+  return aClient.RateLimit().TimeUntilNext(RateShareOf(aClient), mTimers.Now());
+}
+
 std::optional<core::Duration>
-ReplicaBalancer::RemainingBackoff(AttemptRequest aRequest)
+ReplicaBalancer::RateLimitWait(const AttemptRequest& aRequest)
+{
+  const Service& service = ServiceOf(aRequest.service);
+  const core::TimePoint now = mTimers.Now();
+  std::optional<core::Duration> shortest;
+  double available = 0.0;
+  double rate = 0.0;
+  for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
+    if (!MayUse(*client, aRequest)) {
+      continue;
+    }
+    if (!client->RateLimit().MaxRate()) {
+      return std::nullopt;
+    }
+    const double share = RateShareOf(*client);
+    available += client->RateLimit().Available(share, now);
+    rate += client->RateLimit().RateOf(share);
+    const core::Duration wait = client->RateLimit().TimeUntilNext(share, now);
+    shortest = std::min(shortest.value_or(wait), wait);
+  }
+  if (!shortest) {
+    return std::nullopt;
+  }
+  const auto isBefore = [&aRequest](const auto& aWaiter) {
+    return aWaiter.first.first <= aRequest.priority;
+  };
+  const auto ahead = std::count_if(service.waiters.begin(), service.waiters.end(), isBefore);
+  const TokenBucket queue{ available, now };
+  const double needed = static_cast<double>(ahead) + 1.0;
+  return std::max(*shortest, queue.TimeUntil(needed, rate, available + needed, now));
+}
+
+std::optional<core::Duration>
+ReplicaBalancer::RetryDelay(AttemptRequest aRequest)
 {
   // A new request may use every replica again.
   aRequest.triedReplicas = nullptr;
   aRequest.allowedReplicas = nullptr;
-  std::optional<core::TimePoint> earliest;
+  std::optional<core::Duration> shortest = RateLimitWait(aRequest);
   for (const std::shared_ptr<ReplicaClient>& client : ServiceOf(aRequest.service).clients) {
     const SendRefusal refusal = RefusalFor(*client, aRequest);
-    if (refusal == SendRefusal::None) {
+    if (refusal == SendRefusal::None && !client->RateLimit().MaxRate()) {
       return std::nullopt;
     }
     if (refusal == SendRefusal::Backoff) {
-      const core::TimePoint end = client->Availability().BackoffEnd();
-      earliest = std::min(earliest.value_or(end), end);
+      const core::Duration left = client->Availability().BackoffEnd() - mTimers.Now();
+      shortest = std::min(shortest.value_or(left), left);
     }
   }
-  if (!earliest) {
+  if (!shortest) {
     return std::nullopt;
   }
-  const core::Duration left = *earliest - mTimers.Now();
-  return std::chrono::duration_cast<core::Duration>(left *
+  return std::chrono::duration_cast<core::Duration>(*shortest *
                                                     (1.0 + kRetryAfterJitter * mRandom.Fraction()));
 }
 
@@ -277,13 +345,18 @@
     result.refusal = refusal;
     return result;
   }
-  const std::shared_ptr<ReplicaClient> client = Choose(usable, aRequest.maxExpectedTime);
+  const bool mustQueue =
+    !aRequest.hasWaited && RateLimitWait(aRequest).value_or(core::Duration::zero()).count() > 0;
+  const std::shared_ptr<ReplicaClient> client = mustQueue ? nullptr : Choose(usable, aRequest);
   if (!client) {
-    result.refusal = SendRefusal::NoRoom;
+    const bool areAllLimited = std::all_of(usable.begin(), usable.end(), [](const auto& aClient) {
+      return aClient->RateLimit().MaxRate().has_value();
+    });
+    result.refusal = areAllLimited ? SendRefusal::RateLimited : SendRefusal::NoRoom;
     return result;
   }
-  result.attempt = client->Send(
-    std::move(aMessage), aRequest.kind, aRequest.deadline, std::move(aCallback));
+  result.attempt =
+    client->Send(std::move(aMessage), aRequest.kind, aRequest.deadline, std::move(aCallback));
   return result;
 }
 
@@ -309,6 +382,7 @@
 {
   const WaiterId id = ++mLastWaiter;
   ServiceOf(aService).waiters.emplace(std::make_pair(aPriority, id), std::move(aCallback));
+  WakeWhenRateAllows(std::string(aService));
   return id;
 }
 
@@ -381,6 +455,9 @@
 ReplicaBalancer::KeepWarm()
 {
   ShareRoundTrips();
+  if (mRecentFleet.Expire(mTimers.Now())) {
+    UpdateSharingFleet();
+  }
   for (auto& [name, service] : mServices) {
     if (!IsInUse(service)) {
       continue;
@@ -444,26 +521,43 @@
   if (rule == nullptr || rule->coldRate <= 0.0 || !aClient.IsCold()) {
     return true;
   }
-  return MaySendCold(mFleet.vms, mLocality.vm, aClient.Replica().id) &&
-         aClient.ColdLimiter().TryAcquire(rule->coldRate, kColdSenders, mTimers.Now());
+  return MaySendCold(mFleet.members, mLocality.vm, aClient.Replica().id) &&
+         aClient.ColdLimiter().TryTake(
+           rule->coldRate / static_cast<double>(kColdSenders), 1.0, mTimers.Now());
+}
+
+bool
+ReplicaBalancer::IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind)
+{
+  if (!aClient.RateLimit().MaxRate()) {
+    return true;
+  }
+  const double share = RateShareOf(aClient);
+  // A hedge may only take what other requests don't need as their only attempt.
+  return aKind == AttemptKind::Hedge
+           ? aClient.RateLimit().HasSpare(share, mTimers.Now())
+           : aClient.RateLimit().TimeUntilNext(share, mTimers.Now()) == core::Duration::zero();
 }
 
 std::shared_ptr<ReplicaClient>
 ReplicaBalancer::Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
-                        core::Duration aMaxExpectedTime)
+                        const AttemptRequest& aRequest)
 {
   std::vector<ReplicaCandidate> candidates;
   candidates.reserve(aClients.size());
   for (const std::shared_ptr<ReplicaClient>& client : aClients) {
     candidates.push_back(client->Candidate());
-    if (aMaxExpectedTime > core::Duration::zero() &&
-        ExpectedTime(candidates.back()) >= aMaxExpectedTime) {
+    const bool isTooSlow = aRequest.maxExpectedTime > core::Duration::zero() &&
+                           ExpectedTime(candidates.back()) >= aRequest.maxExpectedTime;
+    if (isTooSlow || !IsWithinRateLimit(*client, aRequest.kind)) {
       candidates.back().hasRoom = false;
     }
   }
   const std::uint64_t tieBreak = mRandom.Below(aClients.size());
   while (const auto index = ChooseReplica(candidates, tieBreak)) {
-    if (TryAcquireColdSend(*aClients[*index])) {
+    ReplicaClient& client = *aClients[*index];
+    if (TryAcquireColdSend(client)) {
+      client.RateLimit().TryTake(RateShareOf(client), mTimers.Now());
       return aClients[*index];
     }
     candidates[*index].hasRoom = false;
@@ -487,17 +581,49 @@
 void
 ReplicaBalancer::WakeAllIfUnusable(std::string_view aService)
 {
-  Service& service = ServiceOf(aService);
-  if (service.waiters.empty() || HasUsableReplica(aService)) {
+  if (ServiceOf(aService).waiters.empty() || HasUsableReplica(aService)) {
     return;
   }
   // No replica will have room, so all of them are notified now instead of at their deadlines.
-  const auto waiters = std::exchange(service.waiters, {});
+  WakeAll(aService);
+}
+
+void
+ReplicaBalancer::WakeAll(std::string_view aService)
+{
+  const auto waiters = std::exchange(ServiceOf(aService).waiters, {});
   for (const auto& [key, callback] : waiters) {
     callback();
   }
 }
 
+void
+ReplicaBalancer::WakeWhenRateAllows(const std::string& aService)
+{
+  Service& service = ServiceOf(aService);
+  if (service.waiters.empty() || service.rateTimer != 0) {
+    return;
+  }
+  std::optional<core::Duration> wait;
+  for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
+    if (client->RateLimit().MaxRate() && MayUse(*client, {})) {
+      wait = std::min(wait.value_or(TokenBucket::kNever), RateLimitWaitOf(*client));
+    }
+  }
+  if (!wait) {
+    return;
+  }
+  service.rateTimer =
+    mTimers.Schedule(std::max(*wait, kMinRateWake), [this, isAlive = mIsAlive, aService] {
+      if (!*isAlive) {
+        return;
+      }
+      ServiceOf(aService).rateTimer = 0;
+      WakeWaiter(aService);
+      WakeWhenRateAllows(aService);
+    });
+}
+
 void
 ReplicaBalancer::RemoveFromService(const std::shared_ptr<ReplicaClient>& aClient)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -2,6 +2,8 @@
 
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
+#include "upstream/rate_shares.h"
+#include "upstream/recent_fleet.h"
 #include "upstream/replica_client.h"
 #include "upstream/retry_budget.h"
 
@@ -46,6 +48,8 @@
   Leaving,
   /** As NoReplica, and one of them has asked for a backoff. */
   Backoff,
+  /** All replicas that may be used limit their rate, and this daemon's share is used up. */
+  RateLimited,
   /** All replicas that may be used are busy. */
   NoRoom,
 };
@@ -59,9 +63,8 @@
   std::function<void(const AnnouncedReplica&, AvailabilityChange, core::Duration aBackoff)>;
 
 /** Called when the limit on the rate of requests to a replica changes. */
-using RateLimitHook = std::function<void(const AnnouncedReplica&,
-                                         RateLimitChange,
-                                         std::optional<double> aMaxRate)>;
+using RateLimitHook =
+  std::function<void(const AnnouncedReplica&, RateLimitChange, std::optional<double> aMaxRate)>;
 
 /** The use of one rate-limited replica by this daemon, since the last report. */
 struct LimitedUseReport
@@ -84,6 +87,10 @@
   /** The only replicas that may be used; null means any. */
   const std::vector<std::string>* allowedReplicas = nullptr;
   core::TimePoint deadline;
+  /** 0 is the most important; those that wait and are at least as important go first. */
+  std::uint32_t priority = 0;
+  /** Whether it has waited for room; others that wait then have no precedence. */
+  bool hasWaited = false;
   /** Only a replica that is expected to answer sooner than this; zero means any. */
   core::Duration maxExpectedTime{};
 };
@@ -148,15 +155,24 @@
    */
   void KeepWarm();
 
-  /** @return the expected time of an attempt at the best replica, nothing when there is none. */
+  /**
+   * @return the expected time of an attempt at the best replica, with the wait for a share of its
+   *         rate limit; nothing when there is none.
+   */
   std::optional<core::Duration> ShortestExpectedTime(const AttemptRequest& aRequest);
 
   /**
-   * @return the time after which a caller may retry because the backoff of a replica is over, with
-   *         jitter so that callers don't return together; nothing when no backoff prevents the
-   *         request.
+   * @return the time until this daemon may send the request to one of the replicas, all of which
+   *         limit their rate; nothing when one of them doesn't, or when there is none.
+   */
+  std::optional<core::Duration> RateLimitWait(const AttemptRequest& aRequest);
+
+  /**
+   * @return the time after which a caller may retry because the backoff of a replica is over or its
+   *         rate limit allows a request, with jitter so that callers don't return together; nothing
+   *         when neither prevents the request.
    */
-  std::optional<core::Duration> RemainingBackoff(AttemptRequest aRequest);
+  std::optional<core::Duration> RetryDelay(AttemptRequest aRequest);
 
   /** Starts an attempt at the best replica. */
   SendResult Send(const AttemptRequest& aRequest,
@@ -199,6 +215,8 @@
     core::TimePoint lastUse{};
     /** By priority, then by arrival. */
     std::map<std::pair<std::uint32_t, WaiterId>, std::function<void()>> waiters;
+    /** Wakes a waiter when a rate limit allows a request. */
+    core::TimerId rateTimer = 0;
   };
 
   boost::asio::any_io_executor mExecutor;
@@ -214,6 +232,11 @@
   RetryBudgetSettings mRetrySettings;
   ReplicaClientSettings mClientSettings;
   FleetWeights mFleet;
+  /** Those that share limits; a daemon that has vanished from the list keeps its share a while. */
+  RecentFleet mRecentFleet;
+  FleetWeights mSharingFleet;
+  RateShares mRateShares;
+  bool mAreRateSharesStale = true;
   /** Start of this process for the retry budgets. */
   core::TimePoint mStartedAt;
   std::shared_ptr<const declaration::RoutingTable> mTable;
@@ -235,9 +258,15 @@
   ReplicaClientHooks HooksFor(const AnnouncedReplica& aReplica);
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
   void OnRateLimitChanged(const std::string& aId, RateLimitChange aChange);
+  void UpdateSharingFleet();
+  double RateShareOf(const ReplicaClient& aClient);
+  core::Duration RateLimitWaitOf(const ReplicaClient& aClient);
+  bool IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind);
   bool TryAcquireColdSend(ReplicaClient& aClient);
+  void WakeWhenRateAllows(const std::string& aService);
+  void WakeAll(std::string_view aService);
   std::shared_ptr<ReplicaClient> Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
-                                        core::Duration aMaxExpectedTime);
+                                        const AttemptRequest& aRequest);
   void WakeWaiter(std::string_view aService);
   void WakeAllIfUnusable(std::string_view aService);
   void RemoveFromService(const std::shared_ptr<ReplicaClient>& aClient);
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -189,7 +189,7 @@
                     AttemptCallback aCallback)
 {
   const core::TimePoint now = mTimers.Now();
-  if (mAvailability.RateLimit().MaxRate()) {
+  if (RateLimit().MaxRate()) {
     ++(aKind == AttemptKind::First ? mLimitedUse.first : mLimitedUse.extra);
   }
   auto attempt = std::make_shared<Attempt>(mReplica.id, now, mTypicalTime);
@@ -247,8 +247,7 @@
     if (reply.error == net::HttpClientError::NothingSent && isReused) {
       continue;
     }
-    co_return co_await ReadOwnAnswer(
-      connection, std::move(reply), aRequest->id, sentAt, aDeadline);
+    co_return co_await ReadOwnAnswer(connection, std::move(reply), aRequest->id, sentAt, aDeadline);
   }
 }
 
@@ -267,7 +266,7 @@
   const core::TimePoint now = mTimers.Now();
   if (aNotice.hasRateState) {
     const RateLimitChange change =
-      mAvailability.RateLimit().Apply(aNotice.maxRate, aSentAt, now);
+      RateLimit().Apply(aNotice.maxRate, aSentAt, mHooks.drawJitter(), now);
     if (change != RateLimitChange::None) {
       mHooks.onRateLimitChange(change);
     }
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -8,6 +8,7 @@
 #include "upstream/replica_choice.h"
 #include "upstream/replica_protocol.h"
 #include "upstream/replica_registry.h"
+#include "upstream/token_bucket.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -203,7 +204,11 @@
   const ReplicaAvailability& Availability() const { return mAvailability; }
 
   /** This daemon's limit on the request rate while the replica is cold. */
-  ColdRateLimiter& ColdLimiter() { return mColdRate; }
+  TokenBucket& ColdLimiter() { return mColdRate; }
+
+  /** The limit on the request rate that the replica names itself. */
+  ReplicaRateLimit& RateLimit() { return mAvailability.RateLimit(); }
+  const ReplicaRateLimit& RateLimit() const { return mAvailability.RateLimit(); }
 
   /**
    * Sends a request.
@@ -251,7 +256,7 @@
   core::Duration mTypicalTime;
   core::TimePoint mLastAnswerAt;
   core::TimePoint mColdUntil{};
-  ColdRateLimiter mColdRate;
+  TokenBucket mColdRate{ 1.0, {} };
   LimitedUse mLimitedUse;
   LoadReport mLoad;
   core::TimePoint mLoadAt{};
--- a/upstream/replica_rate_limit.cpp
+++ b/upstream/replica_rate_limit.cpp
@@ -2,6 +2,8 @@
 
 #include "core/name_table.h"
 
+#include <algorithm>
+
 namespace skylarkwing::upstream {
 
 namespace {
@@ -10,6 +12,23 @@
   { "none", "began", "changed", "ended" }
 };
 
+/** Lowest rate that is used: without any requests the end of a limit would not be noticed. */
+constexpr double kMinRate = 0.2;
+
+/** What all buckets together may hold: this time's worth of the limit, and a few requests. */
+constexpr double kBurstSeconds = 1.0;
+constexpr double kBurstRequests = 2.5;
+
+/** Part of its bucket that a daemon doesn't use for hedges. */
+constexpr double kKeptByHedges = 0.5;
+
+/** Requests that all daemons together may have saved up. */
+double
+FleetBurst(double aMaxRate)
+{
+  return aMaxRate * kBurstSeconds + kBurstRequests;
+}
+
 } // namespace
 
 std::string_view
@@ -21,6 +40,7 @@
 RateLimitChange
 ReplicaRateLimit::Apply(std::optional<double> aMaxRate,
                         core::TimePoint aSentAt,
+                        double aJitter,
                         core::TimePoint aNow)
 {
   if (!mMaxRate && !aMaxRate) {
@@ -28,6 +48,7 @@
   }
   if (!mMaxRate) {
     mMaxRate = aMaxRate;
+    mBucket = TokenBucket{ aJitter, aNow };
     mReceivedAt = aNow;
     return RateLimitChange::Began;
   }
@@ -44,4 +65,48 @@
   return mMaxRate ? RateLimitChange::Changed : RateLimitChange::Ended;
 }
 
+std::size_t
+ReplicaRateLimit::MaxSenders() const
+{
+  return static_cast<std::size_t>(FleetBurst(mMaxRate.value_or(0.0)));
+}
+
+bool
+ReplicaRateLimit::TryTake(double aShare, core::TimePoint aNow)
+{
+  return !mMaxRate || mBucket.TryTake(RateOf(aShare), BurstOf(aShare), aNow);
+}
+
+bool
+ReplicaRateLimit::HasSpare(double aShare, core::TimePoint aNow) const
+{
+  const double burst = BurstOf(aShare);
+  return !mMaxRate || Available(aShare, aNow) >= 1.0 + burst * kKeptByHedges;
+}
+
+double
+ReplicaRateLimit::Available(double aShare, core::TimePoint aNow) const
+{
+  return mBucket.Tokens(RateOf(aShare), BurstOf(aShare), aNow);
+}
+
+core::Duration
+ReplicaRateLimit::TimeUntilNext(double aShare, core::TimePoint aNow) const
+{
+  return mMaxRate ? mBucket.TimeUntil(1.0, RateOf(aShare), BurstOf(aShare), aNow)
+                  : core::Duration::zero();
+}
+
+double
+ReplicaRateLimit::RateOf(double aShare) const
+{
+  return std::max(kMinRate, mMaxRate.value_or(0.0)) * aShare;
+}
+
+double
+ReplicaRateLimit::BurstOf(double aShare) const
+{
+  return aShare > 0.0 ? std::max(1.0, FleetBurst(mMaxRate.value_or(0.0)) * aShare) : 0.0;
+}
+
 } // namespace skylarkwing::upstream
--- a/upstream/replica_rate_limit.h
+++ b/upstream/replica_rate_limit.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "upstream/token_bucket.h"
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 
@@ -24,6 +26,9 @@
  * The limit that a replica sets on the requests per second from all daemons together, as its
  * answers tell it.
  *
+ * The daemons split the limit without any messages: each takes its share from a bucket of its own.
+ * The buckets together hold at most what the replica takes in one second, and a few requests.
+ *
  * Answers overtake each other. A lower limit counts at once; a higher one, or the end of the limit,
  * only by an answer to a request that was sent after the present limit was received. Does no I/O.
  */
@@ -35,18 +40,52 @@
    *
    * @param aMaxRate requests per second, nothing for no limit.
    * @param aSentAt when the request was sent that the answer belongs to.
+   * @param aJitter a random number from 0 to 1 that spreads the daemons' first requests.
    */
   RateLimitChange Apply(std::optional<double> aMaxRate,
                         core::TimePoint aSentAt,
+                        double aJitter,
                         core::TimePoint aNow);
 
   /** @return requests per second from all daemons together; nothing when there is no limit. */
   std::optional<double> MaxRate() const { return mMaxRate; }
 
+  /**
+   * @return how many daemons may share the limit: each may have one request saved up, and all of
+   *         those may arrive together.
+   */
+  std::size_t MaxSenders() const;
+
+  /**
+   * Takes one request from this daemon's share of the limit.
+   *
+   * @param aShare this daemon's share, 0 to 1.
+   * @return whether the request may be sent; true without a limit.
+   */
+  bool TryTake(double aShare, core::TimePoint aNow);
+
+  /**
+   * @return whether this daemon has used so little of its share that it can spare a request for
+   *         one that is under way elsewhere; true without a limit.
+   */
+  bool HasSpare(double aShare, core::TimePoint aNow) const;
+
+  /** @return requests that this daemon may send now, also a part of one. */
+  double Available(double aShare, core::TimePoint aNow) const;
+
+  /** @return the time until this daemon may send a request, at most TokenBucket::kNever. */
+  core::Duration TimeUntilNext(double aShare, core::TimePoint aNow) const;
+
+  /** @return requests per second that are this daemon's share. */
+  double RateOf(double aShare) const;
+
 private:
   std::optional<double> mMaxRate;
+  TokenBucket mBucket{ 0.0, {} };
   /** When an answer last told the present limit. */
   core::TimePoint mReceivedAt{};
+
+  double BurstOf(double aShare) const;
 };
 
 } // namespace skylarkwing::upstream
