Keep the shares of extra attempts and cold sends when the list of daemons shrinks

After an outage of the store in which entries expire each may see only itself for a moment, take the whole slack of the retry budget and count as a sender to every cold replica.

Both now use the list that holds a vanished daemon for 6 s. Connections still follow the present list: a surplus there is refused at once by the replica.

--- a/query/tests/replica_limit_test.cpp
+++ b/query/tests/replica_limit_test.cpp
@@ -41,11 +41,22 @@
 CheckLimits(const ReplicaSimulation& aFleet, core::TimePoint aFrom, double aMaxRate)
 {
   for (const auto& [id, replica] : aFleet.replicas) {
-    const std::size_t most = replica.MostInformedArrivals(aFrom, kSpan);
+    const std::size_t most = MostInSpan(replica.informedArrivals, aFrom, kSpan);
     BOOST_TEST(most <= MostAllowed(aMaxRate), id << ": " << most);
   }
 }
 
+/** Lets each daemon see only itself, as after an outage of the store in which entries expire. */
+void
+ShrinkListsToOneself(ReplicaSimulation& aFleet)
+{
+  for (std::size_t n = 0; n <= aFleet.others.size(); ++n) {
+    upstream::FleetWeights alone;
+    alone.Add({ "vm" + std::to_string(n), "near", 1.0 });
+    aFleet.Daemon(n).SetFleetWeights(std::move(alone));
+  }
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(replica_limits, ReplicaSimulation)
@@ -83,11 +94,7 @@
   SetLimits(*this, 30.0);
   const core::TimePoint start = loop.timers.Now();
   RunLoad(route, 180.0, seconds{ 6 });
-  for (std::size_t n = 0; n < 7; ++n) {
-    upstream::FleetWeights alone;
-    alone.Add({ "vm" + std::to_string(n), "near", 1.0 });
-    Daemon(n).SetFleetWeights(alone);
-  }
+  ShrinkListsToOneself(*this);
   RunLoad(route, 180.0, seconds{ 2 });
   AddDaemons(7);
   RunLoad(route, 180.0, seconds{ 6 });
@@ -159,6 +166,52 @@
   BOOST_TEST(extra == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(extra_attempts_exceed_the_fleets_budget_when_the_list_of_daemons_shrinks)
+{
+  AddDaemons(7);
+  AddService(0, SteadyReplica());
+  loop.Run(seconds{ 12 });
+  ShrinkListsToOneself(*this);
+  std::size_t extra = 0;
+  for (std::size_t n = 0; n < 7; ++n) {
+    while (Daemon(n).TryTakeExtraAttempt("s0", upstream::ExtraAttempt::Retry)) {
+      ++extra;
+    }
+  }
+  // Without any requests the budget of the fleet is its slack in 10 s.
+  BOOST_TEST(extra <= 54U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_replica_gets_more_than_it_can_bear_when_the_list_of_daemons_shrinks)
+{
+  AddDaemons(7);
+  AddService(0, SteadyReplica());
+  constexpr double kColdRate = 4.0;
+  table->AddService({ "s0", 26, seconds{ 20 }, kColdRate });
+  for (std::size_t n = 0; n < 7; ++n) {
+    for (const char* id : { "s0-near", "s0-far", "s0-farther" }) {
+      upstream::AnnouncedReplica replica;
+      replica.id = id;
+      replica.service = "s0";
+      replica.address = id;
+      replica.failureDomain = std::string(id).substr(3);
+      replica.slots = 6;
+      replica.startedAt = 7;
+      replica.coldRemaining = seconds{ 20 };
+      Daemon(n).AddOrUpdate(replica);
+    }
+  }
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 150 });
+  loop.Run(seconds{ 2 });
+  ShrinkListsToOneself(*this);
+  const core::TimePoint start = loop.timers.Now();
+  RunLoad(route, 180.0, seconds{ 3 });
+  for (const auto& [id, replica] : replicas) {
+    const std::size_t most = MostInSpan(replica.arrivalTimes, start, seconds{ 1 });
+    BOOST_TEST(static_cast<double>(most) <= kColdRate * 1.5 + 5.0, id << ": " << most);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::query::tests
--- a/query/tests/replica_simulation.cpp
+++ b/query/tests/replica_simulation.cpp
@@ -172,6 +172,7 @@
 {
   constexpr core::Duration kReactionTime = milliseconds{ 500 };
   ++arrivals;
+  arrivalTimes.push_back(aNow);
   const auto told = toldAt.find(aVm);
   if (told != toldAt.end() && aNow - told->second >= kReactionTime) {
     informedArrivals.push_back(aNow);
@@ -179,12 +180,12 @@
 }
 
 std::size_t
-SimulatedReplica::MostInformedArrivals(core::TimePoint aFrom, core::Duration aSpan) const
+MostInSpan(const std::vector<core::TimePoint>& aTimes, core::TimePoint aFrom, core::Duration aSpan)
 {
   std::size_t most = 0;
-  for (auto first = informedArrivals.begin(); first != informedArrivals.end(); ++first) {
+  for (auto first = aTimes.begin(); first != aTimes.end(); ++first) {
     if (*first >= aFrom) {
-      const auto end = std::lower_bound(first, informedArrivals.end(), *first + aSpan);
+      const auto end = std::lower_bound(first, aTimes.end(), *first + aSpan);
       most = std::max(most, static_cast<std::size_t>(end - first));
     }
   }
--- a/query/tests/replica_simulation.h
+++ b/query/tests/replica_simulation.h
@@ -41,6 +41,7 @@
   /** End times of the queued and running requests. */
   std::vector<core::TimePoint> ends;
   std::uint32_t arrivals = 0;
+  std::vector<core::TimePoint> arrivalTimes;
   /** Arrivals from daemons that it had told a limit half a second before or earlier. */
   std::vector<core::TimePoint> informedArrivals;
   /** When it first told each daemon a limit, by VM. */
@@ -48,12 +49,6 @@
   std::uint32_t shed = 0;
   std::uint32_t connections = 0;
 
-  /**
-   * @return the greatest number of informed arrivals in any span of a length, of those that begin
-   *         at or after a time.
-   */
-  std::size_t MostInformedArrivals(core::TimePoint aFrom, core::Duration aSpan) const;
-
   /** Records an arrival from a daemon. */
   void RecordArrival(const std::string& aVm, core::TimePoint aNow);
 
@@ -61,6 +56,14 @@
   std::optional<core::TimePoint> Accept(core::TimePoint aNow, core::Duration aWork);
 };
 
+/**
+ * @param aTimes in ascending order.
+ * @return the greatest number of times in any span of a length, of those that begin at or after a
+ *         time.
+ */
+std::size_t
+MostInSpan(const std::vector<core::TimePoint>& aTimes, core::TimePoint aFrom, core::Duration aSpan);
+
 /** Results of a simulated load. */
 struct LoadOutcome
 {
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -371,7 +371,7 @@
 bool
 ReplicaBalancer::TryTakeExtraAttempt(std::string_view aService, ExtraAttempt aKind)
 {
-  const double share = mFleet.OwnShare();
+  const double share = mSharingFleet.OwnShare();
   return ServiceOf(aService).retryBudget.TryTake(aKind, mRetrySettings, share, mTimers.Now());
 }
 
@@ -521,7 +521,7 @@
   if (rule == nullptr || rule->coldRate <= 0.0 || !aClient.IsCold()) {
     return true;
   }
-  return MaySendCold(mFleet.members, mLocality.vm, aClient.Replica().id) &&
+  return MaySendCold(mSharingFleet.members, mLocality.vm, aClient.Replica().id) &&
          aClient.ColdLimiter().TryTake(
            rule->coldRate / static_cast<double>(kColdSenders), 1.0, mTimers.Now());
 }
