--- a/console/tests/request_trace_test.cpp
+++ b/console/tests/request_trace_test.cpp
@@ -18,7 +18,9 @@
 {"time":"2026-04-15T12:58:01.300Z","level":"warning","vm":"front-1","slice":"caller","event":"request_ended","request":"abc","outcome":"partial","reason":"s1: i-1=running@0- i-2=lost@20-24; "}
 {"time":"2026-04-15T12:58:01.310Z","level":"info","vm":"front-1","slice":"upstream","event":"replica_resting","replica":"i-3","service":"s2","rest_ms":"3000"}
 {"time":"2026-04-15T12:58:01.320Z","level":"info","vm":"front-1","slice":"upstream","event":"replica_leaving","replica":"i-4","service":"s22","rest_ms":"0"}
+{"time":"2026-04-15T12:58:01.325Z","level":"info","vm":"front-1","slice":"upstream","event":"replica_limited","replica":"i-5","service":"s3","change":"began","max_rate":"26.2"}
 {"time":"2026-04-15T12:58:01.330Z","level":"warning","vm":"front-1","slice":"caller","event":"request_ended","request":"xyz","outcome":"not_run","reason":"s2: replica_resting; "}
+{"time":"2026-04-15T12:58:01.340Z","level":"warning","vm":"front-1","slice":"caller","event":"request_ended","request":"lim","outcome":"not_run","reason":"s3: replica_limited; "}
 {"time":"2026-04-15T12:58:01.400Z","level":"info","vm":"front-1","slice":"declaration","event":"configuration_in_force","version":"9","routes":"3","revision":"14"}
 {"time":"2026-04-15T12:58:02.000Z","level":"info","vm":"front-1","slice":"caller","event":"lines_dropped","failures":"12","successes":"90"}
 )";
@@ -50,6 +52,14 @@
   BOOST_TEST(trace.context[1].Field("replica") == "i-3");
 }
 
+BOOST_AUTO_TEST_CASE(a_request_refused_by_a_rate_limit_has_the_limit_as_context)
+{
+  const RequestTrace trace = TraceOf("lim");
+  BOOST_TEST_REQUIRE(trace.context.size() == 2U);
+  BOOST_TEST(trace.context[1].Field("replica") == "i-5");
+  BOOST_TEST(trace.context[1].Field("max_rate") == "26.2");
+}
+
 BOOST_AUTO_TEST_CASE(reports_gaps_in_the_logs)
 {
   BOOST_TEST(TraceOf("abc").unknown.size() == 2U);
