Notice the end of a rate limit without a share of it, and estimate waits exactly

Three faults of the shares, each with a test that failed before: - Where more daemons than may share a limit are there, those without a share never got an answer and never learned that the limit had ended (50 of 60 daemons kept it). A daemon with a share confirms a limit that it hasn't used for 4 s by one first attempt; one without asks such a daemon once a second for ends of limits. - A daemon that had just started and hadn't read the list of daemons took the whole limit. It takes none until the list is read; the same holds for cold replicas. - The wait for one of several replicas added parts of their tokens up, and 95 of 1,801 queries failed after some of their parts had run. It is now the time of the n-th whole token, and a wait is reviewed when half of the time left is over.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -33,6 +33,9 @@
 /** Longest wait for a rate limit, as a share of the time that is left for wait and exchange. */
 constexpr double kMaxWaitShare = 0.5;
 
+/** Shortest time after which it is checked whether a wait for a rate limit is still acceptable. */
+constexpr core::Duration kMinWaitReview = std::chrono::milliseconds{ 5 };
+
 /** No attempt is started with less time than this left. */
 constexpr core::Duration kMinAttemptTime = std::chrono::milliseconds{ 10 };
 
@@ -292,16 +295,6 @@
 PartAttempts::Wait()
 {
   mState = PartState::Waiting;
-  if (mRefusal == SendRefusal::RateLimited) {
-    // More important requests may take the place of this one again and again.
-    mTimers.Schedule(MaxWait(), [self = shared_from_this()] {
-      if (self->mState == PartState::Waiting && self->mWaiter != 0 &&
-          self->mRefusal == SendRefusal::RateLimited) {
-        self->mReplicas.CancelWait(self->mPlan.service, std::exchange(self->mWaiter, 0));
-        self->Fail();
-      }
-    });
-  }
   mWaiter =
     mReplicas.WaitForRoom(mPlan.service, mPlan.route->priority, [self = shared_from_this()] {
       self->mWaiter = 0;
@@ -309,6 +302,27 @@
         self->SendOrWait(true);
       }
     });
+  if (mRefusal == SendRefusal::RateLimited) {
+    ReviewWait();
+  }
+}
+
+void
+PartAttempts::ReviewWait()
+{
+  // More important requests may take the place of this one again and again.
+  const core::Duration delay = std::max<core::Duration>(MaxWait(), kMinWaitReview);
+  mTimers.Schedule(delay, [self = shared_from_this(), waiter = mWaiter] {
+    if (self->mWaiter != waiter) {
+      return;
+    }
+    if (!self->MustWaitTooLong()) {
+      self->ReviewWait();
+      return;
+    }
+    self->mReplicas.CancelWait(self->mPlan.service, std::exchange(self->mWaiter, 0));
+    self->Fail();
+  });
 }
 
 void
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -136,6 +136,7 @@
   core::Duration MaxWait() const;
   bool MustWaitTooLong() const;
   void Wait();
+  void ReviewWait();
   upstream::AttemptRequest MakeAttemptRequest() const;
   bool TrySend(upstream::AttemptRequest aRequest);
   void SendOrWait(bool aHasWaited = false);
--- a/query/tests/replica_limit_test.cpp
+++ b/query/tests/replica_limit_test.cpp
@@ -166,6 +166,57 @@
   BOOST_TEST(extra == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(daemons_without_a_share_never_learn_that_a_limit_has_ended)
+{
+  constexpr std::size_t kDaemons = 60;
+  AddDaemons(kDaemons);
+  AddService(0, SteadyReplica());
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 250 });
+  SetLimits(*this, 8.0);
+  RunLoad(route, 120.0, seconds{ 8 });
+  const auto countWaiting = [this] {
+    std::size_t n = 0;
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      n += Daemon(daemon).DaemonWithShare() ? 1 : 0;
+    }
+    return n;
+  };
+  BOOST_TEST(countWaiting() >= kDaemons / 2);
+  SetLimits(*this, std::nullopt);
+  RunLoad(route, 120.0, seconds{ 2 });
+  for (std::size_t poll = 0; poll < 4; ++poll) {
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      if (const auto vm = Daemon(daemon).DaemonWithShare()) {
+        for (const auto& ended : Daemon(std::stoul(vm->substr(2))).EndedRateLimits()) {
+          Daemon(daemon).ApplyEndedRateLimit(ended);
+        }
+      }
+    }
+    RunLoad(route, 120.0, seconds{ 1 });
+  }
+  BOOST_TEST(countWaiting() == 0U);
+  const LoadOutcome outcome = RunLoad(route, 120.0, seconds{ 4 });
+  BOOST_TEST(outcome.inTime >= outcome.requests * 95 / 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_has_not_read_the_others_takes_the_whole_limit)
+{
+  AddDaemons(1);
+  AddService(0, SteadyReplica());
+  upstream::FleetWeights unread = EqualWeights(1);
+  unread.isComplete = false;
+  set->SetFleetWeights(unread);
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 150 });
+  SetLimits(*this, 10.0);
+  RunLoad(route, 40.0, seconds{ 1 });
+  const core::TimePoint start = loop.timers.Now();
+  const LoadOutcome outcome = RunLoad(route, 40.0, seconds{ 4 });
+  BOOST_TEST(outcome.notRun == outcome.requests);
+  for (const auto& [id, replica] : replicas) {
+    BOOST_TEST(MostInSpan(replica.arrivalTimes, start, kSpan) == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(extra_attempts_exceed_the_fleets_budget_when_the_list_of_daemons_shrinks)
 {
   AddDaemons(7);
--- a/upstream/fleet_weights.h
+++ b/upstream/fleet_weights.h
@@ -25,6 +25,8 @@
   std::vector<FleetMember> members;
   /** Weight of this daemon. */
   double own = 1.0;
+  /** Whether the other daemons have been read; until then this daemon knows no shares. */
+  bool isComplete = true;
 
   /** Adds a daemon to the members and to its domain. */
   void Add(FleetMember aMember);
--- a/upstream/rate_shares.cpp
+++ b/upstream/rate_shares.cpp
@@ -55,6 +55,9 @@
 {
   const DomainMembers domains = GroupByDomain(aMembers);
   const std::vector<const FleetMember*> ranking = Rank(domains);
+  for (const FleetMember* member : ranking) {
+    mRanking.push_back(member->vm);
+  }
   const auto own = std::find_if(ranking.begin(), ranking.end(), [&aOwnVm](const auto* aMember) {
     return aMember->vm == aOwnVm;
   });
--- a/upstream/rate_shares.h
+++ b/upstream/rate_shares.h
@@ -41,7 +41,11 @@
    */
   double ShareOf(std::size_t aSenders, const std::string& aRegion) const;
 
+  /** @return the VMs of all daemons; when only some get a share, these are the first ones. */
+  const std::vector<std::string>& Ranking() const { return mRanking; }
+
 private:
+  std::vector<std::string> mRanking;
   /** The regions of the failure domains, in the order in which their daemons get shares. */
   std::vector<std::string> mDomainRegions;
   std::size_t mOwnDomain = 0;
--- a/upstream/replica_availability.h
+++ b/upstream/replica_availability.h
@@ -22,9 +22,11 @@
   std::optional<core::Duration> backoff;
   /**
    * Whether maxRate is the replica's state; not so for an answer to an unknown request, which may
-   * be old, or when the limit can't be read.
+   * be old, or when the rate can't be read.
    */
   bool hasRateState = false;
+  /** Whether the answer names a rate that can't be read. */
+  bool isRateUnreadable = false;
   /** Requests per second that it accepts from all daemons together; nothing means no limit. */
   std::optional<double> maxRate{};
 };
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -15,6 +15,10 @@
 /** Shortest time between two attempts to serve a request that waits for a rate limit. */
 constexpr core::Duration kMinRateWake = std::chrono::milliseconds{ 2 };
 
+/** Time for which other daemons are told that a limit has ended; a few times their poll interval.
+ */
+constexpr core::Duration kEndedLimitMemory = std::chrono::seconds{ 20 };
+
 /** Assumed round trips by distance, until they are measured. */
 constexpr core::Duration kRoundTripInDomain = std::chrono::microseconds{ 600 };
 constexpr core::Duration kRoundTripInRegion = std::chrono::milliseconds{ 2 };
@@ -216,6 +220,9 @@
   }
   const ReplicaClient& client = *it->second;
   mOnRateLimitChange(client.Replica(), aChange, client.RateLimit().MaxRate());
+  if (aChange == RateLimitChange::Unreadable) {
+    return;
+  }
   // Those that wait may be served at once now, or have to wait for too long.
   WakeAll(client.Replica().service);
 }
@@ -234,6 +241,46 @@
   return reports;
 }
 
+std::vector<EndedRateLimit>
+ReplicaBalancer::EndedRateLimits() const
+{
+  std::vector<EndedRateLimit> ended;
+  for (const auto& [id, client] : mClients) {
+    const auto endedAt = client->RateLimit().EndedAt();
+    if (endedAt && mTimers.Now() - *endedAt < kEndedLimitMemory) {
+      ended.push_back({ id, mTimers.Now() - *endedAt });
+    }
+  }
+  return ended;
+}
+
+std::optional<std::string>
+ReplicaBalancer::DaemonWithShare()
+{
+  for (const auto& [id, client] : mClients) {
+    if (client->RateLimit().MaxRate() && RateShareOf(*client) <= 0.0) {
+      const std::vector<std::string>& ranking = mRateShares.Ranking();
+      const std::size_t senders = std::min(client->RateLimit().MaxSenders(), ranking.size());
+      return senders == 0 ? std::nullopt
+                          : std::optional<std::string>(ranking[mRandom.Below(senders)]);
+    }
+  }
+  return std::nullopt;
+}
+
+void
+ReplicaBalancer::ApplyEndedRateLimit(const EndedRateLimit& aEnded)
+{
+  const auto it = mClients.find(aEnded.replica);
+  if (it == mClients.end()) {
+    return;
+  }
+  const RateLimitChange change = it->second->RateLimit().ApplyEnd(mTimers.Now() - aEnded.ago);
+  if (change != RateLimitChange::None) {
+    OnRateLimitChanged(aEnded.replica, change);
+  }
+}
+
 std::optional<core::Duration>
 ReplicaBalancer::ShortestExpectedTime(const AttemptRequest& aRequest)
 {
@@ -252,6 +299,9 @@
 double
 ReplicaBalancer::RateShareOf(const ReplicaClient& aClient)
 {
+  if (!mFleet.isComplete) {
+    return 0.0;
+  }
   if (mAreRateSharesStale) {
     mRateShares = RateShares(mSharingFleet.members, mLocality.vm, mLocality.regions);
     mAreRateSharesStale = false;
@@ -273,10 +323,7 @@
 ReplicaBalancer::RateLimitWait(const AttemptRequest& aRequest)
 {
   const Service& service = ServiceOf(aRequest.service);
-  const core::TimePoint now = mTimers.Now();
-  std::optional<core::Duration> shortest;
-  double available = 0.0;
-  double rate = 0.0;
+  std::vector<RateSource> sources;
   for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
     if (!MayUse(*client, aRequest)) {
       continue;
@@ -285,21 +332,17 @@
       return std::nullopt;
     }
     const double share = RateShareOf(*client);
-    available += client->RateLimit().Available(share, now);
-    rate += client->RateLimit().RateOf(share);
-    const core::Duration wait = client->RateLimit().TimeUntilNext(share, now);
-    shortest = std::min(shortest.value_or(wait), wait);
+    sources.push_back(
+      { client->RateLimit().Available(share, mTimers.Now()), client->RateLimit().RateOf(share) });
   }
-  if (!shortest) {
+  if (sources.empty()) {
     return std::nullopt;
   }
   const auto isBefore = [&aRequest](const auto& aWaiter) {
     return aWaiter.first.first <= aRequest.priority;
   };
   const auto ahead = std::count_if(service.waiters.begin(), service.waiters.end(), isBefore);
-  const TokenBucket queue{ available, now };
-  const double needed = static_cast<double>(ahead) + 1.0;
-  return std::max(*shortest, queue.TimeUntil(needed, rate, available + needed, now));
+  return WaitInQueue(std::move(sources), static_cast<std::size_t>(ahead));
 }
 
 std::optional<core::Duration>
@@ -521,11 +564,19 @@
   if (rule == nullptr || rule->coldRate <= 0.0 || !aClient.IsCold()) {
     return true;
   }
-  return MaySendCold(mSharingFleet.members, mLocality.vm, aClient.Replica().id) &&
+  return mFleet.isComplete &&
+         MaySendCold(mSharingFleet.members, mLocality.vm, aClient.Replica().id) &&
          aClient.ColdLimiter().TryTake(
            rule->coldRate / static_cast<double>(kColdSenders), 1.0, mTimers.Now());
 }
 
+bool
+ReplicaBalancer::TryAcquireSend(ReplicaClient& aClient)
+{
+  return TryAcquireColdSend(aClient) &&
+         aClient.RateLimit().TryTake(RateShareOf(aClient), mTimers.Now());
+}
+
 bool
 ReplicaBalancer::IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind)
 {
@@ -553,11 +604,19 @@
       candidates.back().hasRoom = false;
     }
   }
+  if (aRequest.kind == AttemptKind::First) {
+    // An unused replica is chosen now and then, or the end of its limit would never be noticed.
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+      const bool isUsable = candidates[n].hasRoom && !candidates[n].isSuspect;
+      if (isUsable && aClients[n]->RateLimit().IsOutdated(mTimers.Now()) &&
+          TryAcquireSend(*aClients[n])) {
+        return aClients[n];
+      }
+    }
+  }
   const std::uint64_t tieBreak = mRandom.Below(aClients.size());
   while (const auto index = ChooseReplica(candidates, tieBreak)) {
-    ReplicaClient& client = *aClients[*index];
-    if (TryAcquireColdSend(client)) {
-      client.RateLimit().TryTake(RateShareOf(client), mTimers.Now());
+    if (TryAcquireSend(*aClients[*index])) {
       return aClients[*index];
     }
     candidates[*index].hasRoom = false;
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -75,6 +75,14 @@
   LimitedUse use;
 };
 
+/** A rate limit that has ended, by an answer to this daemon. */
+struct EndedRateLimit
+{
+  std::string replica;
+  /** Time since that answer. */
+  core::Duration ago{};
+};
+
 /** The constraints of one attempt. */
 struct AttemptRequest
 {
@@ -134,6 +142,18 @@
   /** @return the use of each rate-limited replica since the last call, without unused ones. */
   std::vector<LimitedUseReport> TakeLimitedUse();
 
+  /** @return the rate limits that have ended a short time ago. */
+  std::vector<EndedRateLimit> EndedRateLimits() const;
+
+  /**
+   * @return the VM of a daemon that may know of the end of a limit of which this daemon has no
+   *         share, and so gets no answers; nothing when there is no such limit.
+   */
+  std::optional<std::string> DaemonWithShare();
+
+  /** Ends a limit by what another daemon knows, unless the replica has told it since. */
+  void ApplyEndedRateLimit(const EndedRateLimit& aEnded);
+
   /** Sets the routing table with the limits of the services. */
   void SetTable(std::shared_ptr<const declaration::RoutingTable> aTable);
 
@@ -263,6 +283,7 @@
   core::Duration RateLimitWaitOf(const ReplicaClient& aClient);
   bool IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind);
   bool TryAcquireColdSend(ReplicaClient& aClient);
+  bool TryAcquireSend(ReplicaClient& aClient);
   void WakeWhenRateAllows(const std::string& aService);
   void WakeAll(std::string_view aService);
   std::shared_ptr<ReplicaClient> Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -264,6 +264,9 @@
 ReplicaClient::HandleNotice(const ReplicaNotice& aNotice, core::TimePoint aSentAt)
 {
   const core::TimePoint now = mTimers.Now();
+  if (aNotice.isRateUnreadable) {
+    mHooks.onRateLimitChange(RateLimitChange::Unreadable);
+  }
   if (aNotice.hasRateState) {
     const RateLimitChange change =
       RateLimit().Apply(aNotice.maxRate, aSentAt, mHooks.drawJitter(), now);
--- a/upstream/replica_rate_limit.cpp
+++ b/upstream/replica_rate_limit.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr core::NameTable<RateLimitChange, 4> kChangeNames{
-  { "none", "began", "changed", "ended" }
+constexpr core::NameTable<RateLimitChange, 5> kChangeNames{
+  { "none", "began", "changed", "ended", "unreadable" }
 };
 
 /** Lowest rate that is used: without any requests the end of a limit would not be noticed. */
@@ -19,6 +19,9 @@
 constexpr double kBurstSeconds = 1.0;
 constexpr double kBurstRequests = 2.5;
 
+/** Age after which a limit is confirmed by a request. */
+constexpr core::Duration kMaxAge = std::chrono::seconds{ 4 };
+
 /** Part of its bucket that a daemon doesn't use for hedges. */
 constexpr double kKeptByHedges = 0.5;
 
@@ -48,6 +51,7 @@
   }
   if (!mMaxRate) {
     mMaxRate = aMaxRate;
+    mEndedAt.reset();
     mBucket = TokenBucket{ aJitter, aNow };
     mReceivedAt = aNow;
     return RateLimitChange::Began;
@@ -62,7 +66,21 @@
   if (isSame) {
     return RateLimitChange::None;
   }
-  return mMaxRate ? RateLimitChange::Changed : RateLimitChange::Ended;
+  if (mMaxRate) {
+    return RateLimitChange::Changed;
+  }
+  mEndedAt = aNow;
+  return RateLimitChange::Ended;
+}
+
+RateLimitChange
+ReplicaRateLimit::ApplyEnd(core::TimePoint aEndedAt)
+{
+  if (!mMaxRate || aEndedAt <= mReceivedAt) {
+    return RateLimitChange::None;
+  }
+  mMaxRate.reset();
+  return RateLimitChange::Ended;
 }
 
 std::size_t
@@ -74,7 +92,12 @@
 bool
 ReplicaRateLimit::TryTake(double aShare, core::TimePoint aNow)
 {
-  return !mMaxRate || mBucket.TryTake(RateOf(aShare), BurstOf(aShare), aNow);
+  if (!mMaxRate) {
+    return true;
+  }
+  const bool isTaken = mBucket.TryTake(RateOf(aShare), BurstOf(aShare), aNow);
+  mLastSentAt = isTaken ? aNow : mLastSentAt;
+  return isTaken;
 }
 
 bool
@@ -84,6 +107,12 @@
   return !mMaxRate || Available(aShare, aNow) >= 1.0 + burst * kKeptByHedges;
 }
 
+bool
+ReplicaRateLimit::IsOutdated(core::TimePoint aNow) const
+{
+  return mMaxRate && aNow - std::max(mReceivedAt, mLastSentAt) >= kMaxAge;
+}
+
 double
 ReplicaRateLimit::Available(double aShare, core::TimePoint aNow) const
 {
@@ -109,4 +138,27 @@
   return aShare > 0.0 ? std::max(1.0, FleetBurst(mMaxRate.value_or(0.0)) * aShare) : 0.0;
 }
 
+core::Duration
+WaitInQueue(std::vector<RateSource> aSources, std::size_t aAhead)
+{
+  const auto waitOf = [](const RateSource& aSource) {
+    return TokenBucket(aSource.available, {}).TimeUntil(1.0, aSource.rate, 1.0, {});
+  };
+  core::Duration wait = TokenBucket::kNever;
+  for (std::size_t n = 0; n <= aAhead; ++n) {
+    const auto next =
+      std::min_element(aSources.begin(),
+                       aSources.end(),
+                       [&waitOf](const RateSource& aLeft, const RateSource& aRight) {
+                         return waitOf(aLeft) < waitOf(aRight);
+                       });
+    if (next == aSources.end() || waitOf(*next) >= TokenBucket::kNever) {
+      return TokenBucket::kNever;
+    }
+    wait = waitOf(*next);
+    next->available -= 1.0;
+  }
+  return wait;
+}
+
 } // namespace skylarkwing::upstream
--- a/upstream/replica_rate_limit.h
+++ b/upstream/replica_rate_limit.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace skylarkwing::upstream {
 
@@ -16,6 +17,8 @@
   Began,
   Changed,
   Ended,
+  /** The answer names a limit that can't be read; the known one stays. */
+  Unreadable,
 };
 
 /** @return the name of a change, for logs. */
@@ -47,6 +50,12 @@
                         double aJitter,
                         core::TimePoint aNow);
 
+  /** Ends a limit that was last told before another daemon saw that there is none. */
+  RateLimitChange ApplyEnd(core::TimePoint aEndedAt);
+
+  /** @return when an answer told that there is no limit any more; nothing while there is one. */
+  std::optional<core::TimePoint> EndedAt() const { return mEndedAt; }
+
   /** @return requests per second from all daemons together; nothing when there is no limit. */
   std::optional<double> MaxRate() const { return mMaxRate; }
 
@@ -70,6 +79,12 @@
    */
   bool HasSpare(double aShare, core::TimePoint aNow) const;
 
+  /**
+   * @return whether nothing has been sent for so long that the limit may have ended unnoticed,
+   *         since other replicas were preferred.
+   */
+  bool IsOutdated(core::TimePoint aNow) const;
+
   /** @return requests that this daemon may send now, also a part of one. */
   double Available(double aShare, core::TimePoint aNow) const;
 
@@ -84,8 +99,27 @@
   TokenBucket mBucket{ 0.0, {} };
   /** When an answer last told the present limit. */
   core::TimePoint mReceivedAt{};
+  std::optional<core::TimePoint> mEndedAt;
+  core::TimePoint mLastSentAt{};
 
   double BurstOf(double aShare) const;
 };
 
+/** What this daemon may send to one replica. */
+struct RateSource
+{
+  /** Requests that may be sent now, also a part of one. */
+  double available = 0.0;
+  /** Requests per second that are added. */
+  double rate = 0.0;
+};
+
+/**
+ * @param aAhead requests that are sent before this one.
+ * @return the time until a request may be sent to one of several replicas, at most
+ *         TokenBucket::kNever.
+ */
+core::Duration
+WaitInQueue(std::vector<RateSource> aSources, std::size_t aAhead);
+
 } // namespace skylarkwing::upstream
--- a/upstream/tests/replica_rate_limit_test.cpp
+++ b/upstream/tests/replica_rate_limit_test.cpp
@@ -83,6 +83,32 @@
   BOOST_TEST(limit.TryTake(0.0, later));
 }
 
+BOOST_AUTO_TEST_CASE(the_end_that_another_daemon_saw_counts_only_if_it_is_newer)
+{
+  ReplicaRateLimit limit;
+  limit.Apply(10.0, kStart, 0.0, kStart + seconds{ 2 });
+  BOOST_TEST((limit.ApplyEnd(kStart + seconds{ 1 }) == RateLimitChange::None));
+  BOOST_TEST(limit.MaxRate().has_value());
+  BOOST_TEST((limit.ApplyEnd(kStart + seconds{ 3 }) == RateLimitChange::Ended));
+  BOOST_TEST(!limit.MaxRate().has_value());
+  // Only what an answer told is passed on, so that no rumour goes round.
+  BOOST_TEST(!limit.EndedAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(parts_of_several_tokens_are_no_token)
+{
+  // The next tokens come after 0.7, 0.7 and 0.9 s, then after 1.7 s.
+  const std::vector<RateSource> sources{ { 0.3, 1.0 }, { 0.3, 1.0 }, { 0.1, 1.0 } };
+  const auto waitMs = [&sources](std::size_t aAhead) {
+    return std::chrono::duration_cast<milliseconds>(WaitInQueue(sources, aAhead)).count();
+  };
+  BOOST_TEST(waitMs(0) == 700);
+  BOOST_TEST(waitMs(2) == 900);
+  BOOST_TEST(waitMs(3) == 1700);
+  BOOST_TEST((WaitInQueue({ { 0.5, 0.0 } }, 0) == TokenBucket::kNever));
+  BOOST_TEST((WaitInQueue({ { 2.5, 0.0 } }, 1) == core::Duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(a_limit_of_zero_still_lets_its_end_be_noticed)
 {
   ReplicaRateLimit limit;
