Refuse a part that would wait too long beside replicas that limit their rate

Callers waited until their deadline: once the limited replicas of a service accept no more, everything else waits for room at the others, and nothing told how long.

A waiter is only woken when a replica has room and a share of its limit, since one that is woken in vain loses its place.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -167,8 +167,12 @@
 bool
 PartAttempts::MustWaitTooLong() const
 {
-  const auto wait = mReplicas.RateLimitWait(MakeAttemptRequest());
-  return wait && *wait >= MaxWait();
+  const upstream::AttemptRequest request = MakeAttemptRequest();
+  if (const auto wait = mReplicas.RateLimitWait(request)) {
+    return *wait >= MaxWait();
+  }
+  // The replicas that don't limit their rate get the requests that the others don't accept.
+  return mReplicas.HasLimitedReplica(request) && mReplicas.RoomWaitOf(request) >= MaxWait();
 }
 
 bool
@@ -284,7 +288,7 @@
     RetryAfterBackoff();
     return;
   }
-  if (!mayHaveRoomLater || (mRefusal == SendRefusal::RateLimited && MustWaitTooLong())) {
+  if (!mayHaveRoomLater || MustWaitTooLong()) {
     Fail();
     return;
   }
@@ -302,15 +306,13 @@
         self->SendOrWait(true);
       }
     });
-  if (mRefusal == SendRefusal::RateLimited) {
-    ReviewWait();
-  }
+  ReviewWait();
 }
 
 void
 PartAttempts::ReviewWait()
 {
-  // More important requests may take the place of this one again and again.
+  // Replicas may slow down, and more important requests take the place of this one.
   const core::Duration delay = std::max<core::Duration>(MaxWait(), kMinWaitReview);
   mTimers.Schedule(delay, [self = shared_from_this(), waiter = mWaiter] {
     if (self->mWaiter != waiter) {
--- a/query/tests/replica_limit_test.cpp
+++ b/query/tests/replica_limit_test.cpp
@@ -146,6 +146,25 @@
   BOOST_TEST((*longest <= seconds{ 2 }));
 }
 
+BOOST_AUTO_TEST_CASE(requests_wait_until_their_deadline_for_the_only_replica_without_a_limit)
+{
+  AddDaemons(7);
+  SimulatedReplica slow = SteadyReplica();
+  slow.slots = 1;
+  slow.work = milliseconds{ 40 };
+  AddService(0, slow);
+  table->AddService({ "s0", 7, {}, 0.0 });
+  replicas.at("s0-near").maxRate = 10.0;
+  replicas.at("s0-far").maxRate = 10.0;
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 600 });
+  RunLoad(route, 100.0, seconds{ 8 });
+  const LoadOutcome outcome = RunLoad(route, 100.0, seconds{ 10 });
+  BOOST_TEST((outcome.longestRefusalTime <= route.objective));
+  BOOST_TEST(outcome.failed == 0U);
+  // Two replicas accept 20 requests a second, the third one finishes about as many.
+  BOOST_TEST(outcome.inTime >= outcome.requests * 3 / 10);
+}
+
 BOOST_AUTO_TEST_CASE(hedges_take_the_share_of_requests_that_have_no_other_replica)
 {
   AddDaemons(7);
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -338,11 +338,33 @@
   if (sources.empty()) {
     return std::nullopt;
   }
-  const auto isBefore = [&aRequest](const auto& aWaiter) {
-    return aWaiter.first.first <= aRequest.priority;
+  return WaitInQueue(std::move(sources), CountAhead(service, aRequest.priority));
+}
+
+std::size_t
+ReplicaBalancer::CountAhead(const Service& aService, std::uint32_t aPriority)
+{
+  const auto isBefore = [aPriority](const auto& aWaiter) {
+    return aWaiter.first.first <= aPriority;
   };
-  const auto ahead = std::count_if(service.waiters.begin(), service.waiters.end(), isBefore);
-  return WaitInQueue(std::move(sources), static_cast<std::size_t>(ahead));
+  return static_cast<std::size_t>(
+    std::count_if(aService.waiters.begin(), aService.waiters.end(), isBefore));
+}
+
+core::Duration
+ReplicaBalancer::RoomWaitOf(const AttemptRequest& aRequest)
+{
+  const Service& service = ServiceOf(aRequest.service);
+  return service.roomWait.Expected(CountAhead(service, aRequest.priority), mTimers.Now());
+}
+
+bool
+ReplicaBalancer::HasLimitedReplica(const AttemptRequest& aRequest)
+{
+  const auto& clients = ServiceOf(aRequest.service).clients;
+  return std::any_of(clients.begin(), clients.end(), [this, &aRequest](const auto& aClient) {
+    return aClient->RateLimit().MaxRate() && MayUse(*aClient, aRequest);
+  });
 }
 
 std::optional<core::Duration>
@@ -556,6 +578,16 @@
     clients.begin(), clients.end(), [this](const auto& aClient) { return MayUse(*aClient, {}); });
 }
 
+bool
+ReplicaBalancer::HasRoom(std::string_view aService)
+{
+  const auto& clients = ServiceOf(aService).clients;
+  return std::any_of(clients.begin(), clients.end(), [this](const auto& aClient) {
+    return MayUse(*aClient, {}) && aClient->Candidate().hasRoom &&
+           IsWithinRateLimit(*aClient, AttemptKind::First);
+  });
+}
+
 bool
 ReplicaBalancer::TryAcquireColdSend(ReplicaClient& aClient)
 {
@@ -628,12 +660,15 @@
 ReplicaBalancer::WakeWaiter(std::string_view aService)
 {
   WakeAllIfUnusable(aService);
-  auto& waiters = ServiceOf(aService).waiters;
-  if (waiters.empty()) {
+  Service& service = ServiceOf(aService);
+  auto& waiters = service.waiters;
+  // One that is woken in vain loses its place.
+  if (waiters.empty() || !HasRoom(aService)) {
     return;
   }
   const std::function<void()> callback = std::move(waiters.begin()->second);
   waiters.erase(waiters.begin());
+  service.roomWait.RecordRoom(waiters.empty(), mTimers.Now());
   callback();
 }
 
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -6,6 +6,7 @@
 #include "upstream/recent_fleet.h"
 #include "upstream/replica_client.h"
 #include "upstream/retry_budget.h"
+#include "upstream/room_wait.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -187,6 +188,15 @@
    */
   std::optional<core::Duration> RateLimitWait(const AttemptRequest& aRequest);
 
+  /**
+   * @return the expected time until a replica has room for the request, behind those that wait and
+   *         are at least as important; zero when it isn't known.
+   */
+  core::Duration RoomWaitOf(const AttemptRequest& aRequest);
+
+  /** @return whether a replica that the request may use limits its rate. */
+  bool HasLimitedReplica(const AttemptRequest& aRequest);
+
   /**
    * @return the time after which a caller may retry because the backoff of a replica is over or its
    *         rate limit allows a request, with jitter so that callers don't return together; nothing
@@ -235,6 +245,7 @@
     core::TimePoint lastUse{};
     /** By priority, then by arrival. */
     std::map<std::pair<std::uint32_t, WaiterId>, std::function<void()>> waiters;
+    RoomWait roomWait;
     /** Wakes a waiter when a rate limit allows a request. */
     core::TimerId rateTimer = 0;
   };
@@ -275,6 +286,8 @@
   SendRefusal RefusalFor(const ReplicaClient& aClient, const AttemptRequest& aRequest) const;
   bool MayUse(const ReplicaClient& aClient, const AttemptRequest& aRequest) const;
   bool HasUsableReplica(std::string_view aService);
+  bool HasRoom(std::string_view aService);
+  static std::size_t CountAhead(const Service& aService, std::uint32_t aPriority);
   ReplicaClientHooks HooksFor(const AnnouncedReplica& aReplica);
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
   void OnRateLimitChanged(const std::string& aId, RateLimitChange aChange);
