Wake waiting requests for a rate limit only when there is room and a share

A limited replica that stalls with all connections in use had its waiters' timer run every 2 ms; an outdated timer delayed the wake after a limit had risen.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -306,7 +306,9 @@
         self->SendOrWait(true);
       }
     });
-  ReviewWait();
+  if (mReplicas.HasLimitedReplica(MakeAttemptRequest())) {
+    ReviewWait();
+  }
 }
 
 void
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -663,7 +663,11 @@
   Service& service = ServiceOf(aService);
   auto& waiters = service.waiters;
   // One that is woken in vain loses its place.
-  if (waiters.empty() || !HasRoom(aService)) {
+  if (!waiters.empty() && !HasRoom(aService)) {
+    WakeWhenRateAllows(std::string(aService));
+    return;
+  }
+  if (waiters.empty()) {
     return;
   }
   const std::function<void()> callback = std::move(waiters.begin()->second);
@@ -685,7 +689,9 @@
 void
 ReplicaBalancer::WakeAll(std::string_view aService)
 {
-  const auto waiters = std::exchange(ServiceOf(aService).waiters, {});
+  Service& service = ServiceOf(aService);
+  mTimers.Cancel(std::exchange(service.rateTimer, 0));
+  const auto waiters = std::exchange(service.waiters, {});
   for (const auto& [key, callback] : waiters) {
     callback();
   }
@@ -698,17 +704,18 @@
   if (service.waiters.empty() || service.rateTimer != 0) {
     return;
   }
-  std::optional<core::Duration> wait;
+  core::Duration wait = TokenBucket::kNever;
   for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
-    if (client->RateLimit().MaxRate() && MayUse(*client, {})) {
-      wait = std::min(wait.value_or(TokenBucket::kNever), RateLimitWaitOf(*client));
+    // One without room wakes a waiter when it has room again.
+    if (client->RateLimit().MaxRate() && MayUse(*client, {}) && client->Candidate().hasRoom) {
+      wait = std::min(wait, RateLimitWaitOf(*client));
     }
   }
-  if (!wait) {
+  if (wait >= TokenBucket::kNever) {
     return;
   }
   service.rateTimer =
-    mTimers.Schedule(std::max(*wait, kMinRateWake), [this, isAlive = mIsAlive, aService] {
+    mTimers.Schedule(std::max(wait, kMinRateWake), [this, isAlive = mIsAlive, aService] {
       if (!*isAlive) {
         return;
       }
