--- a/upstream/rate_shares.cpp
+++ b/upstream/rate_shares.cpp
@@ -82,11 +82,11 @@
   }
 }
 
-double
+RateShare
 RateShares::ShareOf(std::size_t aSenders, const std::string& aRegion) const
 {
   if (mSharesInDomain.empty() || aSenders == 0) {
-    return 0.0;
+    return {};
   }
   const std::size_t senders = std::min(aSenders, mSharesInDomain.size());
   const std::size_t domains = std::min(senders, mDomainRegions.size());
@@ -99,7 +99,7 @@
                     ? kNearShare / static_cast<double>(near)
                     : (1.0 - kNearShare) / static_cast<double>(far);
   }
-  return domainShare * mSharesInDomain[senders - 1];
+  return { domainShare * mSharesInDomain[senders - 1], senders };
 }
 
 } // namespace skylarkwing::upstream
--- a/upstream/rate_shares.h
+++ b/upstream/rate_shares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "upstream/fleet_weights.h"
+#include "upstream/replica_rate_limit.h"
 
 #include <cstddef>
 #include <map>
@@ -37,9 +38,9 @@
   /**
    * @param aSenders how many daemons get a share.
    * @param aRegion where the replica is.
-   * @return this daemon's share, 0 to 1.
+   * @return this daemon's share.
    */
-  double ShareOf(std::size_t aSenders, const std::string& aRegion) const;
+  RateShare ShareOf(std::size_t aSenders, const std::string& aRegion) const;
 
   /** @return the VMs of all daemons; when only some get a share, these are the first ones. */
   const std::vector<std::string>& Ranking() const { return mRanking; }
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -258,7 +258,7 @@
 ReplicaBalancer::DaemonWithShare()
 {
   for (const auto& [id, client] : mClients) {
-    if (client->RateLimit().MaxRate() && RateShareOf(*client) <= 0.0) {
+    if (client->RateLimit().MaxRate() && RateShareOf(*client).fraction <= 0.0) {
       const std::vector<std::string>& ranking = mRateShares.Ranking();
       const std::size_t senders = std::min(client->RateLimit().MaxSenders(), ranking.size());
       return senders == 0 ? std::nullopt
@@ -296,11 +296,11 @@
   return shortest;
 }
 
-double
+RateShare
 ReplicaBalancer::RateShareOf(const ReplicaClient& aClient)
 {
   if (!mFleet.isComplete) {
-    return 0.0;
+    return {};
   }
   if (mAreRateSharesStale) {
     mRateShares = RateShares(mSharingFleet.members, mLocality.vm, mLocality.regions);
@@ -331,7 +331,7 @@
     if (!client->RateLimit().MaxRate()) {
       return std::nullopt;
     }
-    const double share = RateShareOf(*client);
+    const RateShare share = RateShareOf(*client);
     sources.push_back(
       { client->RateLimit().Available(share, mTimers.Now()), client->RateLimit().RateOf(share) });
   }
@@ -615,7 +615,7 @@
   if (!aClient.RateLimit().MaxRate()) {
     return true;
   }
-  const double share = RateShareOf(aClient);
+  const RateShare share = RateShareOf(aClient);
   // A hedge may only take what other requests don't need as their only attempt.
   return aKind == AttemptKind::Hedge
            ? aClient.RateLimit().HasSpare(share, mTimers.Now())
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -292,7 +292,7 @@
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
   void OnRateLimitChanged(const std::string& aId, RateLimitChange aChange);
   void UpdateSharingFleet();
-  double RateShareOf(const ReplicaClient& aClient);
+  RateShare RateShareOf(const ReplicaClient& aClient);
   core::Duration RateLimitWaitOf(const ReplicaClient& aClient);
   bool IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind);
   bool TryAcquireColdSend(ReplicaClient& aClient);
--- a/upstream/replica_rate_limit.cpp
+++ b/upstream/replica_rate_limit.cpp
@@ -90,7 +90,7 @@
 }
 
 bool
-ReplicaRateLimit::TryTake(double aShare, core::TimePoint aNow)
+ReplicaRateLimit::TryTake(const RateShare& aShare, core::TimePoint aNow)
 {
   if (!mMaxRate) {
     return true;
@@ -101,7 +101,7 @@
 }
 
 bool
-ReplicaRateLimit::HasSpare(double aShare, core::TimePoint aNow) const
+ReplicaRateLimit::HasSpare(const RateShare& aShare, core::TimePoint aNow) const
 {
   const double burst = BurstOf(aShare);
   return !mMaxRate || Available(aShare, aNow) >= 1.0 + burst * kKeptByHedges;
@@ -114,28 +114,33 @@
 }
 
 double
-ReplicaRateLimit::Available(double aShare, core::TimePoint aNow) const
+ReplicaRateLimit::Available(const RateShare& aShare, core::TimePoint aNow) const
 {
   return mBucket.Tokens(RateOf(aShare), BurstOf(aShare), aNow);
 }
 
 core::Duration
-ReplicaRateLimit::TimeUntilNext(double aShare, core::TimePoint aNow) const
+ReplicaRateLimit::TimeUntilNext(const RateShare& aShare, core::TimePoint aNow) const
 {
   return mMaxRate ? mBucket.TimeUntil(1.0, RateOf(aShare), BurstOf(aShare), aNow)
                   : core::Duration::zero();
 }
 
 double
-ReplicaRateLimit::RateOf(double aShare) const
+ReplicaRateLimit::RateOf(const RateShare& aShare) const
 {
-  return std::max(kMinRate, mMaxRate.value_or(0.0)) * aShare;
+  return std::max(kMinRate, mMaxRate.value_or(0.0)) * aShare.fraction;
 }
 
 double
-ReplicaRateLimit::BurstOf(double aShare) const
+ReplicaRateLimit::BurstOf(const RateShare& aShare) const
 {
-  return aShare > 0.0 ? std::max(1.0, FleetBurst(mMaxRate.value_or(0.0)) * aShare) : 0.0;
+  if (aShare.fraction <= 0.0) {
+    return 0.0;
+  }
+  // One request for each sender, and shares of the rest.
+  const double rest = FleetBurst(mMaxRate.value_or(0.0)) - static_cast<double>(aShare.senders);
+  return 1.0 + std::max(0.0, rest) * aShare.fraction;
 }
 
 core::Duration
--- a/upstream/replica_rate_limit.h
+++ b/upstream/replica_rate_limit.h
@@ -25,6 +25,15 @@
 std::string_view
 NameOf(RateLimitChange aChange);
 
+/** This daemon's share of a rate that all daemons keep together. */
+struct RateShare
+{
+  /** 0 to 1. */
+  double fraction = 0.0;
+  /** Number of daemons that have a share. */
+  std::size_t senders = 1;
+};
+
 /**
  * The limit that a replica sets on the requests per second from all daemons together, as its
  * answers tell it.
@@ -68,16 +77,15 @@
   /**
    * Takes one request from this daemon's share of the limit.
    *
-   * @param aShare this daemon's share, 0 to 1.
    * @return whether the request may be sent; true without a limit.
    */
-  bool TryTake(double aShare, core::TimePoint aNow);
+  bool TryTake(const RateShare& aShare, core::TimePoint aNow);
 
   /**
    * @return whether this daemon has used so little of its share that it can spare a request for
    *         one that is under way elsewhere; true without a limit.
    */
-  bool HasSpare(double aShare, core::TimePoint aNow) const;
+  bool HasSpare(const RateShare& aShare, core::TimePoint aNow) const;
 
   /**
    * @return whether nothing has been sent for so long that the limit may have ended unnoticed,
@@ -86,13 +94,13 @@
   bool IsOutdated(core::TimePoint aNow) const;
 
   /** @return requests that this daemon may send now, also a part of one. */
-  double Available(double aShare, core::TimePoint aNow) const;
+  double Available(const RateShare& aShare, core::TimePoint aNow) const;
 
   /** @return the time until this daemon may send a request, at most TokenBucket::kNever. */
-  core::Duration TimeUntilNext(double aShare, core::TimePoint aNow) const;
+  core::Duration TimeUntilNext(const RateShare& aShare, core::TimePoint aNow) const;
 
   /** @return requests per second that are this daemon's share. */
-  double RateOf(double aShare) const;
+  double RateOf(const RateShare& aShare) const;
 
 private:
   std::optional<double> mMaxRate;
@@ -102,7 +110,7 @@
   std::optional<core::TimePoint> mEndedAt;
   core::TimePoint mLastSentAt{};
 
-  double BurstOf(double aShare) const;
+  double BurstOf(const RateShare& aShare) const;
 };
 
 /** What this daemon may send to one replica. */
--- a/upstream/tests/replica_rate_limit_test.cpp
+++ b/upstream/tests/replica_rate_limit_test.cpp
@@ -80,7 +80,7 @@
   BOOST_TEST(limit.MaxRate().value() == 30.0);
   BOOST_TEST((limit.Apply(std::nullopt, later, 0.0, later) == RateLimitChange::Ended));
   BOOST_TEST(!limit.MaxRate().has_value());
-  BOOST_TEST(limit.TryTake(0.0, later));
+  BOOST_TEST(limit.TryTake({}, later));
 }
 
 BOOST_AUTO_TEST_CASE(the_end_that_another_daemon_saw_counts_only_if_it_is_newer)
@@ -115,7 +115,7 @@
   limit.Apply(0.0, kStart, 1.0, kStart);
   std::size_t sent = 0;
   for (int n = 0; n < 4000; ++n) {
-    sent += limit.TryTake(1.0, kStart + n * milliseconds{ 10 }) ? 1 : 0;
+    sent += limit.TryTake({ 1.0, 1 }, kStart + n * milliseconds{ 10 }) ? 1 : 0;
   }
   BOOST_TEST(sent >= 5U);
   BOOST_TEST(sent <= 10U);
@@ -144,7 +144,7 @@
     const std::vector<FleetMember> members = MakeFleet(daemons, daemons < 6 ? 1 : 6);
     for (const double maxRate : { 0.0, 0.3, 1.0, 7.0, 16.0, 33.0, 400.0 }) {
       std::vector<ReplicaRateLimit> limits(daemons);
-      std::vector<double> shares;
+      std::vector<RateShare> shares;
       for (std::size_t n = 0; n < daemons; ++n) {
         limits[n].Apply(maxRate, kStart, static_cast<double>(random() % 100) / 100.0, kStart);
         const RateShares own(members, members[n].vm, kRegions);
@@ -164,6 +164,8 @@
         }
       }
       BOOST_TEST(static_cast<double>(most) <= MostAllowed(maxRate));
+      // What the buckets are made for: one second's worth and 2.5 requests saved up.
+      BOOST_TEST(static_cast<double>(most) <= std::max(0.2, maxRate) * 5.0 + 2.5);
       // Two thirds of what the replica accepts in 20 s.
       BOOST_TEST(static_cast<double>(sent) >= maxRate * 20.0 * 2.0 / 3.0);
     }
@@ -178,7 +180,8 @@
       double sum = 0.0;
       std::size_t n = 0;
       for (const FleetMember& member : members) {
-        const double share = RateShares(members, member.vm, kRegions).ShareOf(senders, region);
+        const double share =
+          RateShares(members, member.vm, kRegions).ShareOf(senders, region).fraction;
         sum += share;
         n += share > 0.0 ? 1 : 0;
       }
@@ -186,7 +189,7 @@
       BOOST_TEST(n == std::min<std::size_t>(senders, 295));
     }
   }
-  BOOST_TEST(RateShares(members, "unknown", kRegions).ShareOf(295, "r0") == 0.0);
+  BOOST_TEST(RateShares(members, "unknown", kRegions).ShareOf(295, "r0").fraction == 0.0);
 }
 
 BOOST_AUTO_TEST_CASE(domains_with_few_daemons_get_as_much_and_near_ones_get_half)
@@ -195,7 +198,7 @@
     { "a", "d0", 1.0 }, { "b", "d0", 1.0 }, { "c", "d2", 1.0 }, { "d", "d4", 1.0 }
   };
   const auto shareOf = [&members](const std::string& aVm, const std::string& aRegion) {
-    return RateShares(members, aVm, kRegions).ShareOf(10, aRegion);
+    return RateShares(members, aVm, kRegions).ShareOf(10, aRegion).fraction;
   };
   BOOST_TEST(shareOf("a", "elsewhere") == 1.0 / 6.0);
   BOOST_TEST(shareOf("c", "elsewhere") == 1.0 / 3.0);
