Give up the share of a rate limit when the others no longer count this daemon

It now counts itself for connections only and loses its share with the 6 s after which the others drop it. Callers aren't led to a daemon that isn't listed.

--- a/query/tests/replica_limit_test.cpp
+++ b/query/tests/replica_limit_test.cpp
@@ -101,6 +101,34 @@
   CheckLimits(*this, start + kBindsAfter, 30.0);
 }
 
+BOOST_AUTO_TEST_CASE(daemons_that_the_others_no_longer_count_keep_their_shares)
+{
+  constexpr std::size_t kListed = 4;
+  AddDaemons(7);
+  AddService(0, SteadyReplica());
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 150 });
+  SetLimits(*this, 30.0);
+  RunLoad(route, 180.0, seconds{ 4 });
+  // The store turns three daemons away, whose entries expire; they hear of it from the others.
+  for (std::size_t n = 0; n < 7; ++n) {
+    upstream::FleetWeights fleet = EqualWeights(kListed);
+    if (n >= kListed) {
+      fleet.AddUnlisted({ "vm" + std::to_string(n), "near", 1.0 });
+    }
+    Daemon(n).SetFleetWeights(std::move(fleet));
+  }
+  RunLoad(route, 180.0, seconds{ 8 });
+  const core::TimePoint start = loop.timers.Now();
+  for (std::size_t n = 0; n < 7; ++n) {
+    Daemon(n).TakeLimitedUse();
+  }
+  RunLoad(route, 180.0, seconds{ 6 });
+  CheckLimits(*this, start, 30.0);
+  for (std::size_t n = kListed; n < 7; ++n) {
+    BOOST_TEST(Daemon(n).TakeLimitedUse().empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_limit_that_falls_and_rises_holds_and_its_end_is_noticed)
 {
   AddDaemons(7);
--- a/upstream/fleet_weights.cpp
+++ b/upstream/fleet_weights.cpp
@@ -27,6 +27,12 @@
   members.push_back(std::move(aMember));
 }
 
+void
+FleetWeights::AddUnlisted(const FleetMember& aMember)
+{
+  domains[aMember.failureDomain] += aMember.weight;
+}
+
 double
 FleetWeights::Total() const
 {
--- a/upstream/fleet_weights.h
+++ b/upstream/fleet_weights.h
@@ -31,6 +31,12 @@
   /** Adds a daemon to the members and to its domain. */
   void Add(FleetMember aMember);
 
+  /**
+   * Adds this daemon to its domain only, while it isn't in the list: the others split rates without
+   * it.
+   */
+  void AddUnlisted(const FleetMember& aMember);
+
   /** @return the sum of all weights, at least that of this daemon. */
   double Total() const;
 
