Split the shared limits and the keeping of rate limits from the balancer

SharedLimits holds what the list of daemons decides; replica_balancer_limits.cpp the part of the balancer that keeps to rate limits. No change of behaviour: the tests of upstream, query and platform pass as before. Two moves that the linter found needless are gone.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -104,7 +104,7 @@
   mWasHedged = true;
   if (mReplicas.TryTakeExtraAttempt(mPlan.service, ExtraAttempt::Hedge)) {
     request.maxExpectedTime = left;
-    TrySend(std::move(request));
+    TrySend(request);
   }
 }
 
@@ -217,7 +217,7 @@
 }
 
 bool
-PartAttempts::TrySend(upstream::AttemptRequest aRequest)
+PartAttempts::TrySend(const upstream::AttemptRequest& aRequest)
 {
   const std::size_t index = mAttempts.size();
   mAttempts.emplace_back();
@@ -278,7 +278,7 @@
   upstream::AttemptRequest request = MakeAttemptRequest();
   request.kind = mAsked.empty() ? AttemptKind::First : AttemptKind::Retry;
   request.hasWaited = aHasWaited;
-  if (TrySend(std::move(request))) {
+  if (TrySend(request)) {
     return;
   }
   const bool mayHaveRoomLater =
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -138,7 +138,7 @@
   void Wait();
   void ReviewWait();
   upstream::AttemptRequest MakeAttemptRequest() const;
-  bool TrySend(upstream::AttemptRequest aRequest);
+  bool TrySend(const upstream::AttemptRequest& aRequest);
   void SendOrWait(bool aHasWaited = false);
   bool IsRetryingRefusers() const;
   void RetryAfterBackoff();
--- a/query/tests/replica_limit_test.cpp
+++ b/query/tests/replica_limit_test.cpp
@@ -57,6 +57,19 @@
   }
 }
 
+/** Checks that the replicas of a service get no more than allowed once they name a limit. */
+void
+CheckLimitUnderLoad(ReplicaSimulation& aFleet, double aPerSecond, double aMaxRate)
+{
+  aFleet.AddService(0, SteadyReplica());
+  const declaration::Route route = ReplicaSimulation::MakeRoute(1, 1, milliseconds{ 250 });
+  aFleet.RunLoad(route, aPerSecond, seconds{ 4 });
+  SetLimits(aFleet, aMaxRate);
+  const core::TimePoint start = aFleet.loop.timers.Now();
+  aFleet.RunLoad(route, aPerSecond, seconds{ 20 });
+  CheckLimits(aFleet, start + kBindsAfter, aMaxRate);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(replica_limits, ReplicaSimulation)
@@ -64,25 +77,13 @@
 BOOST_AUTO_TEST_CASE(seven_daemons_exceed_the_limit_that_a_replica_names_for_all_of_them)
 {
   AddDaemons(7);
-  AddService(0, SteadyReplica());
-  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 150 });
-  RunLoad(route, 180.0, seconds{ 2 });
-  SetLimits(*this, 30.0);
-  const core::TimePoint start = loop.timers.Now();
-  RunLoad(route, 180.0, seconds{ 15 });
-  CheckLimits(*this, start + kBindsAfter, 30.0);
+  CheckLimitUnderLoad(*this, 180.0, 30.0);
 }
 
 BOOST_AUTO_TEST_CASE(hundreds_of_daemons_exceed_the_limit_that_a_replica_names_for_all_of_them)
 {
   AddDaemons(295);
-  AddService(0, SteadyReplica());
-  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 250 });
-  RunLoad(route, 96.0, seconds{ 4 });
-  SetLimits(*this, 16.0);
-  const core::TimePoint start = loop.timers.Now();
-  RunLoad(route, 96.0, seconds{ 20 });
-  CheckLimits(*this, start + kBindsAfter, 16.0);
+  CheckLimitUnderLoad(*this, 96.0, 16.0);
 }
 
 BOOST_AUTO_TEST_CASE(all_daemons_take_more_when_the_list_of_daemons_shrinks_in_an_outage)
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -12,13 +12,6 @@
   { "none", "no_replica", "replica_leaving", "replica_resting", "replica_limited", "no_room" }
 };
 
-/** Shortest time between two attempts to serve a request that waits for a rate limit. */
-constexpr core::Duration kMinRateWake = std::chrono::milliseconds{ 2 };
-
-/** Time for which other daemons are told that a limit has ended; a few times their poll interval.
- */
-constexpr core::Duration kEndedLimitMemory = std::chrono::seconds{ 20 };
-
 /** Assumed round trips by distance, until they are measured. */
 constexpr core::Duration kRoundTripInDomain = std::chrono::microseconds{ 600 };
 constexpr core::Duration kRoundTripInRegion = std::chrono::milliseconds{ 2 };
@@ -82,6 +75,7 @@
   , mProtocol(std::move(aProtocol))
   , mLocality(std::move(aLocality))
   , mRetrySettings(aRetrySettings)
+  , mSharedLimits(mLocality.vm, mLocality.regions)
   , mStartedAt(aTimers.Now())
   , mIsAlive(std::make_shared<bool>(true))
 {
@@ -104,21 +98,13 @@
 void
 ReplicaBalancer::SetFleetWeights(FleetWeights aFleet)
 {
-  mRecentFleet.Update(aFleet, mTimers.Now());
-  UpdateSharingFleet();
+  mSharedLimits.SetFleet(aFleet, mTimers.Now());
   mFleet = std::move(aFleet);
   for (const auto& [id, client] : mClients) {
     SetQuotaOf(*client);
   }
 }
 
-void
-ReplicaBalancer::UpdateSharingFleet()
-{
-  mSharingFleet = mRecentFleet.Fleet();
-  mAreRateSharesStale = true;
-}
-
 void
 ReplicaBalancer::SetDomainOut(const std::string& aFailureDomain, bool aIsOut)
 {
@@ -211,76 +197,6 @@
   WakeAllIfUnusable(client.Replica().service);
 }
 
-void
-ReplicaBalancer::OnRateLimitChanged(const std::string& aId, RateLimitChange aChange)
-{
-  const auto it = mClients.find(aId);
-  if (it == mClients.end()) {
-    return;
-  }
-  const ReplicaClient& client = *it->second;
-  mOnRateLimitChange(client.Replica(), aChange, client.RateLimit().MaxRate());
-  if (aChange == RateLimitChange::Unreadable) {
-    return;
-  }
-  // Those that wait may be served at once now, or have to wait for too long.
-  WakeAll(client.Replica().service);
-}
-
-std::vector<LimitedUseReport>
-ReplicaBalancer::TakeLimitedUse()
-{
-  std::vector<LimitedUseReport> reports;
-  for (const auto& [id, client] : mClients) {
-    const LimitedUse use = client->TakeLimitedUse();
-    if (use.first + use.extra > 0) {
-      const double maxRate = client->RateLimit().MaxRate().value_or(0.0);
-      reports.push_back({ id, client->Replica().service, maxRate, use });
-    }
-  }
-  return reports;
-}
-
-std::vector<EndedRateLimit>
-ReplicaBalancer::EndedRateLimits() const
-{
-  std::vector<EndedRateLimit> ended;
-  for (const auto& [id, client] : mClients) {
-    const auto endedAt = client->RateLimit().EndedAt();
-    if (endedAt && mTimers.Now() - *endedAt < kEndedLimitMemory) {
-      ended.push_back({ id, mTimers.Now() - *endedAt });
-    }
-  }
-  return ended;
-}
-
-std::optional<std::string>
-ReplicaBalancer::DaemonWithShare()
-{
-  for (const auto& [id, client] : mClients) {
-    if (client->RateLimit().MaxRate() && RateShareOf(*client).fraction <= 0.0) {
-      const std::vector<std::string>& ranking = mRateShares.Ranking();
-      const std::size_t senders = std::min(client->RateLimit().MaxSenders(), ranking.size());
-      return senders == 0 ? std::nullopt
-                          : std::optional<std::string>(ranking[mRandom.Below(senders)]);
-    }
-  }
-  return std::nullopt;
-}
-
-void
-ReplicaBalancer::ApplyEndedRateLimit(const EndedRateLimit& aEnded)
-{
-  const auto it = mClients.find(aEnded.replica);
-  if (it == mClients.end()) {
-    return;
-  }
-  const RateLimitChange change = it->second->RateLimit().ApplyEnd(mTimers.Now() - aEnded.ago);
-  if (change != RateLimitChange::None) {
-    OnRateLimitChanged(aEnded.replica, change);
-  }
-}
-
 std::optional<core::Duration>
 ReplicaBalancer::ShortestExpectedTime(const AttemptRequest& aRequest)
 {
@@ -296,77 +212,6 @@
   return shortest;
 }
 
-RateShare
-ReplicaBalancer::RateShareOf(const ReplicaClient& aClient)
-{
-  if (!mFleet.isComplete) {
-    return {};
-  }
-  if (mAreRateSharesStale) {
-    mRateShares = RateShares(mSharingFleet.members, mLocality.vm, mLocality.regions);
-    mAreRateSharesStale = false;
-  }
-  return mRateShares.ShareOf(aClient.RateLimit().MaxSenders(),
-                             mLocality.RegionOf(aClient.Replica().failureDomain));
-}
-
-core::Duration
-ReplicaBalancer::RateLimitWaitOf(const ReplicaClient& aClient)
-{
-  if (!aClient.RateLimit().MaxRate()) {
-    return core::Duration::zero();
-  }
-  return aClient.RateLimit().TimeUntilNext(RateShareOf(aClient), mTimers.Now());
-}
-
-std::optional<core::Duration>
-ReplicaBalancer::RateLimitWait(const AttemptRequest& aRequest)
-{
-  const Service& service = ServiceOf(aRequest.service);
-  std::vector<RateSource> sources;
-  for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
-    if (!MayUse(*client, aRequest)) {
-      continue;
-    }
-    if (!client->RateLimit().MaxRate()) {
-      return std::nullopt;
-    }
-    const RateShare share = RateShareOf(*client);
-    sources.push_back(
-      { client->RateLimit().Available(share, mTimers.Now()), client->RateLimit().RateOf(share) });
-  }
-  if (sources.empty()) {
-    return std::nullopt;
-  }
-  return WaitInQueue(std::move(sources), CountAhead(service, aRequest.priority));
-}
-
-std::size_t
-ReplicaBalancer::CountAhead(const Service& aService, std::uint32_t aPriority)
-{
-  const auto isBefore = [aPriority](const auto& aWaiter) {
-    return aWaiter.first.first <= aPriority;
-  };
-  return static_cast<std::size_t>(
-    std::count_if(aService.waiters.begin(), aService.waiters.end(), isBefore));
-}
-
-core::Duration
-ReplicaBalancer::RoomWaitOf(const AttemptRequest& aRequest)
-{
-  const Service& service = ServiceOf(aRequest.service);
-  return service.roomWait.Expected(CountAhead(service, aRequest.priority), mTimers.Now());
-}
-
-bool
-ReplicaBalancer::HasLimitedReplica(const AttemptRequest& aRequest)
-{
-  const auto& clients = ServiceOf(aRequest.service).clients;
-  return std::any_of(clients.begin(), clients.end(), [this, &aRequest](const auto& aClient) {
-    return aClient->RateLimit().MaxRate() && MayUse(*aClient, aRequest);
-  });
-}
-
 std::optional<core::Duration>
 ReplicaBalancer::RetryDelay(AttemptRequest aRequest)
 {
@@ -436,7 +281,7 @@
 bool
 ReplicaBalancer::TryTakeExtraAttempt(std::string_view aService, ExtraAttempt aKind)
 {
-  const double share = mSharingFleet.OwnShare();
+  const double share = mSharedLimits.OwnShare();
   return ServiceOf(aService).retryBudget.TryTake(aKind, mRetrySettings, share, mTimers.Now());
 }
 
@@ -520,9 +365,7 @@
 ReplicaBalancer::KeepWarm()
 {
   ShareRoundTrips();
-  if (mRecentFleet.Expire(mTimers.Now())) {
-    UpdateSharingFleet();
-  }
+  mSharedLimits.Expire(mTimers.Now());
   for (auto& [name, service] : mServices) {
     if (!IsInUse(service)) {
       continue;
@@ -596,8 +439,7 @@
   if (rule == nullptr || rule->coldRate <= 0.0 || !aClient.IsCold()) {
     return true;
   }
-  return mFleet.isComplete &&
-         MaySendCold(mSharingFleet.members, mLocality.vm, aClient.Replica().id) &&
+  return mSharedLimits.MaySendCold(aClient.Replica().id) &&
          aClient.ColdLimiter().TryTake(
            rule->coldRate / static_cast<double>(kColdSenders), 1.0, mTimers.Now());
 }
@@ -609,19 +451,6 @@
          aClient.RateLimit().TryTake(RateShareOf(aClient), mTimers.Now());
 }
 
-bool
-ReplicaBalancer::IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind)
-{
-  if (!aClient.RateLimit().MaxRate()) {
-    return true;
-  }
-  const RateShare share = RateShareOf(aClient);
-  // A hedge may only take what other requests don't need as their only attempt.
-  return aKind == AttemptKind::Hedge
-           ? aClient.RateLimit().HasSpare(share, mTimers.Now())
-           : aClient.RateLimit().TimeUntilNext(share, mTimers.Now()) == core::Duration::zero();
-}
-
 std::shared_ptr<ReplicaClient>
 ReplicaBalancer::Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
                         const AttemptRequest& aRequest)
@@ -697,34 +526,6 @@
   }
 }
 
-void
-ReplicaBalancer::WakeWhenRateAllows(const std::string& aService)
-{
-  Service& service = ServiceOf(aService);
-  if (service.waiters.empty() || service.rateTimer != 0) {
-    return;
-  }
-  core::Duration wait = TokenBucket::kNever;
-  for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
-    // One without room wakes a waiter when it has room again.
-    if (client->RateLimit().MaxRate() && MayUse(*client, {}) && client->Candidate().hasRoom) {
-      wait = std::min(wait, RateLimitWaitOf(*client));
-    }
-  }
-  if (wait >= TokenBucket::kNever) {
-    return;
-  }
-  service.rateTimer =
-    mTimers.Schedule(std::max(wait, kMinRateWake), [this, isAlive = mIsAlive, aService] {
-      if (!*isAlive) {
-        return;
-      }
-      ServiceOf(aService).rateTimer = 0;
-      WakeWaiter(aService);
-      WakeWhenRateAllows(aService);
-    });
-}
-
 void
 ReplicaBalancer::RemoveFromService(const std::shared_ptr<ReplicaClient>& aClient)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -2,11 +2,10 @@
 
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
-#include "upstream/rate_shares.h"
-#include "upstream/recent_fleet.h"
 #include "upstream/replica_client.h"
 #include "upstream/retry_budget.h"
 #include "upstream/room_wait.h"
+#include "upstream/shared_limits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -263,11 +262,7 @@
   RetryBudgetSettings mRetrySettings;
   ReplicaClientSettings mClientSettings;
   FleetWeights mFleet;
-  /** Those that share limits; a daemon that has vanished from the list keeps its share a while. */
-  RecentFleet mRecentFleet;
-  FleetWeights mSharingFleet;
-  RateShares mRateShares;
-  bool mAreRateSharesStale = true;
+  SharedLimits mSharedLimits;
   /** Start of this process for the retry budgets. */
   core::TimePoint mStartedAt;
   std::shared_ptr<const declaration::RoutingTable> mTable;
@@ -291,7 +286,6 @@
   ReplicaClientHooks HooksFor(const AnnouncedReplica& aReplica);
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
   void OnRateLimitChanged(const std::string& aId, RateLimitChange aChange);
-  void UpdateSharingFleet();
   RateShare RateShareOf(const ReplicaClient& aClient);
   core::Duration RateLimitWaitOf(const ReplicaClient& aClient);
   bool IsWithinRateLimit(ReplicaClient& aClient, AttemptKind aKind);
