Don't send callers away for an hour when a daemon has no share of a rate limit

Retry-After was the wait for a token, which for a daemon without a share never comes: an hour, though another daemon may serve the caller at once. It is the usual short delay now. Test failed before.

--- a/query/tests/replica_limit_test.cpp
+++ b/query/tests/replica_limit_test.cpp
@@ -260,6 +260,10 @@
   const core::TimePoint start = loop.timers.Now();
   const LoadOutcome outcome = RunLoad(route, 40.0, seconds{ 4 });
   BOOST_TEST(outcome.notRun == outcome.requests);
+  // Another daemon may serve the caller, however long this one has no share.
+  BOOST_TEST_REQUIRE(!outcome.retryDelays.empty());
+  BOOST_TEST(
+    (*std::max_element(outcome.retryDelays.begin(), outcome.retryDelays.end()) <= seconds{ 1 }));
   for (const auto& [id, replica] : replicas) {
     BOOST_TEST(MostInSpan(replica.arrivalTimes, start, kSpan) == 0U);
   }
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -219,6 +219,10 @@
   aRequest.triedReplicas = nullptr;
   aRequest.allowedReplicas = nullptr;
   std::optional<core::Duration> shortest = RateLimitWait(aRequest);
+  if (shortest && *shortest >= TokenBucket::kNever) {
+    // Without a share this daemon can't tell, but another one may serve the request.
+    shortest.reset();
+  }
   for (const std::shared_ptr<ReplicaClient>& client : ServiceOf(aRequest.service).clients) {
     const SendRefusal refusal = RefusalFor(*client, aRequest);
     if (refusal == SendRefusal::None && !client->RateLimit().MaxRate()) {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -199,7 +199,7 @@
   /**
    * @return the time after which a caller may retry because the backoff of a replica is over or its
    *         rate limit allows a request, with jitter so that callers don't return together; nothing
-   *         when neither prevents the request.
+   *         when neither prevents the request, or when this daemon has no share of the limit.
    */
   std::optional<core::Duration> RetryDelay(AttemptRequest aRequest);
 
