--- a/upstream/replica_balancer_limits.cpp
+++ b/upstream/replica_balancer_limits.cpp
@@ -12,8 +12,7 @@
 /** Shortest time between two attempts to serve a request that waits for a rate limit. */
 constexpr core::Duration kMinRateWake = std::chrono::milliseconds{ 2 };
 
-/** Time for which other daemons are told that a limit has ended: a few times their poll interval.
- */
+/** Time for which other daemons, which ask once a second, are told that a limit has ended. */
 constexpr core::Duration kEndedLimitMemory = std::chrono::seconds{ 20 };
 
 } // namespace
