Log the era of the store that each answer belongs to

The logs couldn't tell whether a daemon that misses changes after a restore asked the store or a relay, from which revision, and what it was answered. The logic is unaltered.

--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -105,19 +105,20 @@
 {
   // The watch makes up for what a lagging first read misses. Later reads must not go backwards.
   const ReadConsistency consistency =
-    mRevision == 0 ? ReadConsistency::Serializable : ReadConsistency::Linearizable;
+    mPosition.revision == 0 ? ReadConsistency::Serializable : ReadConsistency::Linearizable;
   const KeyListResult result = co_await aSource.store->ReadAll(mPrefix, consistency);
   if (result.status != StoreStatus::Done) {
     // A range read needs no history; without this change of status it would be retried in a loop.
     co_return result.status == StoreStatus::Compacted ? StoreStatus::Malformed : result.status;
   }
-  if (!aSource.isDirect && result.revision < mRevision) {
+  if (!aSource.isDirect && result.position.revision < mPosition.revision) {
     // A relay that lags behind must not undo newer data.
     co_return StoreStatus::Refused;
   }
-  mRevision = result.revision;
+  CheckEra(result.position);
+  mPosition = result.position;
   mHasRead = true;
-  mMirror.Reset(result.items, result.revision);
+  mMirror.Reset(result.items, result.position);
   if (aSource.isStaleCopy) {
     mMirror.SetFresh(false);
     aSource.onStaleCopyRead(result);
@@ -131,19 +132,28 @@
 core::Task<StoreStatus>
 KeyFeed::WatchOnce(FeedSource aSource)
 {
-  const KeyListResult changes = co_await aSource.store->Watch(mPrefix, mRevision, aSource.wait);
+  const KeyListResult changes = co_await aSource.store->Watch(mPrefix, mPosition, aSource.wait);
   if (changes.status != StoreStatus::Done) {
     co_return changes.status;
   }
-  mMirror.Apply(changes.items, changes.revision);
+  CheckEra(changes.position);
+  mMirror.Apply(changes.items, changes.position.revision);
   RecordAnswer(aSource);
   for (const KeyItem& item : changes.items) {
     mHooks.onChange(item);
   }
-  mRevision = std::max(mRevision, changes.revision);
+  mPosition = { changes.position.era, std::max(mPosition.revision, changes.position.revision) };
   co_return StoreStatus::Done;
 }
 
+void
+KeyFeed::CheckEra(const StorePosition& aAnswered)
+{
+  if (mPosition.revision != 0 && aAnswered.era != mPosition.era) {
+    mHooks.onEraChanged(mPosition, aAnswered);
+  }
+}
+
 void
 KeyFeed::RecordAnswer(const FeedSource& aSource)
 {
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -21,6 +21,8 @@
   std::function<void(const std::vector<KeyItem>&)> onSnapshot;
   /** One key that was written or deleted. */
   std::function<void(const KeyItem&)> onChange;
+  /** An answer belongs to another era of the store than the feed's position. */
+  std::function<void(const StorePosition& aKnown, const StorePosition& aAnswered)> onEraChanged;
   /** A call to the store failed after successful ones; the keys may be stale from now on. */
   std::function<void(StoreStatus)> onStoreLost;
   /** A call to the store succeeded, for the first time or after failures. */
@@ -124,7 +126,7 @@
   /** The store is known to answer other feeds, so that first reads use the long timeout. */
   bool mIsPatient = false;
   KeyMirror mMirror;
-  std::uint64_t mRevision = 0;
+  StorePosition mPosition;
   bool mHasRead = false;
   bool mIsAnswering = false;
   bool mIsLost = false;
@@ -134,6 +136,7 @@
   core::Task<void> Step();
   core::Task<StoreStatus> ReadOnce(FeedSource aSource);
   core::Task<StoreStatus> WatchOnce(FeedSource aSource);
+  void CheckEra(const StorePosition& aAnswered);
   FeedCallPurpose ChoosePurpose();
   void RecordAnswer(const FeedSource& aSource);
 };
--- a/store/key_mirror.cpp
+++ b/store/key_mirror.cpp
@@ -11,15 +11,15 @@
 }
 
 void
-KeyMirror::Reset(const std::vector<KeyItem>& aItems, std::uint64_t aRevision)
+KeyMirror::Reset(const std::vector<KeyItem>& aItems, StorePosition aPosition)
 {
   mItems.clear();
   for (const KeyItem& item : aItems) {
     mItems.insert_or_assign(item.key, item);
   }
   mHistory.clear();
-  mHistoryStart = aRevision;
-  mRevision = aRevision;
+  mHistoryStart = aPosition.revision;
+  mPosition = aPosition;
   NotifyWaiters();
 }
 
@@ -37,7 +37,7 @@
     }
     mHistory.push_back(item);
   }
-  mRevision = std::max(mRevision, aRevision);
+  mPosition.revision = std::max(mPosition.revision, aRevision);
   if (!aChanges.empty()) {
     NotifyWaiters();
   }
--- a/store/key_mirror.h
+++ b/store/key_mirror.h
@@ -25,8 +25,8 @@
 
   KeyMirror();
 
-  /** Replaces all keys by those at a revision and clears the log. */
-  void Reset(const std::vector<KeyItem>& aItems, std::uint64_t aRevision);
+  /** Replaces all keys by those at a position and clears the log. */
+  void Reset(const std::vector<KeyItem>& aItems, StorePosition aPosition);
 
   /** Applies changes up to a revision; notifies the waiting readers if there are any changes. */
   void Apply(const std::vector<KeyItem>& aChanges, std::uint64_t aRevision);
@@ -37,7 +37,7 @@
   /** @return whether other daemons may rely on the copy. */
   bool IsFresh() const { return mIsFresh; }
 
-  std::uint64_t Revision() const { return mRevision; }
+  StorePosition Position() const { return mPosition; }
 
   /** @return all existing keys. */
   std::vector<KeyItem> Items() const;
@@ -53,7 +53,7 @@
   boost::circular_buffer<KeyItem> mHistory;
   /** The log holds all changes after this revision. */
   std::uint64_t mHistoryStart = 0;
-  std::uint64_t mRevision = 0;
+  StorePosition mPosition;
   bool mIsFresh = false;
   std::vector<std::function<void()>> mWaiters;
 
--- a/store/key_value_store.h
+++ b/store/key_value_store.h
@@ -2,6 +2,7 @@
 
 #include "core/task.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,6 +32,18 @@
 std::string_view
 NameOf(StoreStatus aStatus);
 
+/**
+ * A point in the history of a store. A store that comes back from an older copy starts a new era
+ * and assigns revisions again, so that revisions compare only within one era.
+ */
+struct StorePosition
+{
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;
+
+  auto operator<=>(const StorePosition&) const = default;
+};
+
 /** The value of one key, or its deletion. */
 struct KeyItem
 {
@@ -48,7 +61,7 @@
   std::vector<KeyItem> items;
   /** Number of items that could not be decoded. */
   std::size_t unreadable = 0;
-  std::uint64_t revision = 0;
+  StorePosition position;
 };
 
 /** Consistency of a read. */
@@ -77,12 +90,12 @@
   KeyValueStore& operator=(const KeyValueStore&) = delete;
   virtual ~KeyValueStore() = default;
 
-  /** Reads all keys with a prefix. A watch from the result's `revision` misses no change. */
+  /** Reads all keys with a prefix. A watch from the result's position misses no change. */
   virtual core::Task<KeyListResult> ReadAll(std::string aPrefix, ReadConsistency aConsistency) = 0;
 
-  /** Waits for changes of keys with a prefix after a revision; no items when the wait ended. */
+  /** Waits for changes of keys with a prefix after a position; no items when the wait ended. */
   virtual core::Task<KeyListResult> Watch(std::string aPrefix,
-                                          std::uint64_t aAfter,
+                                          StorePosition aAfter,
                                           core::Duration aWait) = 0;
 
   /** Writes one key, bound to a lease. */
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -31,6 +31,7 @@
 
   std::map<std::string, std::string> keys;
   std::vector<KeyItem> history;
+  std::uint64_t era = 1;
   std::uint64_t revision = 1;
   std::uint64_t historyFrom = 1;
   StoreStatus outage = StoreStatus::Done;
@@ -78,7 +79,7 @@
     }
     co_await core::Sleep(mTimers, answerTime);
     items.status = outage;
-    items.revision = revision;
+    items.position = { era, revision };
     for (const auto& [key, value] : keys) {
       items.items.push_back({ key, value, revision, false });
     }
@@ -86,7 +87,7 @@
   }
 
   core::Task<KeyListResult> Watch([[maybe_unused]] std::string aPrefix,
-                                  std::uint64_t aAfter,
+                                  StorePosition aAfter,
                                   core::Duration aWait) override
   {
     ++watches;
@@ -94,18 +95,18 @@
     const core::TimePoint end = mTimers.Now() + aWait;
     while (mTimers.Now() < end && outage == StoreStatus::Done && items.items.empty()) {
       co_await core::Sleep(mTimers, milliseconds{ 5 });
-      if (aAfter < historyFrom) {
+      if (aAfter.revision < historyFrom) {
         items.status = StoreStatus::Compacted;
         co_return items;
       }
       for (const KeyItem& item : history) {
-        if (item.revision > aAfter) {
+        if (item.revision > aAfter.revision) {
           items.items.push_back(item);
         }
       }
     }
     items.status = outage;
-    items.revision = revision;
+    items.position = { era, revision };
     co_return items;
   }
 
@@ -137,6 +138,7 @@
   int staleCopies = 0;
   core::Duration startBackoff = KeyFeed::kMaxStartBackoff;
   std::map<std::string, std::string> copy;
+  int eraChanges = 0;
   int lost = 0;
   int answered = 0;
   std::shared_ptr<KeyFeed> feed;
@@ -156,6 +158,7 @@
         copy[aItem.key] = aItem.value;
       }
     };
+    hooks.onEraChanged = [this](const StorePosition&, const StorePosition&) { ++eraChanges; };
     hooks.onStoreLost = [this](StoreStatus) { ++lost; };
     hooks.onStoreAnswered = [this] { ++answered; };
     const auto source = [this, aPause](FeedCallPurpose aPurpose) {
@@ -231,7 +234,7 @@
   KeyListResult lagging;
   lagging.status = StoreStatus::Done;
   lagging.items = keys.history;
-  lagging.revision = keys.revision;
+  lagging.position = { keys.era, keys.revision };
   keys.serializableResult = lagging;
   keys.Delete("gone");
   keys.Write("kept", "2");
@@ -247,7 +250,7 @@
   keys.Write("a", "1");
   KeyListResult lagging;
   lagging.status = StoreStatus::Done;
-  lagging.revision = 1;
+  lagging.position = { keys.era, 1 };
   keys.serializableResult = lagging;
   // The lagging read is older than the remaining history, so that its watch fails.
   keys.DropHistory();
--- a/store/tests/key_mirror_test.cpp
+++ b/store/tests/key_mirror_test.cpp
@@ -19,7 +19,7 @@
 BOOST_AUTO_TEST_CASE(a_reader_within_the_history_gets_every_change_once)
 {
   KeyMirror mirror;
-  mirror.Reset({ Item("a", 3) }, 5);
+  mirror.Reset({ Item("a", 3) }, { 1, 5 });
   mirror.Apply({ Item("b", 6), Item("a", 8, true) }, 9);
   const auto changes = mirror.ChangesSince(5);
   BOOST_TEST_REQUIRE(changes.has_value());
@@ -32,7 +32,7 @@
 BOOST_AUTO_TEST_CASE(a_reader_behind_the_history_must_read_all_keys)
 {
   KeyMirror mirror;
-  mirror.Reset({ Item("a", 3) }, 5);
+  mirror.Reset({ Item("a", 3) }, { 1, 5 });
   BOOST_TEST(!mirror.ChangesSince(4).has_value());
   for (std::uint64_t n = 0; n < KeyMirror::kHistorySize + 10; ++n) {
     mirror.Apply({ Item("a", 6 + n) }, 6 + n);
