--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -57,6 +57,24 @@
     history.push_back({ aKey, "", ++revision, true });
   }
 
+  /** What a copy of the store holds. */
+  struct Copy
+  {
+    std::map<std::string, std::string> keys;
+    std::uint64_t revision = 0;
+  };
+
+  Copy TakeCopy() const { return { keys, revision }; }
+
+  /** Comes back from a copy and assigns the revisions since then again. */
+  void Restore(const Copy& aCopy)
+  {
+    ++era;
+    keys = aCopy.keys;
+    revision = aCopy.revision;
+    DropHistory();
+  }
+
   void DropHistory()
   {
     history.clear();
@@ -95,7 +113,7 @@
     const core::TimePoint end = mTimers.Now() + aWait;
     while (mTimers.Now() < end && outage == StoreStatus::Done && items.items.empty()) {
       co_await core::Sleep(mTimers, milliseconds{ 5 });
-      if (aAfter.revision < historyFrom) {
+      if (aAfter.revision < historyFrom || aAfter.revision > revision) {
         items.status = StoreStatus::Compacted;
         co_return items;
       }
@@ -437,6 +455,23 @@
   BOOST_TEST(keys.watches - before < 20);
 }
 
+BOOST_AUTO_TEST_CASE(misses_no_change_when_the_revisions_of_a_restored_store_have_passed_its_own)
+{
+  keys.Write("route", "1");
+  Start();
+  const FakeKeyValueStore::Copy older = keys.TakeCopy();
+  keys.Write("route", "2");
+  loop.Run(milliseconds{ 100 });
+  keys.outage = StoreStatus::Refused;
+  loop.Run(std::chrono::seconds{ 3 });
+  keys.Restore(older);
+  keys.Write("route", "3");
+  keys.Write("other", "1");
+  keys.outage = StoreStatus::Done;
+  loop.Run(std::chrono::seconds{ 6 });
+  BOOST_TEST((copy == keys.keys));
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_that_lags_behind_undoes_nothing)
 {
   Start();
