Compare positions in the store only within one era

Cause: revisions were compared across two histories. A relay answered a watch from a revision that its restored copy had not reached with no changes; the store answered one that it had passed again with what came after. In both cases the feed kept its revision and missed what was written below it. Ruled out: that a follower refuses the restored data (not seen in the logs; it could happen after a 410 of a relay, and is mended by the same comparison).

Now a position is the era and the revision.

--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -68,7 +68,7 @@
   }
   // Before the first read, the time of the failed call counts towards the delay.
   mRequestedPurpose = co_await mRetryRequests.Receive(
-    mHasRead ? mTimers.Now() + mBackoff.NextDelay() : begin + mStartBackoff.NextDelay());
+    HasData() ? mTimers.Now() + mBackoff.NextDelay() : begin + mStartBackoff.NextDelay());
 }
 
 void
@@ -90,6 +90,9 @@
   if (mHasRead) {
     return FeedCallPurpose::WatchChanges;
   }
+  if (HasData()) {
+    return FeedCallPurpose::ReadAgain;
+  }
   mIsPatient = mIsPatient || requested == FeedCallPurpose::PatientFirstRead;
   if (requested) {
     return *requested;
@@ -105,17 +108,17 @@
 {
   // The watch makes up for what a lagging first read misses. Later reads must not go backwards.
   const ReadConsistency consistency =
-    mPosition.revision == 0 ? ReadConsistency::Serializable : ReadConsistency::Linearizable;
+    HasData() ? ReadConsistency::Linearizable : ReadConsistency::Serializable;
   const KeyListResult result = co_await aSource.store->ReadAll(mPrefix, consistency);
   if (result.status != StoreStatus::Done) {
     // A range read needs no history; without this change of status it would be retried in a loop.
     co_return result.status == StoreStatus::Compacted ? StoreStatus::Malformed : result.status;
   }
-  if (!aSource.isDirect && result.position.revision < mPosition.revision) {
-    // A relay that lags behind must not undo newer data.
+  const bool isOlderEra = result.position.era < mPosition.era;
+  if (isOlderEra || (!aSource.isDirect && result.position < mPosition)) {
+    // A relay that lags behind, or a late answer of the store before it was restored.
     co_return StoreStatus::Refused;
   }
-  CheckEra(result.position);
   mPosition = result.position;
   mHasRead = true;
   mMirror.Reset(result.items, result.position);
@@ -136,22 +139,28 @@
   if (changes.status != StoreStatus::Done) {
     co_return changes.status;
   }
-  CheckEra(changes.position);
+  const StoreStatus era = CheckEra(changes.position);
+  if (era != StoreStatus::Done) {
+    co_return era;
+  }
   mMirror.Apply(changes.items, changes.position.revision);
   RecordAnswer(aSource);
   for (const KeyItem& item : changes.items) {
     mHooks.onChange(item);
   }
-  mPosition = { changes.position.era, std::max(mPosition.revision, changes.position.revision) };
+  mPosition = std::max(mPosition, changes.position);
   co_return StoreStatus::Done;
 }
 
-void
+StoreStatus
 KeyFeed::CheckEra(const StorePosition& aAnswered)
 {
-  if (mPosition.revision != 0 && aAnswered.era != mPosition.era) {
-    mHooks.onEraChanged(mPosition, aAnswered);
+  if (aAnswered.era == mPosition.era) {
+    return StoreStatus::Done;
   }
+  mHooks.onEraChanged(mPosition, aAnswered);
+  // The restored store lists changes by revisions that it has assigned again.
+  return aAnswered.era > mPosition.era ? StoreStatus::Compacted : StoreStatus::Refused;
 }
 
 void
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -17,7 +17,8 @@
 /** Callbacks to the subscriber of a feed. */
 struct FeedHooks
 {
-  /** All keys, after the first read or lost history; keys that are not listed no longer exist. */
+  /** All keys, after the first read, lost history or a restore; keys that are not listed no longer
+   * exist. */
   std::function<void(const std::vector<KeyItem>&)> onSnapshot;
   /** One key that was written or deleted. */
   std::function<void(const KeyItem&)> onChange;
@@ -38,6 +39,8 @@
   FirstRead,
   /** First read with a long timeout, for a store that may be slow. */
   PatientFirstRead,
+  /** Read everything again, because the changes since the last answer are not available. */
+  ReadAgain,
   /** Read from another daemon, fresh or not, because nothing was read yet and the store fails. */
   StaleCopy,
 };
@@ -67,7 +70,7 @@
 
 /**
  * Follows the keys with one prefix: reads them once, then watches them, and reads them again when
- * the store has compacted the history that the watch needs.
+ * the store has compacted the history that the watch needs, or has come back from an older copy.
  *
  * While a feed has read nothing yet and the store doesn't answer, every other attempt asks another
  * daemon for any copy. The first watch at the store delivers what changed after that copy. Until
@@ -98,7 +101,7 @@
   void Stop() { mIsStopped = true; }
 
   /** @return whether nothing was read yet and the last attempt at the store failed. */
-  bool IsAwaitingFirstRead() const { return mIsLost && !mHasRead; }
+  bool IsAwaitingFirstRead() const { return mIsLost && !HasData(); }
 
   /**
    * Ends the retry delay of a feed that still waits for its first read; does nothing otherwise.
@@ -136,7 +139,8 @@
   core::Task<void> Step();
   core::Task<StoreStatus> ReadOnce(FeedSource aSource);
   core::Task<StoreStatus> WatchOnce(FeedSource aSource);
-  void CheckEra(const StorePosition& aAnswered);
+  StoreStatus CheckEra(const StorePosition& aAnswered);
+  bool HasData() const { return mPosition != StorePosition{}; }
   FeedCallPurpose ChoosePurpose();
   void RecordAnswer(const FeedSource& aSource);
 };
--- a/store/key_mirror.cpp
+++ b/store/key_mirror.cpp
@@ -64,14 +64,14 @@
 }
 
 std::optional<std::vector<KeyItem>>
-KeyMirror::ChangesSince(std::uint64_t aRevision) const
+KeyMirror::ChangesSince(StorePosition aAfter) const
 {
-  if (aRevision < mHistoryStart) {
+  if (aAfter.era < mPosition.era || aAfter.revision < mHistoryStart) {
     return std::nullopt;
   }
   std::vector<KeyItem> changes;
   for (const KeyItem& item : mHistory) {
-    if (item.revision > aRevision) {
+    if (item.revision > aAfter.revision) {
       changes.push_back(item);
     }
   }
--- a/store/key_mirror.h
+++ b/store/key_mirror.h
@@ -42,8 +42,8 @@
   /** @return all existing keys. */
   std::vector<KeyItem> Items() const;
 
-  /** @return the changes after a revision, nothing when the log doesn't reach back that far. */
-  std::optional<std::vector<KeyItem>> ChangesSince(std::uint64_t aRevision) const;
+  /** @return the changes after a position, nothing when the log doesn't reach back that far. */
+  std::optional<std::vector<KeyItem>> ChangesSince(StorePosition aAfter) const;
 
   /** Registers a callback for the next change or the end of freshness; it is called once. */
   void OnNextChange(std::function<void()> aCallback);
