Don't use replicas that left when a restored store lists them again

What callers would see: after a restore, requests go to replicas whose leave the store had acknowledged before (DRAIN), since the older copy still lists them, and replicas that the copy lacks are dropped at once by a daemon that noticed no outage (frozen or cut meanwhile).

The registry remembers the last 1,024 replicas that it removed. For six seconds after a restore (three missed heartbeats, the watch's pause and some spare) an entry of one of them counts only if it is a newer process or has a later sequence number; an entry that is still there then is accepted, because the store would have removed it. A restore starts the hold of missing entries also when no outage was seen. Ruled out: a replica that drains is not brought back by an older entry (the comparison of sequence numbers holds; its new test passed before).

Tests in upstream_tests (replica_registry): the three others fail with their guard off.

--- a/upstream/replica_registry.cpp
+++ b/upstream/replica_registry.cpp
@@ -14,6 +14,9 @@
   { "none", "new", "restarted", "draining", "serving" }
 };
 
+/** More replicas than leave a large deployment within the age of the store's copy. */
+constexpr std::size_t kMaxRemoved = 1024;
+
 ReplicaChange
 ChangeOf(const AnnouncedReplica& aNew, const AnnouncedReplica& aKnown)
 {
@@ -60,6 +63,7 @@
 ReplicaRegistry::ReplicaRegistry(ChangeFunction aOnChange, RemoveFunction aOnRemove)
   : mOnChange(std::move(aOnChange))
   , mOnRemove(std::move(aOnRemove))
+  , mRemoved(kMaxRemoved)
 {
 }
 
@@ -70,6 +74,11 @@
   if (it != mReplicas.end() && IsOlder(aReplica, it->second.replica)) {
     return;
   }
+  if (it == mReplicas.end() && IsUnconfirmed(aReplica)) {
+    mUnconfirmed.insert_or_assign(aReplica.id, std::move(aReplica));
+    return;
+  }
+  mUnconfirmed.erase(aReplica.id);
   const ReplicaChange change =
     it == mReplicas.end() ? ReplicaChange::New : ChangeOf(aReplica, it->second.replica);
   Entry& entry = mReplicas[aReplica.id];
@@ -79,9 +88,26 @@
   mOnChange(entry.replica, change);
 }
 
+bool
+ReplicaRegistry::IsUnconfirmed(const AnnouncedReplica& aReplica) const
+{
+  if (!mConfirmUntil) {
+    return false;
+  }
+  const auto hasId = [&aReplica](const AnnouncedReplica& aRemoved) {
+    return aRemoved.id == aReplica.id;
+  };
+  const auto it = std::find_if(mRemoved.rbegin(), mRemoved.rend(), hasId);
+  if (it == mRemoved.rend() || IsNewerProcess(aReplica, *it)) {
+    return false;
+  }
+  return !IsSameProcess(aReplica, *it) || aReplica.sequence <= it->sequence;
+}
+
 void
 ReplicaRegistry::RejectEntry(const std::string& aId)
 {
+  mUnconfirmed.erase(aId);
   const auto it = mReplicas.find(aId);
   if (it != mReplicas.end()) {
     Remove(it);
@@ -91,6 +117,7 @@
 void
 ReplicaRegistry::OnEntryRemoved(const std::string& aId, core::TimePoint aNow)
 {
+  mUnconfirmed.erase(aId);
   const auto it = mReplicas.find(aId);
   if (it == mReplicas.end()) {
     return;
@@ -117,6 +144,11 @@
       vanished.push_back(id);
     }
   }
+  for (const auto& [id, replica] : mUnconfirmed) {
+    if (!aExists(id)) {
+      vanished.push_back(id);
+    }
+  }
   for (const std::string& id : vanished) {
     OnEntryRemoved(id, aNow);
   }
@@ -143,9 +175,23 @@
   }
 }
 
+void
+ReplicaRegistry::OnStoreRestored(core::TimePoint aNow)
+{
+  mConfirmUntil = aNow + kConfirmTime;
+  // Entries that the copy lacks are held, also when the outage before the restore went unnoticed.
+  mStoreReachableSince = aNow;
+}
+
 void
 ReplicaRegistry::Expire(core::TimePoint aNow)
 {
+  if (mConfirmUntil && *mConfirmUntil <= aNow) {
+    mConfirmUntil.reset();
+    for (auto& [id, replica] : std::exchange(mUnconfirmed, {})) {
+      Announce(std::move(replica));
+    }
+  }
   auto it = mReplicas.begin();
   while (it != mReplicas.end()) {
     const auto entry = it++;
@@ -168,6 +214,7 @@
 ReplicaRegistry::Remove(std::map<std::string, Entry>::iterator aEntry)
 {
   const std::string id = aEntry->first;
+  mRemoved.push_back(std::move(aEntry->second.replica));
   mReplicas.erase(aEntry);
   mOnRemove(id);
 }
--- a/upstream/replica_registry.h
+++ b/upstream/replica_registry.h
@@ -2,6 +2,8 @@
 
 #include "core/timer_service.h"
 
+#include <boost/circular_buffer.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -61,6 +63,8 @@
  *
  * An entry that vanishes means that its replica shuts down, unless the store was unreachable: then
  * the entry may have expired although its replica is healthy, and the replica is held for a while.
+ * A store that comes back from an older copy may list replicas that have left since; such an entry
+ * counts only once it has outlived the time after which the store removes silent replicas.
  */
 class ReplicaRegistry
 {
@@ -77,6 +81,9 @@
    */
   static constexpr core::Duration kHoldAfterOutage = std::chrono::milliseconds{ 2500 };
 
+  /** Time after a restore by which the store has removed the entries of replicas that had left. */
+  static constexpr core::Duration kConfirmTime = std::chrono::seconds{ 6 };
+
   ReplicaRegistry(ChangeFunction aOnChange, RemoveFunction aOnRemove);
 
   /** Processes an announcement; one that is older than the known one is ignored. */
@@ -97,7 +104,11 @@
   /** Called when the store answers. */
   void OnStoreReachable(core::TimePoint aNow);
 
-  /** Removes the replicas whose hold time is over. */
+  /** Called when the store has come back from an older copy. */
+  void OnStoreRestored(core::TimePoint aNow);
+
+  /** Removes the replicas whose hold time is over, and accepts entries that a restore brought back.
+   */
   void Expire(core::TimePoint aNow);
 
   /** @return the number of known replicas, including those that are held. */
@@ -120,7 +131,14 @@
   std::map<std::string, Entry> mReplicas;
   bool mIsStoreUnreachable = false;
   std::optional<core::TimePoint> mStoreReachableSince;
-
+  /** End of the time in which entries of removed replicas are not accepted. */
+  std::optional<core::TimePoint> mConfirmUntil;
+  /** The replicas that were removed last. */
+  boost::circular_buffer<AnnouncedReplica> mRemoved;
+  /** Entries of removed replicas that came back with a restore, by id. */
+  std::map<std::string, AnnouncedReplica> mUnconfirmed;
+
+  bool IsUnconfirmed(const AnnouncedReplica& aReplica) const;
   void Remove(std::map<std::string, Entry>::iterator aEntry);
 };
 
--- a/upstream/tests/replica_registry_test.cpp
+++ b/upstream/tests/replica_registry_test.cpp
@@ -53,6 +53,62 @@
 
 BOOST_FIXTURE_TEST_SUITE(replica_registry, RegistryFixture)
 
+BOOST_AUTO_TEST_CASE(a_replica_that_left_is_not_used_again_when_a_restored_store_lists_it)
+{
+  Announce("drained", 5, 9, true);
+  Announce("stays", 5, 9);
+  Announce("left", 5, 9);
+  registry.OnEntryRemoved("drained", now);
+  registry.OnEntryRemoved("left", now);
+  registry.OnStoreRestored(now);
+  Announce("drained", 5, 3);
+  Announce("left", 5, 9);
+  Announce("stays", 5, 3);
+  Pass(milliseconds{ 3600 });
+  BOOST_TEST((usable == std::set<std::string>{ "stays" }));
+  registry.OnEntryRemoved("drained", now);
+  registry.OnEntryRemoved("left", now);
+  Pass(milliseconds{ 10000 });
+  BOOST_TEST((usable == std::set<std::string>{ "stays" }));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_drains_goes_on_draining_when_a_restored_store_lists_it_as_ready)
+{
+  Announce("a", 5, 9, true);
+  registry.OnStoreRestored(now);
+  Announce("a", 5, 3);
+  BOOST_TEST(draining.count("a") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_is_alive_after_a_restore_is_used_again)
+{
+  for (const char* id : { "writes-again", "restarted", "still-listed" }) {
+    Announce(id, 5, 9);
+    registry.OnEntryRemoved(id, now);
+  }
+  registry.OnStoreRestored(now);
+  Announce("writes-again", 5, 3);
+  Announce("writes-again", 5, 10);
+  Announce("restarted", 6, 1);
+  Announce("still-listed", 5, 3);
+  BOOST_TEST((usable == std::set<std::string>{ "writes-again", "restarted" }));
+  Pass(milliseconds{ 6000 });
+  BOOST_TEST(usable.count("still-listed") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_a_restore_has_lost_is_held_though_no_outage_was_seen)
+{
+  Announce("back", 5, 1);
+  Announce("gone", 5, 1);
+  registry.OnStoreRestored(now);
+  registry.Reconcile([](const std::string&) { return false; }, now);
+  BOOST_TEST(usable.size() == 2U);
+  Pass(milliseconds{ 2000 });
+  Announce("back", 5, 2);
+  Pass(milliseconds{ 1000 });
+  BOOST_TEST((usable == std::set<std::string>{ "back" }));
+}
+
 BOOST_AUTO_TEST_CASE(reports_what_an_announcement_changes)
 {
   Announce("a", 5, 1);
