Keep in force what a restore of the store has lost until its owner writes it again

What callers would see: between the return of the store and the moment at which the operator has written everything again, a domain that is out of service gets requests (EVAC), an older configuration is read and handed on to other daemons (CONFIG), and the fleet seems to shrink, so that each daemon's share of the limits grows.

Now a feed that reads the store in a new era holds the keys that it knows and the store lacks for five seconds, unless they are written or deleted; then they end. A configuration in force is kept, also in the copy that other daemons read, until the store has it or a newer one (hook keepsKnown). Weighed: to hold the keys in the copy that relays hand out, too; their end would need revisions of its own, and each follower holds its keys itself.

Tests in store_tests (key_feed), each seen failing with its part off: keys_that_a_restore_has_lost_stay_in_force_until_they_should_be_written_again, a_key_that_is_deleted_after_a_restore_is_gone_at_once, a_value_in_force_does_not_come_back_older_after_a_restore, an_answer_of_the_store_before_its_restore_changes_nothing, reads_again_through_a_relay_after_a_restore.

--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -1,6 +1,7 @@
 #include "store/key_feed.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace skylarkwing::store {
@@ -8,16 +9,16 @@
 KeyFeed::KeyFeed(FeedSourceFunction aSource,
                  core::TimerService& aTimers,
                  core::RandomSource& aRandom,
-                 std::string aPrefix,
-                 FeedHooks aHooks,
-                 core::Duration aMaxStartBackoff)
+                 const FeedSettings& aSettings,
+                 FeedHooks aHooks)
   : mSource(std::move(aSource))
   , mTimers(aTimers)
-  , mPrefix(std::move(aPrefix))
+  , mPrefix(aSettings.prefix)
   , mHooks(std::move(aHooks))
-  , mStartBackoff(aRandom, kInitialBackoff, aMaxStartBackoff)
+  , mStartBackoff(aRandom, kInitialBackoff, aSettings.maxStartBackoff)
   , mBackoff(aRandom, kInitialBackoff, kMaxBackoff)
   , mRetryRequests(aTimers)
+  , mLostKeys(aSettings.lostKeyHoldTime)
 {
 }
 
@@ -119,19 +120,93 @@
     // A relay that lags behind, or a late answer of the store before it was restored.
     co_return StoreStatus::Refused;
   }
-  mPosition = result.position;
-  mHasRead = true;
-  mMirror.Reset(result.items, result.position);
+  ApplySnapshot(result.items, result.position);
   if (aSource.isStaleCopy) {
     mMirror.SetFresh(false);
     aSource.onStaleCopyRead(result);
   } else {
     RecordAnswer(aSource);
   }
-  mHooks.onSnapshot(result.items);
+  std::vector<KeyItem> inForce = mMirror.Items();
+  const std::vector<KeyItem> lost = mLostKeys.Items();
+  inForce.insert(inForce.end(), lost.begin(), lost.end());
+  mHooks.onSnapshot(inForce);
   co_return StoreStatus::Done;
 }
 
+void
+KeyFeed::ApplySnapshot(std::vector<KeyItem> aItems, const StorePosition& aPosition)
+{
+  const bool isRestored = HasData() && aPosition.era != mPosition.era;
+  mHasSeenRestore = mHasSeenRestore || isRestored;
+  if (mHasSeenRestore) {
+    aItems = KeepKnown(std::move(aItems));
+  }
+  if (isRestored) {
+    std::vector<KeyItem> known = mMirror.Items();
+    const std::vector<KeyItem> lost = mLostKeys.Items();
+    known.insert(known.end(), lost.begin(), lost.end());
+    mLostKeys.Hold(known, aItems, mTimers.Now());
+    ScheduleRelease();
+  }
+  for (const KeyItem& item : aItems) {
+    mLostKeys.Release(item.key);
+  }
+  mPosition = aPosition;
+  mHasRead = true;
+  mMirror.Reset(aItems, aPosition);
+}
+
+bool
+KeyFeed::IsKept(const KeyItem& aKnown, const KeyItem* aRead) const
+{
+  return mHasSeenRestore && mHooks.keepsKnown && mHooks.keepsKnown(aKnown, aRead);
+}
+
+std::vector<KeyItem>
+KeyFeed::KeepKnown(std::vector<KeyItem> aItems) const
+{
+  if (!mHooks.keepsKnown) {
+    return aItems;
+  }
+  std::unordered_map<std::string, std::size_t> indexes;
+  for (std::size_t n = 0; n < aItems.size(); ++n) {
+    indexes[aItems[n].key] = n;
+  }
+  for (KeyItem& known : mMirror.Items()) {
+    const auto it = indexes.find(known.key);
+    const bool isMissing = it == indexes.end();
+    if (!IsKept(known, isMissing ? nullptr : &aItems[it->second])) {
+      continue;
+    }
+    if (isMissing) {
+      aItems.push_back(std::move(known));
+    } else {
+      aItems[it->second] = std::move(known);
+    }
+  }
+  return aItems;
+}
+
+void
+KeyFeed::ScheduleRelease()
+{
+  const std::optional<core::TimePoint> due = mLostKeys.NextExpiry();
+  if (!due) {
+    return;
+  }
+  mTimers.Schedule(*due - mTimers.Now(), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || self->mIsStopped) {
+      return;
+    }
+    for (const KeyItem& deletion : self->mLostKeys.TakeExpired(self->mTimers.Now())) {
+      self->mHooks.onChange(deletion);
+    }
+    self->ScheduleRelease();
+  });
+}
+
 core::Task<StoreStatus>
 KeyFeed::WatchOnce(FeedSource aSource)
 {
@@ -143,13 +218,25 @@
   if (era != StoreStatus::Done) {
     co_return era;
   }
-  mMirror.Apply(changes.items, changes.position.revision);
   RecordAnswer(aSource);
-  for (const KeyItem& item : changes.items) {
+  ApplyChanges(changes.items, changes.position);
+  co_return StoreStatus::Done;
+}
+
+void
+KeyFeed::ApplyChanges(std::vector<KeyItem> aChanges, const StorePosition& aPosition)
+{
+  const auto isRejected = [this](const KeyItem& aItem) {
+    const KeyItem* known = mHasSeenRestore ? mMirror.Find(aItem.key) : nullptr;
+    return known != nullptr && IsKept(*known, aItem.isDeleted ? nullptr : &aItem);
+  };
+  aChanges.erase(std::remove_if(aChanges.begin(), aChanges.end(), isRejected), aChanges.end());
+  mMirror.Apply(aChanges, aPosition.revision);
+  for (const KeyItem& item : aChanges) {
+    mLostKeys.Release(item.key);
     mHooks.onChange(item);
   }
-  mPosition = std::max(mPosition, changes.position);
-  co_return StoreStatus::Done;
+  mPosition = std::max(mPosition, aPosition);
 }
 
 StoreStatus
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -5,6 +5,7 @@
 #include "store/backoff.h"
 #include "store/key_mirror.h"
 #include "store/key_value_store.h"
+#include "store/lost_keys.h"
 
 #include <functional>
 #include <memory>
@@ -22,6 +23,11 @@
   std::function<void(const std::vector<KeyItem>&)> onSnapshot;
   /** One key that was written or deleted. */
   std::function<void(const KeyItem&)> onChange;
+  /**
+   * Whether a known key stays in force instead of what a restored store has; `aRead` is null when
+   * it doesn't have the key. Unless set, the store's answer counts.
+   */
+  std::function<bool(const KeyItem& aKnown, const KeyItem* aRead)> keepsKnown;
   /** An answer belongs to another era of the store than the feed's position. */
   std::function<void(const StorePosition& aKnown, const StorePosition& aAnswered)> onEraChanged;
   /** A call to the store failed after successful ones; the keys may be stale from now on. */
@@ -65,6 +71,16 @@
   std::function<void(const KeyListResult&)> onStaleCopyRead;
 };
 
+/** What a feed follows, and its timing. */
+struct FeedSettings
+{
+  std::string prefix;
+  /** Longest delay between attempts until the first read succeeds. */
+  core::Duration maxStartBackoff = std::chrono::milliseconds{ 250 };
+  /** How long keys that a restore has lost stay in force; their owners write them again sooner. */
+  core::Duration lostKeyHoldTime = std::chrono::seconds{ 5 };
+};
+
 /** Chooses the destination of the next call. */
 using FeedSourceFunction = std::function<FeedSource(FeedCallPurpose)>;
 
@@ -82,17 +98,14 @@
 public:
   /** Without any data the daemon can't serve, so that the first read is retried soon. */
   static constexpr core::Duration kInitialBackoff = std::chrono::milliseconds{ 150 };
-  static constexpr core::Duration kMaxStartBackoff = std::chrono::milliseconds{ 250 };
   /** A daemon with data can go on serving, so that a failing store gets longer pauses. */
   static constexpr core::Duration kMaxBackoff = std::chrono::milliseconds{ 1500 };
 
-  /** @param aMaxStartBackoff longest delay between attempts until the first read succeeds. */
   KeyFeed(FeedSourceFunction aSource,
           core::TimerService& aTimers,
           core::RandomSource& aRandom,
-          std::string aPrefix,
-          FeedHooks aHooks,
-          core::Duration aMaxStartBackoff = kMaxStartBackoff);
+          const FeedSettings& aSettings,
+          FeedHooks aHooks);
 
   /** Follows the keys until Stop(). */
   core::Task<void> Run();
@@ -130,6 +143,9 @@
   bool mIsPatient = false;
   KeyMirror mMirror;
   StorePosition mPosition;
+  /** Whether the store was restored since the first read. */
+  bool mHasSeenRestore = false;
+  LostKeys mLostKeys;
   bool mHasRead = false;
   bool mIsAnswering = false;
   bool mIsLost = false;
@@ -139,6 +155,11 @@
   core::Task<void> Step();
   core::Task<StoreStatus> ReadOnce(FeedSource aSource);
   core::Task<StoreStatus> WatchOnce(FeedSource aSource);
+  void ApplySnapshot(std::vector<KeyItem> aItems, const StorePosition& aPosition);
+  std::vector<KeyItem> KeepKnown(std::vector<KeyItem> aItems) const;
+  bool IsKept(const KeyItem& aKnown, const KeyItem* aRead) const;
+  void ApplyChanges(std::vector<KeyItem> aChanges, const StorePosition& aPosition);
+  void ScheduleRelease();
   StoreStatus CheckEra(const StorePosition& aAnswered);
   bool HasData() const { return mPosition != StorePosition{}; }
   FeedCallPurpose ChoosePurpose();
--- a/store/key_mirror.cpp
+++ b/store/key_mirror.cpp
@@ -52,6 +52,13 @@
   }
 }
 
+const KeyItem*
+KeyMirror::Find(const std::string& aKey) const
+{
+  const auto it = mItems.find(aKey);
+  return it == mItems.end() ? nullptr : &it->second;
+}
+
 std::vector<KeyItem>
 KeyMirror::Items() const
 {
--- a/store/key_mirror.h
+++ b/store/key_mirror.h
@@ -39,6 +39,9 @@
 
   StorePosition Position() const { return mPosition; }
 
+  /** @return one existing key, or null. */
+  const KeyItem* Find(const std::string& aKey) const;
+
   /** @return all existing keys. */
   std::vector<KeyItem> Items() const;
 
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -154,7 +154,10 @@
   std::shared_ptr<FakeKeyValueStore> seed;
   int seedFailures = 0;
   int staleCopies = 0;
-  core::Duration startBackoff = KeyFeed::kMaxStartBackoff;
+  FeedSettings settings;
+  std::function<bool(const KeyItem&, const KeyItem*)> keepsKnown;
+  /** Purposes of the reads after the first one. */
+  std::vector<FeedCallPurpose> purposes;
   std::map<std::string, std::string> copy;
   int eraChanges = 0;
   int lost = 0;
@@ -176,11 +179,15 @@
         copy[aItem.key] = aItem.value;
       }
     };
+    hooks.keepsKnown = keepsKnown;
     hooks.onEraChanged = [this](const StorePosition&, const StorePosition&) { ++eraChanges; };
     hooks.onStoreLost = [this](StoreStatus) { ++lost; };
     hooks.onStoreAnswered = [this] { ++answered; };
     const auto source = [this, aPause](FeedCallPurpose aPurpose) {
       FeedSource chosen;
+      if (answered > 0 && aPurpose != FeedCallPurpose::WatchChanges) {
+        purposes.push_back(aPurpose);
+      }
       if (aPurpose == FeedCallPurpose::StaleCopy && seed) {
         chosen.store = seed;
         chosen.isDirect = false;
@@ -202,7 +209,7 @@
       };
       return chosen;
     };
-    feed = std::make_shared<KeyFeed>(source, loop.timers, random, "", hooks, startBackoff);
+    feed = std::make_shared<KeyFeed>(source, loop.timers, random, settings, hooks);
     core::Start(loop.io.get_executor(), feed->Run());
     loop.Run(milliseconds{ 50 });
   }
@@ -416,7 +423,7 @@
 
 BOOST_AUTO_TEST_CASE(a_retry_request_ends_the_backoff)
 {
-  startBackoff = std::chrono::seconds{ 60 };
+  settings.maxStartBackoff = std::chrono::seconds{ 60 };
   keys.Write("a", "1");
   keys.outage = StoreStatus::OutcomeUnknown;
   Start();
@@ -430,7 +437,7 @@
 
 BOOST_AUTO_TEST_CASE(a_retry_request_during_a_call_takes_effect_when_the_call_ends)
 {
-  startBackoff = std::chrono::seconds{ 60 };
+  settings.maxStartBackoff = std::chrono::seconds{ 60 };
   keys.Write("a", "1");
   keys.isSilent = true;
   Start();
@@ -472,6 +479,101 @@
   BOOST_TEST((copy == keys.keys));
 }
 
+BOOST_AUTO_TEST_CASE(keys_that_a_restore_has_lost_stay_in_force_until_they_should_be_written_again)
+{
+  keys.Write("kept", "1");
+  Start();
+  const FakeKeyValueStore::Copy older = keys.TakeCopy();
+  keys.Write("rewritten", "1");
+  keys.Write("forgotten", "1");
+  loop.Run(milliseconds{ 100 });
+  keys.Restore(older);
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(copy.size() == 3U);
+  keys.Write("rewritten", "2");
+  // A second restore from the same copy loses it again.
+  loop.Run(milliseconds{ 100 });
+  keys.Restore(older);
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(copy.size() == 3U);
+  keys.Write("rewritten", "3");
+  loop.Run(settings.lostKeyHoldTime);
+  BOOST_TEST((copy == keys.keys));
+  BOOST_TEST(copy.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_is_deleted_after_a_restore_is_gone_at_once)
+{
+  Start();
+  const FakeKeyValueStore::Copy older = keys.TakeCopy();
+  keys.Write("a", "1");
+  loop.Run(milliseconds{ 100 });
+  keys.Restore(older);
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(copy.size() == 1U);
+  keys.Delete("a");
+  loop.Run(milliseconds{ 100 });
+  BOOST_TEST(copy.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_value_in_force_does_not_come_back_older_after_a_restore)
+{
+  keepsKnown = [](const KeyItem& aKnown, const KeyItem* aRead) {
+    return aKnown.key == "version" && (aRead == nullptr || aRead->value < aKnown.value);
+  };
+  const FakeKeyValueStore::Copy empty = keys.TakeCopy();
+  keys.Write("version", "1");
+  Start();
+  const FakeKeyValueStore::Copy older = keys.TakeCopy();
+  keys.Write("version", "2");
+  keys.Write("version", "4");
+  loop.Run(milliseconds{ 100 });
+  for (const FakeKeyValueStore::Copy& restored : { older, empty }) {
+    keys.Restore(restored);
+    loop.Run(milliseconds{ 3000 });
+    BOOST_TEST(copy["version"] == "4");
+    BOOST_TEST(feed->Mirror().Find("version")->value == "4");
+    keys.Write("version", "2");
+    loop.Run(std::chrono::seconds{ 10 });
+    BOOST_TEST(copy["version"] == "4");
+  }
+  keys.Write("version", "5");
+  loop.Run(milliseconds{ 100 });
+  BOOST_TEST(copy["version"] == "5");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_the_store_before_its_restore_changes_nothing)
+{
+  keys.Write("a", "1");
+  Start();
+  keys.Restore(keys.TakeCopy());
+  keys.Write("a", "2");
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(copy["a"] == "2");
+  --keys.era;
+  keys.Write("a", "1");
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(copy["a"] == "2");
+  ++keys.era;
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST(copy["a"] == "1");
+}
+
+BOOST_AUTO_TEST_CASE(reads_again_through_a_relay_after_a_restore)
+{
+  keys.Write("a", "1");
+  isRelayed = true;
+  relay->Write("a", "1");
+  Start();
+  const int before = keys.reads + keys.watches;
+  const int relayReads = relay->reads;
+  relay->Restore(relay->TakeCopy());
+  loop.Run(milliseconds{ 3000 });
+  BOOST_TEST((purposes == std::vector<FeedCallPurpose>{ FeedCallPurpose::ReadAgain }));
+  BOOST_TEST(relay->reads == relayReads + 1);
+  BOOST_TEST(keys.reads + keys.watches == before);
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_that_lags_behind_undoes_nothing)
 {
   Start();
