--- a/membership/entry_lease.cpp
+++ b/membership/entry_lease.cpp
@@ -85,6 +85,13 @@
   mIsWritten = false;
 }
 
+void
+EntryLease::OnStoreRestored()
+{
+  mLease = 0;
+  mIsWritten = false;
+}
+
 core::Task<void>
 EntryLease::Revoke()
 {
--- a/membership/entry_lease.h
+++ b/membership/entry_lease.h
@@ -38,6 +38,12 @@
   /** Reports that the key was deleted or overwritten, so that the next renewal writes it again. */
   void MarkMissing() { mIsWritten = false; }
 
+  /**
+   * Reports that the store came back from an older copy: the lease may be gone, or its number given
+   * to another daemon, so that the next renewal requests a new one and writes the key again.
+   */
+  void OnStoreRestored();
+
   /** Ends the lease, which deletes the key. */
   core::Task<void> Revoke();
 
