Ask other daemons for a newer configuration when a process starts

What callers would see: a daemon that starts after the store's return and before the operator has written again reads an older configuration than the one in force on the others, and answers 404 on routes that were added (CONFIG).

A process that has read its first configuration and knows other daemons asks two of them for the version that they have in force, and takes theirs when it is newer; its own copy then has it as well. Weighed: to ask the seeds (a total restart of hundreds would press on three VMs), and to wait for the answers before it serves (a start would depend on dead peers).

--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -239,6 +239,16 @@
   mPosition = std::max(mPosition, aPosition);
 }
 
+void
+KeyFeed::Adopt(KeyItem aItem)
+{
+  mHasSeenRestore = true;
+  // Followers would get a change with a later revision than the copy's again and again.
+  aItem.revision = mPosition.revision;
+  mMirror.Apply({ aItem }, mPosition.revision);
+  mHooks.onChange(aItem);
+}
+
 StoreStatus
 KeyFeed::CheckEra(const StorePosition& aAnswered)
 {
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -124,6 +124,9 @@
    */
   void RetryNow(FeedCallPurpose aPurpose);
 
+  /** Puts a key in force that another daemon has and a restore of the store has lost. */
+  void Adopt(KeyItem aItem);
+
   /** @return the copy of the keys that other daemons may follow. */
   KeyMirror& Mirror() { return mMirror; }
 
