--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -87,6 +87,7 @@
   core::Start(mLoop.get_executor(), WriteReplicaEntries());
   core::Start(mLoop.get_executor(), RestartDaemons());
   core::Start(mLoop.get_executor(), InjectFaults(end));
+  core::Start(mLoop.get_executor(), RestoreStore(end));
   for (int n = 0; n < mOptions.clients; ++n) {
     core::Start(mLoop.get_executor(), RunClient(static_cast<std::uint64_t>(n)));
   }
@@ -181,7 +182,8 @@
                        { "routes", { search, lookup, order, versionRoute } },
                        { "services", services },
                        { "limits", json::object() } };
-  mStore->Write("op/config", document.dump());
+  mConfiguration = document.dump();
+  mStore->Write("op/config", mConfiguration);
 }
 
 /** Writes the store entry of each replica at the interval of the platform's replicas. */
@@ -294,6 +296,32 @@
   }
 }
 
+/** Takes the store away again and again and brings it back from a copy that is some seconds old. */
+core::Task<void>
+SoakRun::RestoreStore(core::TimePoint aEnd)
+{
+  // Its own random numbers leave the other faults of a seed as they are.
+  core::RandomSource random(~mOptions.seed);
+  const auto span = [&random](std::uint64_t aMinMs, std::uint64_t aMaxMs) {
+    return milliseconds(aMinMs + random.Below(aMaxMs - aMinMs + 1));
+  };
+  while (true) {
+    co_await core::Sleep(mTimers, span(500, 2500));
+    mStore->TakeCopy();
+    co_await core::Sleep(mTimers, span(500, 5000));
+    if (mTimers.Now() >= aEnd) {
+      co_return;
+    }
+    ++mCounts.faults;
+    mStore->isDown = true;
+    co_await core::Sleep(mTimers, span(50, 2000));
+    mStore->Restore();
+    // The operator writes again what was lost, and the replicas do with their heartbeats.
+    mStore->Write("op/config", mConfiguration);
+    mStore->isDown = false;
+  }
+}
+
 core::Task<void>
 SoakRun::StopGracefully(Daemon& aDaemon)
 {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -97,6 +97,8 @@
   std::vector<std::string> mRefusedIds;
   std::uint64_t mLastId = 0;
   std::uint64_t mVersion = 1;
+  /** The configuration that the operator wrote last. */
+  std::string mConfiguration;
   bool mIsFinished = false;
   /** When the last fault had ended; unset while faults are injected. */
   core::TimePoint mFaultsEndedAt{};
@@ -108,6 +110,7 @@
   core::Task<void> RestartDaemons();
   core::Task<void> InjectFaults(core::TimePoint aEnd);
   core::Task<void> InjectFault();
+  core::Task<void> RestoreStore(core::TimePoint aEnd);
   core::Task<void> StopGracefully(Daemon& aDaemon);
   core::Task<void> RunClient(std::uint64_t aNumber);
   core::Task<void> CheckRecovery();
