--- a/console/tests/request_trace_test.cpp
+++ b/console/tests/request_trace_test.cpp
@@ -23,7 +23,7 @@
 {"time":"2026-04-15T12:58:01.340Z","level":"warning","vm":"front-1","slice":"caller","event":"request_ended","request":"lim","outcome":"not_run","reason":"s3: replica_limited; "}
 {"time":"2026-04-15T12:58:01.400Z","level":"info","vm":"front-1","slice":"declaration","event":"configuration_in_force","version":"9","routes":"3","revision":"14"}
 {"time":"2026-04-15T12:58:01.410Z","level":"warning","vm":"front-3","slice":"store","event":"store_restored","previous_era":"1","era":"2"}
-{"time":"2026-04-15T12:58:01.420Z","level":"warning","vm":"front-3","slice":"store","event":"store_era_changed","feed":"op/","era":"1","revision":"50","answered_era":"2","answered_revision":"49"}
+{"time":"2026-04-15T12:58:01.420Z","level":"warning","vm":"front-3","slice":"store","event":"store_era_changed","feed":"op/","era":"1","revision":"50","read_era":"2","read_revision":"49"}
 {"time":"2026-04-15T12:58:01.430Z","level":"warning","vm":"front-3","slice":"caller","event":"request_refused","request":"old","reason":"no_route"}
 {"time":"2026-04-15T12:58:02.000Z","level":"info","vm":"front-1","slice":"caller","event":"lines_dropped","failures":"12","successes":"90"}
 )";
@@ -60,7 +60,7 @@
   const RequestTrace trace = TraceOf("old");
   BOOST_TEST_REQUIRE(trace.context.size() == 2U);
   BOOST_TEST(trace.context[0].event == "store_restored");
-  BOOST_TEST(trace.context[1].Field("answered_revision") == "49");
+  BOOST_TEST(trace.context[1].Field("read_revision") == "49");
 }
 
 BOOST_AUTO_TEST_CASE(a_request_refused_by_a_rate_limit_has_the_limit_as_context)
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -143,6 +143,7 @@
     aItems = KeepKnown(std::move(aItems));
   }
   if (isRestored) {
+    mHooks.onEraChanged(mPosition, aPosition);
     std::vector<KeyItem> known = mMirror.Items();
     const std::vector<KeyItem> lost = mLostKeys.Items();
     known.insert(known.end(), lost.begin(), lost.end());
@@ -250,12 +251,11 @@
 }
 
 StoreStatus
-KeyFeed::CheckEra(const StorePosition& aAnswered)
+KeyFeed::CheckEra(const StorePosition& aAnswered) const
 {
   if (aAnswered.era == mPosition.era) {
     return StoreStatus::Done;
   }
-  mHooks.onEraChanged(mPosition, aAnswered);
   // The restored store lists changes by revisions that it has assigned again.
   return aAnswered.era > mPosition.era ? StoreStatus::Compacted : StoreStatus::Refused;
 }
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -28,8 +28,8 @@
    * it doesn't have the key. Unless set, the store's answer counts.
    */
   std::function<bool(const KeyItem& aKnown, const KeyItem* aRead)> keepsKnown;
-  /** An answer belongs to another era of the store than the feed's position. */
-  std::function<void(const StorePosition& aKnown, const StorePosition& aAnswered)> onEraChanged;
+  /** Everything was read again, because the store has come back from an older copy. */
+  std::function<void(const StorePosition& aKnown, const StorePosition& aRead)> onEraChanged;
   /** A call to the store failed after successful ones; the keys may be stale from now on. */
   std::function<void(StoreStatus)> onStoreLost;
   /** A call to the store succeeded, for the first time or after failures. */
@@ -163,7 +163,7 @@
   bool IsKept(const KeyItem& aKnown, const KeyItem* aRead) const;
   void ApplyChanges(std::vector<KeyItem> aChanges, const StorePosition& aPosition);
   void ScheduleRelease();
-  StoreStatus CheckEra(const StorePosition& aAnswered);
+  StoreStatus CheckEra(const StorePosition& aAnswered) const;
   bool HasData() const { return mPosition != StorePosition{}; }
   FeedCallPurpose ChoosePurpose();
   void RecordAnswer(const FeedSource& aSource);
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -490,6 +490,7 @@
   keys.Restore(older);
   loop.Run(milliseconds{ 3000 });
   BOOST_TEST(copy.size() == 3U);
+  BOOST_TEST(eraChanges == 1);
   keys.Write("rewritten", "2");
   // A second restore from the same copy loses it again.
   loop.Run(milliseconds{ 100 });
