--- a/store/configuration_store.cpp
+++ b/store/configuration_store.cpp
@@ -163,6 +163,7 @@
     stored = DecodeStored(result.values.front());
   }
   stored.revision = result.revision;
+  stored.cluster = result.cluster;
   co_return stored;
 }
 
--- a/store/configuration_store.h
+++ b/store/configuration_store.h
@@ -48,6 +48,7 @@
   Revision modRevision = 0;
   /** Revision of the store when it answered. */
   Revision revision = 0;
+  ClusterId cluster;
   std::vector<declaration::Fault> faults;
 };
 
--- a/store/configuration_watch.cpp
+++ b/store/configuration_watch.cpp
@@ -140,6 +140,11 @@
       co_return wasOpen;
     }
     wasOpen = true;
+    if (message->cluster != mCluster) {
+      // A restored store lists changes by revisions that it has assigned again.
+      mWatchedRevision = 0;
+      co_return wasOpen;
+    }
     HandleMessage(*message);
     if (message->isCanceled) {
       co_return wasOpen;
@@ -185,7 +190,7 @@
     co_return false;
   }
   const Revision revision = result.values.empty() ? 0 : result.values.front().modRevision;
-  const bool isSeen = revision == mLastSeenRevision && revision != 0;
+  const bool isSeen = revision == mLastSeenRevision && revision != 0 && result.cluster == mCluster;
   if (!isSeen) {
     const bool isRead = co_await ReadDocument();
     co_return isRead;
@@ -207,13 +212,15 @@
     co_return false;
   }
   // The watch may have delivered a later document while this read was in progress.
-  const bool isOutdated = mLastSeenRevision != seenBefore && stored.revision < mLastSeenRevision;
+  const bool isOutdated = mLastSeenRevision != seenBefore && stored.cluster == mCluster &&
+                          stored.revision < mLastSeenRevision;
   if (isOutdated) {
     co_return true;
   }
   Apply(stored, before);
   // After a restore from a backup, the store's revisions start again from an earlier one.
   mWatchedRevision = stored.revision;
+  mCluster = stored.cluster;
   if (mRefusal == Refusal::None) {
     RecordConfirmation(requestedAt);
   }
--- a/store/configuration_watch.h
+++ b/store/configuration_watch.h
@@ -104,6 +104,8 @@
   Refusal mRefusal = Refusal::None;
   /** Revision of the last document that was applied or refused, 0 before the first. */
   Revision mLastSeenRevision = 0;
+  /** Cluster to which the revisions belong. */
+  ClusterId mCluster;
   /** Revision of the store up to which no change of the document was missed, 0 when unknown. */
   Revision mWatchedRevision = 0;
   std::optional<core::TimePoint> mLastConfirmed;
--- a/store/etcd_codec.cpp
+++ b/store/etcd_codec.cpp
@@ -133,6 +133,13 @@
   return revision > 0 ? std::optional<Revision>(revision) : std::nullopt;
 }
 
+ClusterId
+DecodeCluster(const json& aBody)
+{
+  const json& cluster = GetMember(GetMember(aBody, "header"), "cluster_id");
+  return cluster.is_string() ? cluster.get<std::string>() : std::string();
+}
+
 json
 ParseJson(std::string_view aText)
 {
@@ -219,6 +226,7 @@
     return std::nullopt;
   }
   result.revision = *revision;
+  result.cluster = DecodeCluster(body);
   return result;
 }
 
@@ -263,6 +271,7 @@
   }
   WatchMessage message;
   message.revision = DecodeHeaderRevision(result).value_or(0);
+  message.cluster = DecodeCluster(result);
   message.isCanceled = GetBool(result, "canceled");
   message.compactRevision = GetInteger(result, "compact_revision");
   for (const json& event : GetMember(result, "events")) {
--- a/store/store_messages.h
+++ b/store/store_messages.h
@@ -50,6 +50,12 @@
 /** Identifies a lease; 0 means no lease. */
 using LeaseId = std::int64_t;
 
+/**
+ * Identifies the cluster that answers; a restore from a backup makes a new one, which assigns
+ * revisions again. Empty when the store doesn't name it.
+ */
+using ClusterId = std::string;
+
 /** One key with its value and revisions. */
 struct KeyValue
 {
@@ -76,6 +82,7 @@
   StoreError error = StoreError::None;
   /** Revision of the store when it answered. */
   Revision revision = 0;
+  ClusterId cluster;
   std::vector<KeyValue> values;
 };
 
@@ -138,6 +145,7 @@
 {
   /** Revision of the store when it wrote the message. */
   Revision revision = 0;
+  ClusterId cluster;
   /** The store ended the watch. */
   bool isCanceled = false;
   /** Events up to this revision are no longer kept; 0 when none were missed. */
--- a/store/tests/configuration_watch_test.cpp
+++ b/store/tests/configuration_watch_test.cpp
@@ -184,6 +184,20 @@
   BOOST_TEST(daemon.keeper.Generation() == 4);
 }
 
+BOOST_AUTO_TEST_CASE(a_document_is_taken_whose_revision_a_restored_store_has_assigned_again)
+{
+  fake.revision = 50;
+  Put(3);
+  Start(seconds{ 1 });
+  fake.Restore(50);
+  Put(4);
+  loop.Run(seconds{ 200 });
+  BOOST_TEST(daemon.keeper.Generation() == 4);
+  Put(5);
+  loop.Run(milliseconds{ 10 });
+  BOOST_TEST(daemon.keeper.Generation() == 5);
+}
+
 BOOST_AUTO_TEST_CASE(a_late_read_does_not_undo_what_the_watch_delivered)
 {
   Put(1);
--- a/store/tests/fake_store.cpp
+++ b/store/tests/fake_store.cpp
@@ -102,6 +102,7 @@
   mValues.clear();
   mEvents.clear();
   mCompacted = 0;
+  ++cluster;
   revision = aRevision;
 }
 
@@ -292,7 +293,7 @@
 json
 FakeStore::Header() const
 {
-  return { { "revision", std::to_string(revision) } };
+  return { { "cluster_id", std::to_string(cluster) }, { "revision", std::to_string(revision) } };
 }
 
 void
--- a/store/tests/fake_store.h
+++ b/store/tests/fake_store.h
@@ -62,6 +62,8 @@
   int Calls() const;
 
   Revision revision = 1;
+  /** A restore from a backup makes a new cluster. */
+  int cluster = 1;
 
 private:
   using json = nlohmann::json;
