--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -18,17 +18,17 @@
 
 /** Events of which only the latest one per daemon is part of the context. */
 constexpr std::array<std::string_view, 12> kLatestOnlyEvents{ "configuration_in_force",
-                                                             "fleet_changed",
-                                                             "load_changed",
-                                                             "operator_feed_lost",
-                                                             "operator_feed_answers",
-                                                             "replica_feed_lost",
-                                                             "replica_feed_answers",
-                                                             "started",
-                                                             "stopping",
-                                                             "store_era_changed",
-                                                             "store_has_older_configuration",
-                                                             "store_restored" };
+                                                              "fleet_changed",
+                                                              "load_changed",
+                                                              "operator_feed_lost",
+                                                              "operator_feed_answers",
+                                                              "replica_feed_lost",
+                                                              "replica_feed_answers",
+                                                              "started",
+                                                              "stopping",
+                                                              "store_era_changed",
+                                                              "store_has_older_configuration",
+                                                              "store_restored" };
 
 /** Events about one replica; part of the context when a line of the request names it. */
 constexpr std::array<std::string_view, 8> kReplicaEvents{
