--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -27,7 +27,7 @@
                                                               "started",
                                                               "stopping",
                                                               "store_era_changed",
-                                                              "store_has_older_configuration",
+                                                              "peer_has_newer_configuration",
                                                               "store_restored" };
 
 /** Events about one replica; part of the context when a line of the request names it. */
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -127,27 +127,30 @@
   } else {
     RecordAnswer(aSource);
   }
-  std::vector<KeyItem> inForce = mMirror.Items();
-  const std::vector<KeyItem> lost = mLostKeys.Items();
-  inForce.insert(inForce.end(), lost.begin(), lost.end());
-  mHooks.onSnapshot(inForce);
+  mHooks.onSnapshot(KeysInForce());
   co_return StoreStatus::Done;
 }
 
+std::vector<KeyItem>
+KeyFeed::KeysInForce() const
+{
+  std::vector<KeyItem> keys = mMirror.Items();
+  const std::vector<KeyItem> lost = mLostKeys.Items();
+  keys.insert(keys.end(), lost.begin(), lost.end());
+  return keys;
+}
+
 void
 KeyFeed::ApplySnapshot(std::vector<KeyItem> aItems, const StorePosition& aPosition)
 {
   const bool isRestored = HasData() && aPosition.era != mPosition.era;
-  mHasSeenRestore = mHasSeenRestore || isRestored;
-  if (mHasSeenRestore) {
-    aItems = KeepKnown(std::move(aItems));
+  mMayStoreBeOlder = mMayStoreBeOlder || isRestored;
+  if (mMayStoreBeOlder) {
+    aItems = KeepNewerKeys(std::move(aItems));
   }
   if (isRestored) {
     mHooks.onEraChanged(mPosition, aPosition);
-    std::vector<KeyItem> known = mMirror.Items();
-    const std::vector<KeyItem> lost = mLostKeys.Items();
-    known.insert(known.end(), lost.begin(), lost.end());
-    mLostKeys.Hold(known, aItems, mTimers.Now());
+    mLostKeys.Hold(KeysInForce(), aItems, mTimers.Now());
     ScheduleRelease();
   }
   for (const KeyItem& item : aItems) {
@@ -159,15 +162,15 @@
 }
 
 bool
-KeyFeed::IsKept(const KeyItem& aKnown, const KeyItem* aRead) const
+KeyFeed::IsKnownNewer(const KeyItem& aKnown, const KeyItem* aRead) const
 {
-  return mHasSeenRestore && mHooks.keepsKnown && mHooks.keepsKnown(aKnown, aRead);
+  return mMayStoreBeOlder && mHooks.isKnownNewer && mHooks.isKnownNewer(aKnown, aRead);
 }
 
 std::vector<KeyItem>
-KeyFeed::KeepKnown(std::vector<KeyItem> aItems) const
+KeyFeed::KeepNewerKeys(std::vector<KeyItem> aItems) const
 {
-  if (!mHooks.keepsKnown) {
+  if (!mHooks.isKnownNewer) {
     return aItems;
   }
   std::unordered_map<std::string, std::size_t> indexes;
@@ -177,7 +180,7 @@
   for (KeyItem& known : mMirror.Items()) {
     const auto it = indexes.find(known.key);
     const bool isMissing = it == indexes.end();
-    if (!IsKept(known, isMissing ? nullptr : &aItems[it->second])) {
+    if (!IsKnownNewer(known, isMissing ? nullptr : &aItems[it->second])) {
       continue;
     }
     if (isMissing) {
@@ -228,8 +231,8 @@
 KeyFeed::ApplyChanges(std::vector<KeyItem> aChanges, const StorePosition& aPosition)
 {
   const auto isRejected = [this](const KeyItem& aItem) {
-    const KeyItem* known = mHasSeenRestore ? mMirror.Find(aItem.key) : nullptr;
-    return known != nullptr && IsKept(*known, aItem.isDeleted ? nullptr : &aItem);
+    const KeyItem* known = mMayStoreBeOlder ? mMirror.Find(aItem.key) : nullptr;
+    return known != nullptr && IsKnownNewer(*known, aItem.isDeleted ? nullptr : &aItem);
   };
   aChanges.erase(std::remove_if(aChanges.begin(), aChanges.end(), isRejected), aChanges.end());
   mMirror.Apply(aChanges, aPosition.revision);
@@ -243,7 +246,7 @@
 void
 KeyFeed::Adopt(KeyItem aItem)
 {
-  mHasSeenRestore = true;
+  mMayStoreBeOlder = true;
   // Followers would get a change with a later revision than the copy's again and again.
   aItem.revision = mPosition.revision;
   mMirror.Apply({ aItem }, mPosition.revision);
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -18,16 +18,15 @@
 /** Callbacks to the subscriber of a feed. */
 struct FeedHooks
 {
-  /** All keys, after the first read, lost history or a restore; keys that are not listed no longer
-   * exist. */
+  /** All keys, after the first read or lost history; keys that are not listed no longer exist. */
   std::function<void(const std::vector<KeyItem>&)> onSnapshot;
   /** One key that was written or deleted. */
   std::function<void(const KeyItem&)> onChange;
   /**
-   * Whether a known key stays in force instead of what a restored store has; `aRead` is null when
-   * it doesn't have the key. Unless set, the store's answer counts.
+   * Whether a known key is newer than what a restored store has, and so stays in force; `aRead` is
+   * null when the store doesn't have the key. Unless set, the store's answer counts.
    */
-  std::function<bool(const KeyItem& aKnown, const KeyItem* aRead)> keepsKnown;
+  std::function<bool(const KeyItem& aKnown, const KeyItem* aRead)> isKnownNewer;
   /** Everything was read again, because the store has come back from an older copy. */
   std::function<void(const StorePosition& aKnown, const StorePosition& aRead)> onEraChanged;
   /** A call to the store failed after successful ones; the keys may be stale from now on. */
@@ -146,8 +145,8 @@
   bool mIsPatient = false;
   KeyMirror mMirror;
   StorePosition mPosition;
-  /** Whether the store was restored since the first read. */
-  bool mHasSeenRestore = false;
+  /** Whether the store may have older keys than this daemon, because it was restored. */
+  bool mMayStoreBeOlder = false;
   LostKeys mLostKeys;
   bool mHasRead = false;
   bool mIsAnswering = false;
@@ -159,8 +158,9 @@
   core::Task<StoreStatus> ReadOnce(FeedSource aSource);
   core::Task<StoreStatus> WatchOnce(FeedSource aSource);
   void ApplySnapshot(std::vector<KeyItem> aItems, const StorePosition& aPosition);
-  std::vector<KeyItem> KeepKnown(std::vector<KeyItem> aItems) const;
-  bool IsKept(const KeyItem& aKnown, const KeyItem* aRead) const;
+  std::vector<KeyItem> KeepNewerKeys(std::vector<KeyItem> aItems) const;
+  bool IsKnownNewer(const KeyItem& aKnown, const KeyItem* aRead) const;
+  std::vector<KeyItem> KeysInForce() const;
   void ApplyChanges(std::vector<KeyItem> aChanges, const StorePosition& aPosition);
   void ScheduleRelease();
   StoreStatus CheckEra(const StorePosition& aAnswered) const;
--- a/store/lost_keys.cpp
+++ b/store/lost_keys.cpp
@@ -18,7 +18,6 @@
   std::unordered_set<std::string> restored;
   for (const KeyItem& item : aRestored) {
     restored.insert(item.key);
-    Release(item.key);
   }
   for (const KeyItem& item : aKnown) {
     if (restored.count(item.key) == 0) {
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -155,7 +155,7 @@
   int seedFailures = 0;
   int staleCopies = 0;
   FeedSettings settings;
-  std::function<bool(const KeyItem&, const KeyItem*)> keepsKnown;
+  std::function<bool(const KeyItem&, const KeyItem*)> isKnownNewer;
   /** Purposes of the reads after the first one. */
   std::vector<FeedCallPurpose> purposes;
   std::map<std::string, std::string> copy;
@@ -179,7 +179,7 @@
         copy[aItem.key] = aItem.value;
       }
     };
-    hooks.keepsKnown = keepsKnown;
+    hooks.isKnownNewer = isKnownNewer;
     hooks.onEraChanged = [this](const StorePosition&, const StorePosition&) { ++eraChanges; };
     hooks.onStoreLost = [this](StoreStatus) { ++lost; };
     hooks.onStoreAnswered = [this] { ++answered; };
@@ -519,7 +519,7 @@
 
 BOOST_AUTO_TEST_CASE(a_value_in_force_does_not_come_back_older_after_a_restore)
 {
-  keepsKnown = [](const KeyItem& aKnown, const KeyItem* aRead) {
+  isKnownNewer = [](const KeyItem& aKnown, const KeyItem* aRead) {
     return aKnown.key == "version" && (aRead == nullptr || aRead->value < aKnown.value);
   };
   const FakeKeyValueStore::Copy empty = keys.TakeCopy();
