Wording: name the stand-ins' counters, grace period and dropped responses; a file for each class

RunLedger counts executions, so ExecutionCounter; CrashLedger and QuantileWindow get files of their own; noticeAllowance is a grace period; LoseAnswers drops responses.

--- a/bench/cluster_fixture.cpp
+++ b/bench/cluster_fixture.cpp
@@ -62,7 +62,8 @@
   : mOptions(std::move(aOptions))
   , mFactory(std::move(aFactory))
   , mReference(std::make_shared<NaiveReference>())
-  , mLedgers{ std::make_shared<standin::RunLedger>(), std::make_shared<standin::CrashLedger>() }
+  , mLedgers{ std::make_shared<standin::ExecutionCounter>(),
+              std::make_shared<standin::CrashLedger>() }
   , mNextPort(FirstPortOffset())
 {
   for (std::size_t n = 0; n < kStandinThreads; ++n) {
--- a/bench/cluster_fixture.h
+++ b/bench/cluster_fixture.h
@@ -73,7 +73,7 @@
   std::shared_ptr<const NaiveReference> Reference() const { return mReference; }
 
   /** @return the ledger of requests that were executed. */
-  std::shared_ptr<const standin::RunLedger> Runs() const { return mLedgers.runs; }
+  std::shared_ptr<const standin::ExecutionCounter> Runs() const { return mLedgers.runs; }
 
   /** Takes a failure domain out of service, or back, through a configuration change in the store.
    */
--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -124,7 +124,7 @@
       };
       break;
     case ScenarioAction::StoreLosesAnswers:
-      action = [&aEvent](standin::StoreStandin& aStore) { aStore.LoseAnswers(aEvent.count); };
+      action = [&aEvent](standin::StoreStandin& aStore) { aStore.DropResponses(aEvent.count); };
       break;
     default:
       return false;
--- a/bench/load_driver.cpp
+++ b/bench/load_driver.cpp
@@ -89,7 +89,7 @@
         core::TimerService& aTimers,
         LoadOptions aOptions,
         std::shared_ptr<const NaiveReference> aReference,
-        std::shared_ptr<const standin::RunLedger> aRuns)
+        std::shared_ptr<const standin::ExecutionCounter> aRuns)
     : loop(aLoop)
     , timers(aTimers)
     , options(std::move(aOptions))
@@ -103,7 +103,7 @@
   core::TimerService& timers;
   LoadOptions options;
   std::shared_ptr<const NaiveReference> reference;
-  std::shared_ptr<const standin::RunLedger> runs;
+  std::shared_ptr<const standin::ExecutionCounter> runs;
   core::RandomSource random;
   LoadResult result;
   std::vector<Caller> callers;
@@ -421,7 +421,7 @@
                        core::TimerService& aTimers,
                        LoadOptions aOptions,
                        std::shared_ptr<const NaiveReference> aReference,
-                       std::shared_ptr<const standin::RunLedger> aRuns)
+                       std::shared_ptr<const standin::ExecutionCounter> aRuns)
   : mState(std::make_shared<State>(aLoop,
                                    aTimers,
                                    std::move(aOptions),
--- a/bench/load_driver.h
+++ b/bench/load_driver.h
@@ -3,7 +3,7 @@
 #include "bench/load_result.h"
 #include "bench/naive_reference.h"
 #include "core/timer_service.h"
-#include "standin/run_ledger.h"
+#include "standin/execution_counter.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -52,7 +52,7 @@
              core::TimerService& aTimers,
              LoadOptions aOptions,
              std::shared_ptr<const NaiveReference> aReference,
-             std::shared_ptr<const standin::RunLedger> aRuns);
+             std::shared_ptr<const standin::ExecutionCounter> aRuns);
   LoadDriver(const LoadDriver&) = delete;
   LoadDriver& operator=(const LoadDriver&) = delete;
   ~LoadDriver();
--- a/bench/tests/load_driver_test.cpp
+++ b/bench/tests/load_driver_test.cpp
@@ -52,7 +52,7 @@
   core::AsioTimerService timers{ loop };
   FakeEntry entry{ loop };
   std::shared_ptr<NaiveReference> reference = std::make_shared<NaiveReference>();
-  std::shared_ptr<standin::RunLedger> runs = std::make_shared<standin::RunLedger>();
+  std::shared_ptr<standin::ExecutionCounter> runs = std::make_shared<standin::ExecutionCounter>();
 
   LoadResult Run(bool aIsIdempotent)
   {
--- a/caller/concurrency_limit.h
+++ b/caller/concurrency_limit.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/timer_service.h"
-#include "query/part_latency.h"
+#include "query/quantile_window.h"
 
 #include <cstdint>
 
--- a/standin/run_ledger.cpp
+++ b/standin/crash_ledger.cpp
@@ -1,24 +1,9 @@
-#include "standin/run_ledger.h"
+#include "standin/crash_ledger.h"
 
 #include <algorithm>
 
 namespace skylarkwing::standin {
 
-std::uint64_t
-RunLedger::RecordStart(const std::string& aToken)
-{
-  const std::scoped_lock lock(mMutex);
-  return ++mStarts[aToken];
-}
-
-std::uint64_t
-RunLedger::Starts(const std::string& aToken) const
-{
-  const std::scoped_lock lock(mMutex);
-  const auto it = mStarts.find(aToken);
-  return it == mStarts.end() ? 0 : it->second;
-}
-
 std::size_t
 CrashLedger::RecordCrash(const std::string& aFingerprint, const std::string& aReplica)
 {
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -578,7 +578,7 @@
 }
 
 void
-StoreStandin::LoseAnswers(std::uint64_t aCount)
+StoreStandin::DropResponses(std::uint64_t aCount)
 {
   mState->responsesToDrop = aCount;
 }
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -69,7 +69,7 @@
    *
    * @param aCount number of writes.
    */
-  void LoseAnswers(std::uint64_t aCount);
+  void DropResponses(std::uint64_t aCount);
 
   /** @return the stored value of a key, without counting a call. */
   std::string Get(const std::string& aKey) const;
--- a/standin/tests/store_standin_test.cpp
+++ b/standin/tests/store_standin_test.cpp
@@ -116,7 +116,7 @@
 
 BOOST_AUTO_TEST_CASE(AppliesAWriteWhoseResponseIsDropped)
 {
-  store.LoseAnswers(1);
+  store.DropResponses(1);
   BOOST_TEST(!PutIf("0").contains("succeeded"));
   BOOST_TEST(Ask("/v3/kv/range", { { "key", kKey } })["kvs"][0]["mod_revision"] == "2");
 }
--- a/standin/tests/upstream_standin_test.cpp
+++ b/standin/tests/upstream_standin_test.cpp
@@ -16,7 +16,7 @@
 /** One upstream that holds shard 3 of 10 in version 7. */
 struct UpstreamFixture : Loopback
 {
-  UpstreamLedgers ledgers{ std::make_shared<RunLedger>(), std::make_shared<CrashLedger>() };
+  UpstreamLedgers ledgers{ std::make_shared<ExecutionCounter>(), std::make_shared<CrashLedger>() };
   std::unique_ptr<UpstreamStandin> upstream;
 
   void Start(UpstreamStandinOptions aOptions)
@@ -172,7 +172,7 @@
 BOOST_AUTO_TEST_CASE(DoesNotCountSearchesWithinTheNoticeAllowance)
 {
   UpstreamStandinOptions options;
-  options.noticeAllowance = std::chrono::hours{ 1 };
+  options.noticeGracePeriod = std::chrono::hours{ 1 };
   Start(options);
   upstream->SetDomainOut(true);
   Call(upstream->Address(), "/search", Search("p-1"));
@@ -182,7 +182,7 @@
 BOOST_AUTO_TEST_CASE(CountsSearchesAfterTheNoticeAllowance)
 {
   UpstreamStandinOptions options;
-  options.noticeAllowance = core::Duration::zero();
+  options.noticeGracePeriod = core::Duration::zero();
   Start(options);
   upstream->SetDomainOut(true);
   upstream->Drain();
--- a/standin/upstream_standin.cpp
+++ b/standin/upstream_standin.cpp
@@ -312,10 +312,10 @@
 {
   const core::TimePoint now = timers.Now();
   ++load.received;
-  if (outSince && now - *outSince > options.noticeAllowance) {
+  if (outSince && now - *outSince > options.noticeGracePeriod) {
     ++properties.workWhileOut;
   }
-  if (drainReportedSince && now - *drainReportedSince > options.noticeAllowance) {
+  if (drainReportedSince && now - *drainReportedSince > options.noticeGracePeriod) {
     ++properties.workWhileDraining;
   }
   const bool isColdReported = coldReportedSince && now - *coldReportedSince > kColdNoticeDelay;
--- a/standin/upstream_standin.h
+++ b/standin/upstream_standin.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "standin/crash_ledger.h"
+#include "standin/execution_counter.h"
 #include "standin/property_counts.h"
-#include "standin/run_ledger.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -45,7 +46,7 @@
   /** Time from a crash or restart until the next process starts. */
   core::Duration restartTime = std::chrono::milliseconds{ 300 };
   /** Searches this long after draining or leaving service was announced count as violations. */
-  core::Duration noticeAllowance = std::chrono::seconds{ 5 };
+  core::Duration noticeGracePeriod = std::chrono::seconds{ 5 };
   /** Number of replicas that one search may crash. */
   std::size_t crashAllowance = 2;
   std::uint64_t seed = 1;
@@ -54,7 +55,7 @@
 /** Ledgers shared by all upstreams of an experiment. */
 struct UpstreamLedgers
 {
-  std::shared_ptr<RunLedger> runs;
+  std::shared_ptr<ExecutionCounter> runs;
   std::shared_ptr<CrashLedger> crashes;
 };
 
