Log the content of requests as a fingerprint, and whether a replica has ended

The timeline of docs/incidents/request-ends-replicas.md can't tell its hypotheses apart: which attempts of callers are the same request, and whether a lost connection means that the replica's process has ended.

After a lost connection the daemon connects to the replica again; if it refuses, replica_ended is logged. A replica that shuts down is not checked.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -41,6 +41,14 @@
   return out.str();
 }
 
+std::string
+FormatFingerprint(std::uint64_t aFingerprint)
+{
+  std::ostringstream out;
+  out << std::hex << std::setfill('0') << std::setw(16) << aFingerprint;
+  return out.str();
+}
+
 std::string
 FormatMilliseconds(core::Duration aSpan)
 {
@@ -254,6 +262,7 @@
       { "outcome", std::string(query::NameOf(aResult.outcome)) },
       { "took_ms", FormatMilliseconds(aDuration) },
       { "deadline_ms", FormatMilliseconds(aMetadata.deadline.value_or(aRoute.timeout)) },
+      { "fingerprint", FormatFingerprint(aMetadata.fingerprint) },
       { "attempts", std::to_string(aResult.attempts) },
       { "missing", std::to_string(aResult.missingShards) },
       { "reason", aResult.reason } });
@@ -265,11 +274,13 @@
                           const std::string& aInput)
 {
   if (mFailureLines.Allow(mTimers.Now())) {
-    core::LogEvent(
-      LogLevel::Warning,
-      "caller",
-      "request_refused",
-      { { "request", aMetadata.id }, { "reason", std::string(aReason) }, { "input", aInput } });
+    core::LogEvent(LogLevel::Warning,
+                   "caller",
+                   "request_refused",
+                   { { "request", aMetadata.id },
+                     { "fingerprint", FormatFingerprint(aMetadata.fingerprint) },
+                     { "reason", std::string(aReason) },
+                     { "input", aInput } });
   }
 }
 
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -10,6 +10,7 @@
 #include "upstream/replica_balancer.h"
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,6 +26,8 @@
   std::string id;
   /** Time that the caller waits, if given. */
   std::optional<core::Duration> deadline;
+  /** Hash of the content and the caller, the same for each attempt at one request. */
+  std::uint64_t fingerprint = 0;
 };
 
 /** Wire protocol between callers and the frontend. */
--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -31,9 +31,10 @@
                                                               "store_restored" };
 
 /** Events about one replica; part of the context when a line of the request names it. */
-constexpr std::array<std::string_view, 8> kReplicaEvents{
-  "replica_suspected", "replica_elsewhere", "replica_leaving", "replica_resting",
-  "replica_limited",   "replica_announced", "replica_gone",    "announcement_unreadable"
+constexpr std::array<std::string_view, 9> kReplicaEvents{
+  "replica_suspected", "replica_elsewhere",       "replica_leaving",
+  "replica_resting",   "replica_limited",         "replica_announced",
+  "replica_gone",      "announcement_unreadable", "replica_ended"
 };
 
 /** Those after which a replica accepts no work, or less. */
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-constexpr core::NameTable<SendRefusal, 6> kRefusalNames{
-  { "none", "no_replica", "replica_leaving", "replica_resting", "replica_limited", "no_room" }
-};
+constexpr core::NameTable<SendRefusal, 7> kRefusalNames{ { "none",
+                                                           "no_replica",
+                                                           "replica_leaving",
+                                                           "replica_resting",
+                                                           "replica_limited",
+                                                           "no_room",
+                                                           "quarantined" } };
 
 /** Assumed round trips by distance, until they are measured. */
 constexpr core::Duration kRoundTripInDomain = std::chrono::microseconds{ 600 };
@@ -274,6 +278,18 @@
   return result;
 }
 
+void
+ReplicaBalancer::CheckEnded(const std::string& aId, std::function<void(bool)> aCallback)
+{
+  const auto it = mClients.find(aId);
+  if (it == mClients.end()) {
+    // Its entry is gone: it has shut down, or was gone before.
+    aCallback(false);
+    return;
+  }
+  it->second->CheckEnded(std::move(aCallback));
+}
+
 void
 ReplicaBalancer::RecordFirstAttempt(std::string_view aService)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -52,6 +52,8 @@
   RateLimited,
   /** All replicas that may be used are busy. */
   NoRoom,
+  /** Replicas have ended under the request, so that it may run no more. */
+  Quarantined,
 };
 
 /** @return the name of a refusal, for logs. */
@@ -208,6 +210,13 @@
                   std::shared_ptr<const ForwardedRequest> aMessage,
                   AttemptCallback aCallback);
 
+  /**
+   * Finds out whether the process of a replica has ended after a connection to it was lost.
+   *
+   * @param aCallback called once, now or later; with false for a replica that is shutting down.
+   */
+  void CheckEnded(const std::string& aId, std::function<void(bool)> aCallback);
+
   /** Counts the first attempt of a request, which adds to the budget of extra ones. */
   void RecordFirstAttempt(std::string_view aService);
 
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -91,8 +91,11 @@
          aStatus == AttemptStatus::NothingSent;
 }
 
-Attempt::Attempt(std::string aReplica, core::TimePoint aStart, core::Duration aTypicalTime)
-  : mReplica(std::move(aReplica))
+Attempt::Attempt(const AnnouncedReplica& aReplica,
+                 core::TimePoint aStart,
+                 core::Duration aTypicalTime)
+  : mReplica(aReplica.id)
+  , mProcessStart(aReplica.startedAt)
   , mStart(aStart)
   , mTypicalTime(aTypicalTime)
 {
@@ -192,7 +195,7 @@
   if (RateLimit().MaxRate()) {
     ++(aKind == AttemptKind::First ? mLimitedUse.first : mLimitedUse.extra);
   }
-  auto attempt = std::make_shared<Attempt>(mReplica.id, now, mTypicalTime);
+  auto attempt = std::make_shared<Attempt>(mReplica, now, mTypicalTime);
   mAttemptStarts.push_back(now);
   core::Start(
     mExecutor,
@@ -339,6 +342,40 @@
   Release(connection);
 }
 
+void
+ReplicaClient::CheckEnded(std::function<void(bool)> aCallback)
+{
+  if (mIsRetired || mReplica.isDraining || mAvailability.IsLeaving()) {
+    aCallback(false);
+    return;
+  }
+  mEndChecks.push_back(std::move(aCallback));
+  if (mEndChecks.size() == 1) {
+    core::Start(mExecutor, RunEndCheck(shared_from_this()));
+  }
+}
+
+core::Task<void>
+ReplicaClient::RunEndCheck([[maybe_unused]] std::shared_ptr<ReplicaClient> aSelf)
+{
+  const std::shared_ptr<net::HttpConnection> connection = mMakeConnection();
+  const bool isConnected = co_await connection->Connect(mReplica.address, mSettings.connectTimeout);
+  if (isConnected) {
+    Release(connection);
+  } else {
+    mIdle.clear();
+    core::LogEvent(core::LogLevel::Warning,
+                   "upstream",
+                   "replica_ended",
+                   { { "replica", mReplica.id },
+                     { "service", mReplica.service },
+                     { "in_flight", std::to_string(mAttemptStarts.size()) } });
+  }
+  for (const auto& callback : std::exchange(mEndChecks, {})) {
+    callback(!isConnected);
+  }
+}
+
 void
 ReplicaClient::RecordRoundTrip(core::Duration aConnectTime)
 {
@@ -449,8 +486,10 @@
       mFailureRate.Record(true, now);
       mSuspectUntil = std::max(mSuspectUntil, now + mSettings.minSuspicion / 8);
       break;
-    case AttemptStatus::Failed:
     case AttemptStatus::Lost:
+      CheckEnded([](bool) {});
+      [[fallthrough]];
+    case AttemptStatus::Failed:
     case AttemptStatus::Garbled:
       mLastAnswerAt = now;
       mFailureRate.Record(true, now);
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -66,14 +66,20 @@
 class Attempt
 {
 public:
-  Attempt(std::string aReplica, core::TimePoint aStart, core::Duration aTypicalTime);
+  Attempt(const AnnouncedReplica& aReplica, core::TimePoint aStart, core::Duration aTypicalTime);
 
   /** Cancels the attempt and closes its connection, so that the replica can stop the work. */
   void Cancel();
 
   const std::string& Replica() const { return mReplica; }
+
+  /** @return the start of the replica's process in Unix milliseconds; 0 when it doesn't say. */
+  std::uint64_t ProcessStart() const { return mProcessStart; }
+
   core::TimePoint Start() const { return mStart; }
 
+  bool IsCancelled() const { return mIsCancelled; }
+
   /** @return the typical time of an exchange with this replica. */
   core::Duration TypicalTime() const { return mTypicalTime; }
 
@@ -81,6 +87,7 @@
   friend class ReplicaClient;
 
   std::string mReplica;
+  std::uint64_t mProcessStart;
   core::TimePoint mStart;
   core::Duration mTypicalTime;
   bool mIsCancelled = false;
@@ -226,6 +233,14 @@
   /** @return what was sent while the rate was limited since the last call. */
   LimitedUse TakeLimitedUse() { return std::exchange(mLimitedUse, {}); }
 
+  /**
+   * Finds out whether the replica's process has ended after a connection was lost: it then refuses
+   * new ones. A replica that is shutting down may end, and is not reported.
+   *
+   * @param aCallback called once, now or later, with whether the process has ended.
+   */
+  void CheckEnded(std::function<void(bool)> aCallback);
+
   /** Closes idle connections and lets running attempts end. No further request may be sent. */
   void Retire();
 
@@ -251,6 +266,8 @@
   /** The replica's idle timeout for connections, as last announced. */
   core::Duration mIdleTimeout;
   bool mIsPreconnecting = false;
+  /** The callbacks of the check whether the process has ended. */
+  std::vector<std::function<void(bool)>> mEndChecks;
   std::vector<IdleConnection> mIdle;
   std::vector<core::TimePoint> mAttemptStarts;
   core::Duration mTypicalTime;
@@ -284,6 +301,7 @@
   bool MaySend(const Attempt& aAttempt, core::TimePoint aDeadline) const;
   void HandleNotice(const ReplicaNotice& aNotice, core::TimePoint aSentAt);
   core::Task<void> Preconnect(std::shared_ptr<ReplicaClient> aSelf);
+  core::Task<void> RunEndCheck(std::shared_ptr<ReplicaClient> aSelf);
   void RecordRoundTrip(core::Duration aConnectTime);
   void DropStale();
   std::shared_ptr<net::HttpConnection> TakeIdle(bool aIsIdempotent);
