Quarantine requests under which replicas end, over all daemons

Other requests on those replicas were lost each time.

Cause: attempts were counted for one attempt of a caller only; nothing was kept after it. docs/design/platform.md listed it as open, and the trial's quarantine isn't on the platform's path.

Now query/CrashGuard keeps which fingerprints were under way on replicas that ended (a lost connection, and the replica refuses a new one). Three independent ends without an answer in between quarantine a fingerprint: it is refused at once as not run, with the time to come back. Attempts under way together count once, and a fingerprint that this daemon has just seen answered isn't suspected for the next loss, so that a failure of many replicas refuses nothing. Until a retry was answered, one lost part of a request is sent again at a time; a suspected query begins with one part and isn't hedged.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -84,11 +84,13 @@
                              core::RandomSource& aRandom,
                              core::Metrics& aMetrics,
                              upstream::ReplicaBalancer& aReplicas,
+                             query::CrashGuard& aCrashGuard,
                              CallerProtocol aProtocol,
                              AdmissionLimits aLimits)
   : mTimers(aTimers)
   , mRandom(aRandom)
   , mReplicas(aReplicas)
+  , mCrashGuard(aCrashGuard)
   , mProtocol(std::move(aProtocol))
   , mAdmission(aLimits)
   , mFailureLines(kFailureLinesPerSecond)
@@ -97,6 +99,9 @@
                                     "Requests whose host and path match no route."))
   , mOverloads(aMetrics.Counter("skylarkwing_entry_overload_refusals_total",
                                 "Requests refused because the daemon had too much work."))
+  , mQuarantineRefusals(
+      aMetrics.Counter("skylarkwing_entry_quarantine_refusals_total",
+                       "Requests refused because replicas had ended under earlier attempts."))
   , mLatency(aMetrics.Histogram("skylarkwing_entry_request_duration_seconds",
                                 "Time from a request's arrival to its answer.",
                                 kLatencyBuckets))
@@ -136,6 +141,12 @@
     LogRefusal(metadata, "no_route", host + aRequest.Path());
     co_return MakeRefusal(kNotFound, "no_route");
   }
+  if (const auto retryAfter = mCrashGuard.Refuse(metadata.fingerprint)) {
+    mQuarantineRefusals.Increment();
+    const std::size_t crashes = mCrashGuard.CrashCount(metadata.fingerprint);
+    LogRefusal(metadata, "quarantined", std::to_string(crashes) + " ended");
+    co_return MakeNotRunRefusal("quarantined", *retryAfter);
+  }
   if (const auto retryAfter = mAdmission.Refuse(route->priority, arrival)) {
     mOverloads.Increment();
     LogRefusal(metadata, "overloaded", std::to_string(mAdmission.Running()) + " running");
@@ -185,6 +196,7 @@
   plan.services = ServicesFor(aRoute);
   plan.arrival = aArrival;
   plan.loopLag = mAdmission.AverageLag();
+  plan.crashes = mCrashGuard.Watch(aMetadata.fingerprint, aMetadata.id);
   const core::Duration timeout = aRoute.timeout;
   plan.deadline = aArrival + std::min(aMetadata.deadline.value_or(timeout), timeout);
 
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -6,6 +6,7 @@
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
 #include "net/http_message.h"
+#include "query/crash_guard.h"
 #include "query/request_result.h"
 #include "upstream/replica_balancer.h"
 
@@ -53,6 +54,7 @@
                 core::RandomSource& aRandom,
                 core::Metrics& aMetrics,
                 upstream::ReplicaBalancer& aReplicas,
+                query::CrashGuard& aCrashGuard,
                 CallerProtocol aProtocol,
                 AdmissionLimits aLimits);
 
@@ -74,6 +76,7 @@
   core::TimerService& mTimers;
   core::RandomSource& mRandom;
   upstream::ReplicaBalancer& mReplicas;
+  query::CrashGuard& mCrashGuard;
   CallerProtocol mProtocol;
   EntryAdmission mAdmission;
   std::shared_ptr<const declaration::RoutingTable> mTable;
@@ -82,6 +85,7 @@
   std::array<prometheus::Counter*, 7> mOutcomes{};
   prometheus::Counter& mUnknownRoutes;
   prometheus::Counter& mOverloads;
+  prometheus::Counter& mQuarantineRefusals;
   prometheus::Histogram& mLatency;
 
   core::Task<query::RequestResult> Run(net::HttpRequest aRequest,
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -111,8 +111,10 @@
 std::optional<core::TimePoint>
 PartAttempts::HedgeDue() const
 {
+  const bool isSuspect = mPlan.crashes && mPlan.crashes->IsSuspect();
   const bool isHedgeable = mState == PartState::Running && !mWasHedged && !mIsAbandoned &&
-                           mPlan.route->isIdempotent && mAsked.size() < mPlan.route->maxAttempts;
+                           mPlan.route->isIdempotent && mAsked.size() < mPlan.route->maxAttempts &&
+                           !isSuspect;
   if (!isHedgeable || mAttempts.empty() || !mAttempts.back().attempt) {
     return std::nullopt;
   }
@@ -127,6 +129,7 @@
   mIsAbandoned = true;
   mReplicas.CancelWait(mPlan.service, mWaiter);
   mWaiter = 0;
+  EndAwaitedRetry(false);
 }
 
 void
@@ -219,6 +222,10 @@
 bool
 PartAttempts::TrySend(const upstream::AttemptRequest& aRequest)
 {
+  if (mPlan.crashes && !mPlan.crashes->MaySend()) {
+    mRefusal = SendRefusal::Quarantined;
+    return false;
+  }
   const std::size_t index = mAttempts.size();
   mAttempts.emplace_back();
   mAttempts.back().startedAt = mTimers.Now();
@@ -267,6 +274,48 @@
   });
 }
 
+void
+PartAttempts::RetryAfterLoss()
+{
+  if (!mPlan.crashes) {
+    SendOrWait();
+    return;
+  }
+  mState = PartState::Waiting;
+  mPlan.crashes->RequestRetry([weak = weak_from_this(), crashes = mPlan.crashes](bool aMayRun) {
+    const std::shared_ptr<PartAttempts> self = weak.lock();
+    if (!self || self->mIsAbandoned) {
+      crashes->EndRetry(false);
+      return;
+    }
+    self->mIsAwaitedRetry = aMayRun;
+    self->SendOrWait();
+  });
+}
+
+void
+PartAttempts::EndAwaitedRetry(bool aIsAnswered)
+{
+  if (std::exchange(mIsAwaitedRetry, false)) {
+    mPlan.crashes->EndRetry(aIsAnswered);
+  }
+}
+
+void
+PartAttempts::ReportToCrashWatch(const SentAttempt& aAttempt, AttemptStatus aStatus)
+{
+  if (!mPlan.crashes) {
+    return;
+  }
+  if (aStatus == AttemptStatus::Answered) {
+    mPlan.crashes->RecordAnswer(mPlan.service, aAttempt.startedAt);
+  }
+  if (aStatus == AttemptStatus::Lost && !aAttempt.attempt->IsCancelled()) {
+    mPlan.crashes->RecordLoss(
+      { mPlan.service, aAttempt.replica, aAttempt.attempt->ProcessStart(), aAttempt.startedAt });
+  }
+}
+
 void
 PartAttempts::SendOrWait(bool aHasWaited)
 {
@@ -283,7 +332,8 @@
   }
   const bool mayHaveRoomLater =
     mRefusal == SendRefusal::NoRoom || mRefusal == SendRefusal::RateLimited;
-  if (!mayHaveRoomLater && !IsRetryingRefusers() && !mRefusedBy.empty()) {
+  if (!mayHaveRoomLater && mRefusal != SendRefusal::Quarantined && !IsRetryingRefusers() &&
+      !mRefusedBy.empty()) {
     mHasTriedAllReplicas = true;
     RetryAfterBackoff();
     return;
@@ -298,6 +348,7 @@
 void
 PartAttempts::Wait()
 {
+  EndAwaitedRetry(false);
   mState = PartState::Waiting;
   mWaiter =
     mReplicas.WaitForRoom(mPlan.service, mPlan.route->priority, [self = shared_from_this()] {
@@ -332,7 +383,9 @@
 void
 PartAttempts::OnResult(std::size_t aIndex, AttemptResult aResult)
 {
+  ReportToCrashWatch(mAttempts[aIndex], aResult.status);
   RecordEnd(mAttempts[aIndex], aResult.status);
+  EndAwaitedRetry(aResult.status == AttemptStatus::Answered);
   if (mIsAbandoned || mState == PartState::Answered || mState == PartState::Failed) {
     return;
   }
@@ -352,6 +405,8 @@
     Fail();
   } else if (status == AttemptStatus::NotRun && IsRetryingRefusers()) {
     RetryAfterBackoff();
+  } else if (status == AttemptStatus::Lost) {
+    RetryAfterLoss();
   } else {
     SendOrWait();
   }
@@ -400,6 +455,7 @@
 void
 PartAttempts::Fail()
 {
+  EndAwaitedRetry(false);
   mState = PartState::Failed;
   mOnChange();
 }
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "declaration/routing_table.h"
+#include "query/crash_guard.h"
 #include "upstream/replica_balancer.h"
 
 #include <cstddef>
@@ -23,6 +24,8 @@
   core::TimePoint deadline;
   /** Answers after this time still count, up to the deadline. */
   core::TimePoint objective;
+  /** Prevents attempts at a request that ends replicas; may be null. */
+  std::shared_ptr<CrashWatch> crashes;
 };
 
 /** State of a part. */
@@ -131,6 +134,8 @@
   bool mWasHedged = false;
   /** Set when no replica would have answered a hedge in time. */
   core::TimePoint mNoHedgeBefore{};
+  /** Whether the attempt in progress is a retry that other lost parts wait for. */
+  bool mIsAwaitedRetry = false;
 
   bool IsRunning() const;
   core::Duration MaxWait() const;
@@ -142,6 +147,9 @@
   void SendOrWait(bool aHasWaited = false);
   bool IsRetryingRefusers() const;
   void RetryAfterBackoff();
+  void RetryAfterLoss();
+  void EndAwaitedRetry(bool aIsAnswered);
+  void ReportToCrashWatch(const SentAttempt& aAttempt, upstream::AttemptStatus aStatus);
   void RecordEnd(SentAttempt& aAttempt, upstream::AttemptStatus aStatus);
   void OnResult(std::size_t aIndex, upstream::AttemptResult aResult);
   bool MayRetry(upstream::AttemptStatus aStatus);
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -36,7 +36,9 @@
 RequestRun::Start()
 {
   MakeParts();
-  StartParts();
+  if (!StartTrialPart()) {
+    StartParts();
+  }
   mIsStarting = false;
   Review();
 }
@@ -47,7 +49,8 @@
   mParts.reserve(mPlan.services.size());
   for (const std::string& service : mPlan.services) {
     PartPlan plan{ service,       mPlan.route,    mPlan.table,
-                   mPlan.request, mPlan.deadline, mPlan.arrival + mPlan.route->objective };
+                   mPlan.request, mPlan.deadline, mPlan.arrival + mPlan.route->objective,
+                   mPlan.crashes };
     mParts.push_back(std::make_shared<PartAttempts>(
       mReplicas, mTimers, std::move(plan), [self = weak_from_this()] {
         if (const auto run = self.lock()) {
@@ -57,6 +60,46 @@
   }
 }
 
+bool
+RequestRun::StartTrialPart()
+{
+  if (mParts.size() < 2 || !mPlan.crashes || !mPlan.crashes->IsSuspect()) {
+    return false;
+  }
+  // The shard whose replica has ended shows whether the request was the cause.
+  std::size_t trial = 0;
+  for (std::size_t n = 0; n < mParts.size(); ++n) {
+    if (mPlan.crashes->IsSuspectAt(mPlan.services[n])) {
+      trial = n;
+      break;
+    }
+  }
+  mTrialPart = mParts[trial];
+  mTrialPart->Start();
+  return true;
+}
+
+void
+RequestRun::ReviewTrialPart()
+{
+  const core::Duration age = mTimers.Now() - mPlan.arrival;
+  const core::Duration limit = mPlan.deadline - mPlan.arrival - kDeadlineMargin;
+  const PartState state = mTrialPart->State();
+  if (state == PartState::Failed || age >= limit) {
+    Finish(MakeFailure(age >= limit));
+    return;
+  }
+  if (state != PartState::Answered) {
+    ScheduleReview(limit);
+    return;
+  }
+  mTrialPart = nullptr;
+  mIsStarting = true;
+  StartParts();
+  mIsStarting = false;
+  Review();
+}
+
 void
 RequestRun::StartParts()
 {
@@ -66,7 +109,7 @@
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
     const auto time = part->ExpectedLatency();
     expected.push_back(time.value_or(core::Duration::zero()));
-    if (!time) {
+    if (!time && part->State() == PartState::Deferred) {
       // No replica can take the part, so starting it makes it fail at once.
       part->Start();
       ++unavailable;
@@ -132,7 +175,9 @@
   if (mIsDone || mIsStarting) {
     return;
   }
-  if (mPlan.route->IsFanOut()) {
+  if (mTrialPart) {
+    ReviewTrialPart();
+  } else if (mPlan.route->IsFanOut()) {
     ReviewGather();
   } else {
     ReviewSingle();
@@ -183,7 +228,7 @@
     result.outcome = RequestOutcome::Relayed;
     result.response = std::move(part->Result().response);
     result.attempts = part->SentCount();
-    Finish(std::move(result));
+    Finish(std::move(result), isAnswered);
     return;
   }
   if (isFailed || age >= limit) {
@@ -235,7 +280,7 @@
   }
   result.outcome = result.missingShards == 0 ? RequestOutcome::Complete : RequestOutcome::Partial;
   result.records = MergeRecords(bodies, mPlan.route->topRecords);
-  Finish(std::move(result));
+  Finish(std::move(result), true);
 }
 
 core::Duration
@@ -280,14 +325,18 @@
 }
 
 void
-RequestRun::Finish(RequestResult aResult)
+RequestRun::Finish(RequestResult aResult, bool aIsAnswered)
 {
   mIsDone = true;
+  mTrialPart = nullptr;
   mTimers.Cancel(mTimer);
   mTimer = 0;
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
     part->Abandon();
   }
+  if (mPlan.crashes) {
+    mPlan.crashes->End(aIsAnswered);
+  }
   const RequestCallback callback = std::move(mCallback);
   callback(std::move(aResult));
 }
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -21,6 +21,8 @@
   core::TimePoint deadline;
   /** Average delay of timers on the daemon's event loop. */
   core::Duration loopLag{};
+  /** Prevents attempts at a request that ends replicas; may be null. */
+  std::shared_ptr<CrashWatch> crashes;
 };
 
 /**
@@ -50,6 +52,8 @@
   RequestPlan mPlan;
   RequestCallback mCallback;
   std::vector<std::shared_ptr<PartAttempts>> mParts;
+  /** The only part that was started, because the request may end the replicas that run it. */
+  std::shared_ptr<PartAttempts> mTrialPart;
   core::TimerId mTimer = 0;
   core::TimePoint mTimerDue{};
   bool mIsStarting = true;
@@ -57,6 +61,8 @@
 
   void MakeParts();
   void StartParts();
+  bool StartTrialPart();
+  void ReviewTrialPart();
   std::vector<std::size_t> ChooseDeferredParts(const std::vector<core::Duration>& aExpected) const;
   void SendDeferred();
   void Review();
@@ -66,7 +72,7 @@
   void AnswerGather();
   core::Duration RetryAfter() const;
   RequestResult MakeFailure(bool aIsLate) const;
-  void Finish(RequestResult aResult);
+  void Finish(RequestResult aResult, bool aIsAnswered = false);
 };
 
 } // namespace skylarkwing::query
--- a/query/tests/replica_simulation.cpp
+++ b/query/tests/replica_simulation.cpp
@@ -14,6 +14,8 @@
 
 constexpr core::Duration kFarRoundTrip = milliseconds{ 40 };
 constexpr std::uint32_t kConnections = 26;
+/** Time in which a waiting client notices that a replica's process has ended. */
+constexpr core::Duration kStep = milliseconds{ 5 };
 constexpr const char* kShedHeader = "X-Shed";
 constexpr const char* kWrongReplicaHeader = "X-Elsewhere";
 constexpr const char* kLeavingHeader = "X-Leaving";
@@ -40,7 +42,8 @@
     mReplica = &mReplicas.at(aAddress);
     co_await core::Sleep(mLoop.timers, mReplica->isDown ? aTimeout : mReplica->roundTrip);
     ++mReplica->connections;
-    mIsOpen = !mReplica->isDown;
+    mIsOpen = !mReplica->isDown && !mReplica->hasEnded;
+    mProcess = mReplica->processEnds;
     co_return mIsOpen;
   }
 
@@ -49,7 +52,20 @@
     net::HttpResult reply;
     const core::TimePoint end = mLoop.timers.Now() + aTimeout;
     co_await core::Sleep(mLoop.timers, mReplica->roundTrip / 2);
+    if (!IsOpen()) {
+      reply.error = net::HttpClientError::Broken;
+      co_return reply;
+    }
     mReplica->RecordArrival(mVm, mLoop.timers.Now());
+    if (!mReplica->fatalTarget.empty() && mReplica->fatalTarget == aRequest.target) {
+      mReplica->fatalArrivals.push_back(mLoop.timers.Now());
+      mReplica->End();
+      mLoop.timers.Schedule(mReplica->fatalDownTime,
+                            [replica = mReplica] { replica->hasEnded = false; });
+      co_await core::Sleep(mLoop.timers, mReplica->roundTrip / 2);
+      reply.error = net::HttpClientError::Broken;
+      co_return reply;
+    }
     // Most requests take about the typical time, 1 % take five times as long.
     const double factor = mRandom.Fraction() < 0.01 ? 5.0 : 0.6 + 0.9 * mRandom.Fraction();
     const auto work = std::chrono::duration_cast<core::Duration>(mReplica->work * factor);
@@ -80,7 +96,14 @@
       reply.response.headers.push_back({ kWrongReplicaHeader, "1" });
       co_return reply;
     }
-    co_await core::Sleep(mLoop.timers, back - mLoop.timers.Now());
+    while (IsOpen() && mLoop.timers.Now() < back) {
+      co_await core::Sleep(mLoop.timers,
+                           std::min<core::Duration>(back - mLoop.timers.Now(), kStep));
+    }
+    if (!IsOpen()) {
+      reply.error = net::HttpClientError::Broken;
+      co_return reply;
+    }
     if (done && mRandom.Fraction() < mReplica->lostAnswerShare) {
       mIsOpen = false;
       reply.error = net::HttpClientError::Broken;
@@ -99,7 +122,7 @@
     co_return reply;
   }
 
-  bool IsOpen() const override { return mIsOpen; }
+  bool IsOpen() const override { return mIsOpen && mProcess == mReplica->processEnds; }
   void Close() override { mIsOpen = false; }
 
 private:
@@ -108,6 +131,8 @@
   std::map<std::string, SimulatedReplica>& mReplicas;
   std::string mVm;
   SimulatedReplica* mReplica = nullptr;
+  /** Number of ends of the replica when the connection was opened. */
+  std::uint32_t mProcess = 0;
   bool mIsOpen = false;
 };
 
@@ -167,6 +192,15 @@
   return end;
 }
 
+void
+SimulatedReplica::End()
+{
+  hasEnded = true;
+  ++processEnds;
+  ends.clear();
+  slotFreeAt.clear();
+}
+
 void
 SimulatedReplica::RecordArrival(const std::string& aVm, core::TimePoint aNow)
 {
--- a/query/tests/replica_simulation.h
+++ b/query/tests/replica_simulation.h
@@ -26,6 +26,16 @@
   core::Duration pauseOffset{};
   /** Accepts no connections and loses the open ones. */
   bool isDown = false;
+  /** Its process has ended: connections are closed at once, and new ones are refused. */
+  bool hasEnded = false;
+  /** Number of ends of its process; a connection lasts as long as the process. */
+  std::uint32_t processEnds = 0;
+  /** Its process ends when it begins to run a request with this target; empty for none. */
+  std::string fatalTarget;
+  /** How long its process is gone after such a request. */
+  core::Duration fatalDownTime = std::chrono::seconds{ 3 };
+  /** When requests with that target arrived. */
+  std::vector<core::TimePoint> fatalArrivals;
   /** Another replica uses its address. */
   bool isAnotherReplica = false;
   /** Share of its requests that it refuses, and share of its answers that are lost. */
@@ -49,6 +59,9 @@
   std::uint32_t shed = 0;
   std::uint32_t connections = 0;
 
+  /** Ends its process. */
+  void End();
+
   /** Records an arrival from a daemon. */
   void RecordArrival(const std::string& aVm, core::TimePoint aNow);
 
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -217,6 +217,9 @@
    */
   void CheckEnded(const std::string& aId, std::function<void(bool)> aCallback);
 
+  /** @return this daemon's share of what the fleet may do together. */
+  double OwnShare() const { return mSharedLimits.OwnShare(); }
+
   /** Counts the first attempt of a request, which adds to the budget of extra ones. */
   void RecordFirstAttempt(std::string_view aService);
 
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -486,10 +486,8 @@
       mFailureRate.Record(true, now);
       mSuspectUntil = std::max(mSuspectUntil, now + mSettings.minSuspicion / 8);
       break;
-    case AttemptStatus::Lost:
-      CheckEnded([](bool) {});
-      [[fallthrough]];
     case AttemptStatus::Failed:
+    case AttemptStatus::Lost:
     case AttemptStatus::Garbled:
       mLastAnswerAt = now;
       mFailureRate.Record(true, now);
--- a/upstream/tests/random_crash_test.cpp
+++ b/upstream/tests/random_crash_test.cpp
@@ -157,7 +157,7 @@
       fleet.RunFor(milliseconds{ *rc::gen::inRange(0, 60) });
     }
     fleet.RunFor(std::chrono::seconds{ 1 });
-    RC_ASSERT(fleet.Crashes() <= CrashHistory::kCrashesUntilQuarantine);
+    RC_ASSERT(fleet.Crashes() <= CrashHistorySettings().crashesUntilQuarantine);
   };
   BOOST_TEST(rc::check("at most two replicas crash", property));
 }
