--- a/membership/vm_list.cpp
+++ b/membership/vm_list.cpp
@@ -1,5 +1,7 @@
 #include "membership/vm_list.h"
 
+#include "core/untrusted_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -44,7 +46,7 @@
 std::optional<std::vector<VmRecord>>
 ParseVmList(const std::string& aBody)
 {
-  const auto document = nlohmann::json::parse(aBody, nullptr, false);
+  const auto document = core::ParseUntrustedJson(aBody);
   if (!document.is_object() || !document.contains("vms") || !document["vms"].is_array()) {
     return std::nullopt;
   }
--- a/store/etcd_codec.cpp
+++ b/store/etcd_codec.cpp
@@ -1,5 +1,6 @@
 #include "store/etcd_codec.h"
 
+#include "core/untrusted_json.h"
 #include "store/base64.h"
 
 #include <nlohmann/json.hpp>
@@ -143,7 +144,7 @@
 json
 ParseJson(std::string_view aText)
 {
-  return json::parse(aText, nullptr, false);
+  return core::ParseUntrustedJson(aText);
 }
 
 std::optional<LeaseResult>
