--- a/net/tests/endless_response_test.cpp
+++ b/net/tests/endless_response_test.cpp
@@ -212,6 +212,40 @@
   BOOST_TEST(!wasOpen.at(0));
 }
 
+BOOST_AUTO_TEST_CASE(a_response_that_ends_in_its_head_or_body_passes_for_a_complete_one)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n";
+  const std::vector<std::string> responses{
+    head + "Content-Length: 4\r\n\r\nbody",
+    head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    // Without a length the body ends with the connection, so only the head can be incomplete.
+    head + "\r\n",
+  };
+  std::vector<std::string> cut;
+  for (const std::string& response : responses) {
+    for (std::size_t n = 0; n < response.size(); ++n) {
+      cut.push_back(response.substr(0, n));
+    }
+  }
+  for (const char* body : { "", "request" }) {
+    results.clear();
+    std::size_t next = 0;
+    server.emplace(loop, [&](tcp::socket& aSocket) -> core::Task<void> {
+      co_await ReadHead(aSocket);
+      co_await Write(aSocket, cut.at(next++));
+      // Sends the end of the stream and not a reset, which is an error in any case.
+      aSocket.shutdown(tcp::socket::shutdown_send);
+      co_await ReadHead(aSocket);
+    });
+    loop.restart();
+    Run(cut.size(), body);
+    BOOST_REQUIRE(results.size() == cut.size());
+    for (std::size_t n = 0; n < cut.size(); ++n) {
+      BOOST_TEST((results[n].error != HttpClientError::None), cut[n]);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_after_a_response_are_not_taken_for_the_next_one)
 {
   // The second response is complete and could be mistaken for that of the next request.
