--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -3,7 +3,6 @@
 #include "caller/weighted_choice.h"
 #include "core/log.h"
 #include "core/task.h"
-#include "query/request_run.h"
 
 #include <algorithm>
 #include <iomanip>
@@ -147,6 +146,12 @@
     LogRefusal(metadata, "quarantined", std::to_string(crashes) + " ended");
     co_return MakeNotRunRefusal("quarantined", *retryAfter);
   }
+  const core::Duration wait = std::min<core::Duration>(
+    metadata.deadline.value_or(core::Duration(route->timeout)), route->timeout);
+  if (const auto retryAfter = mStopAdmission.Refuse(arrival, arrival + wait)) {
+    LogRefusal(metadata, "stopping", FormatMilliseconds(wait) + " ms to its deadline");
+    co_return MakeNotRunRefusal("stopping", *retryAfter);
+  }
   if (const auto retryAfter = mAdmission.Refuse(route->priority, arrival)) {
     mOverloads.Increment();
     LogRefusal(metadata, "overloaded", std::to_string(mAdmission.Running()) + " running");
@@ -159,6 +164,14 @@
   co_return ToResponse(std::move(result));
 }
 
+void
+EntryFrontend::GiveUpRunning()
+{
+  for (const std::shared_ptr<query::RequestRun>& run : std::set(mRunning)) {
+    run->GiveUp();
+  }
+}
+
 void
 EntryFrontend::ReportDroppedLines()
 {
@@ -201,6 +214,7 @@
   plan.deadline = aArrival + std::min(aMetadata.deadline.value_or(timeout), timeout);
 
   RequestResult result;
+  std::shared_ptr<query::RequestRun> running;
   std::function<void(std::function<void()>)> start = [&](std::function<void()> aWake) {
     auto run = std::make_shared<query::RequestRun>(
       mReplicas, mTimers, std::move(plan), [&result, wake = std::move(aWake)](RequestResult aEnd) {
@@ -210,9 +224,12 @@
     if (client) {
       client->OnDisconnect([run] { run->OnCallerGone(); });
     }
+    running = run;
+    mRunning.insert(run);
     run->Start();
   };
   co_await core::AwaitCallback(std::move(start));
+  mRunning.erase(running);
   if (client) {
     client->OnDisconnect(nullptr);
   }
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/entry_admission.h"
+#include "caller/stop_admission.h"
 #include "core/log_rate_limiter.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
@@ -8,6 +9,7 @@
 #include "net/http_message.h"
 #include "query/crash_guard.h"
 #include "query/request_result.h"
+#include "query/request_run.h"
 #include "upstream/replica_balancer.h"
 
 #include <array>
@@ -15,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,6 +72,15 @@
 
   EntryAdmission& Admission() { return mAdmission; }
 
+  /** Begins to refuse requests that can't end before the process exits. */
+  void BeginStop(core::TimePoint aExit) { mStopAdmission.Begin(mTimers.Now(), aExit); }
+
+  /** @return when requests with a long deadline are no longer accepted, nothing before a stop. */
+  std::optional<core::TimePoint> RefusesLateFrom() const { return mStopAdmission.LateFrom(); }
+
+  /** Ends all running requests without a response of a replica. */
+  void GiveUpRunning();
+
   /** Logs the number of log lines dropped since the last call, if any. */
   void ReportDroppedLines();
 
@@ -79,6 +91,8 @@
   query::CrashGuard& mCrashGuard;
   CallerProtocol mProtocol;
   EntryAdmission mAdmission;
+  StopAdmission mStopAdmission;
+  std::set<std::shared_ptr<query::RequestRun>> mRunning;
   std::shared_ptr<const declaration::RoutingTable> mTable;
   core::LogRateLimiter mFailureLines;
   core::LogRateLimiter mSuccessLines;
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -169,6 +169,14 @@
   Finish(std::move(result));
 }
 
+void
+RequestRun::GiveUp()
+{
+  if (!mIsDone) {
+    Finish(MakeFailure(true));
+  }
+}
+
 void
 RequestRun::Review()
 {
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -46,6 +46,9 @@
    */
   void OnCallerGone();
 
+  /** Ends the request now, because its deadline lies after the end of the process. */
+  void GiveUp();
+
 private:
   upstream::ReplicaBalancer& mReplicas;
   core::TimerService& mTimers;
