Soak: replicas that end by themselves, many at once, and requests that end the replicas that run them

Three callers (one replica, once at most, a query) send the same request again and again to any daemon while daemons are killed, frozen, cut and stopped and the store goes away and is restored; a new daemon starts at the end. Checked: at most three runs by daemons in touch later than 5 s after the third end, none of a request that was refused, and no other request refused for it. A stand-in replica that has ended refuses connections.

--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -89,7 +89,8 @@
     std::cout << "seed " << options.seed << ": " << counts.faults << " faults, " << counts.sent
               << " sent, " << counts.answered << " answered (" << counts.partial << " partial), "
               << counts.refused << " refused, " << counts.failed << " failed, " << counts.unanswered
-              << " unanswered, " << violations.size() << " violations\n";
+              << " unanswered, " << run.EndsUnderRequests() << " ends under requests, "
+              << violations.size() << " violations\n";
     for (const std::string& violation : violations) {
       std::cout << "  " << violation << '\n';
     }
--- a/soak/soak_replica.cpp
+++ b/soak/soak_replica.cpp
@@ -89,6 +89,9 @@
     co_return response;
   }
   ++mLedger.runs[SoakLedger::Key(mService, id)];
+  if (onRun && onRun(aRequest)) {
+    co_return response;
+  }
   if (mode == ReplicaMode::Slow || mode == ReplicaMode::Unresponsive) {
     co_await core::Sleep(mTimers, mode == ReplicaMode::Slow ? kSlowTime : kUnresponsiveTime);
   }
--- a/soak/soak_replica.h
+++ b/soak/soak_replica.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -50,6 +51,9 @@
 
   ReplicaMode mode = ReplicaMode::Healthy;
 
+  /** Called when it begins to run a request. @return whether its process ends. */
+  std::function<bool(const net::HttpRequest&)> onRun;
+
   const std::string& Id() const { return mId; }
   const std::string& Service() const { return mService; }
   std::string Address() const { return mServer.Address(); }
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -33,7 +33,8 @@
 constexpr core::Duration kClientTimeout = std::chrono::seconds{ 4 };
 /** Time from the last fault until every daemon must serve again; the users require 12 s. */
 constexpr core::Duration kRecoveryLimit = std::chrono::seconds{ 12 };
-constexpr core::Duration kPostRecoveryTime = std::chrono::seconds{ 2 };
+/** Time without faults in which requests that end replicas must be refused by all daemons. */
+constexpr core::Duration kPostRecoveryTime = CrashingRequests::kContactTime + milliseconds{ 2000 };
 constexpr std::uint64_t kReplicaStartMs = 1700000000000;
 /** First port of all runs; the seed selects the port range, so that concurrent runs differ. */
 constexpr int kFirstPort = 20000;
@@ -44,6 +45,10 @@
 constexpr int kSeeds = 3;
 constexpr int kPortsPerRun = 200;
 constexpr std::uint64_t kPortRanges = 40;
+/** Time after which a replica that ended under a request is back. */
+constexpr core::Duration kRestartTime = milliseconds{ 700 };
+/** Gives the parts of a run random numbers of their own. */
+constexpr std::uint64_t kSeedOffset = 1'000'003;
 
 std::string
 ShardName(std::size_t aNumber)
@@ -88,12 +93,17 @@
   core::Start(mLoop.get_executor(), RestartDaemons());
   core::Start(mLoop.get_executor(), InjectFaults(end));
   core::Start(mLoop.get_executor(), RestoreStore(end));
+  core::Start(mLoop.get_executor(), EndReplicas(end));
+  mCrashingRequests->Start();
   for (int n = 0; n < mOptions.clients; ++n) {
     core::Start(mLoop.get_executor(), RunClient(static_cast<std::uint64_t>(n)));
   }
   core::Start(mLoop.get_executor(), CheckRecovery());
   mLoop.run();
   CheckLedger();
+  for (const std::string& violation : mCrashingRequests->Check()) {
+    AddViolation(violation);
+  }
   return mViolations;
 }
 
@@ -114,6 +124,22 @@
       mReplicas.push_back(std::move(replica));
     }
   }
+  for (Replica& replica : mReplicas) {
+    replica.server->onRun = [this, &replica](const net::HttpRequest& aRequest) {
+      if (!mCrashingRequests->OnRun(aRequest)) {
+        return false;
+      }
+      EndReplica(replica, kRestartTime);
+      return true;
+    };
+  }
+  CrashingRequestHooks hooks;
+  hooks.daemonCount = [this] { return mDaemons.size(); };
+  hooks.addressOf = [this](std::size_t aDaemon) { return mDaemons[aDaemon].address; };
+  hooks.isInTouch = [this](std::size_t aDaemon) { return IsInTouch(aDaemon); };
+  hooks.onRefused = [this](const std::string& aId) { mRefusedIds.push_back(aId); };
+  mCrashingRequests = std::make_unique<CrashingRequests>(
+    mLoop, mTimers, mOptions.seed + kSeedOffset, std::move(hooks));
   WriteConfiguration();
   for (int n = 0; n < mOptions.processes; ++n) {
     AddDaemon(n);
@@ -156,6 +182,7 @@
   daemon.process = std::make_unique<DaemonProcess>(
     mOptions.program, file, mOptions.folder + "/" + daemon.name + ".log");
   daemon.process->Start();
+  daemon.disturbedAt = mTimers.Now();
   mDaemons.push_back(std::move(daemon));
 }
 
@@ -193,6 +220,9 @@
   while (!mIsFinished) {
     for (std::size_t n = 0; n < mReplicas.size(); ++n) {
       Replica& replica = mReplicas[n];
+      if (replica.hasEnded) {
+        continue;
+      }
       const json entry{ { "service", replica.server->Service() },
                         { "address", replica.proxy->Address() },
                         { "zone", n % 2 == 0 ? "east" : "west" },
@@ -201,7 +231,7 @@
                         { "state", replica.isDraining ? "draining" : "ready" },
                         { "cold_remaining_ms", 0 },
                         { "sequence", ++replica.sequence },
-                        { "born", kReplicaStartMs } };
+                        { "born", kReplicaStartMs + replica.ends } };
       mStore->Write("servers/" + replica.server->Id(), entry.dump());
     }
     co_await core::Sleep(mTimers, milliseconds{ 1200 });
@@ -221,6 +251,7 @@
         }
         daemon.isStopping = false;
         daemon.isPaused = false;
+        daemon.disturbedAt = mTimers.Now();
         daemon.process->Start();
       }
     }
@@ -250,6 +281,7 @@
   Replica& replica = mReplicas[mRandom.Below(mReplicas.size())];
   const core::Duration span = RandomDuration(300, 4000);
   const auto mode = static_cast<ProxyMode>(1 + mRandom.Below(4));
+  daemon.disturbedAt = mTimers.Now();
   switch (mRandom.Below(kFaultKinds)) {
     case 0:
       daemon.process->Signal(SIGKILL);
@@ -260,6 +292,7 @@
       co_await core::Sleep(mTimers, span);
       daemon.process->Signal(SIGCONT);
       daemon.isPaused = false;
+      daemon.disturbedAt = mTimers.Now();
       break;
     case 2:
       co_await StopGracefully(daemon);
@@ -268,6 +301,7 @@
       daemon.storeProxy->SetMode(mode);
       co_await core::Sleep(mTimers, span);
       daemon.storeProxy->SetMode(ProxyMode::Pass);
+      daemon.disturbedAt = mTimers.Now();
       break;
     case 4:
       replica.proxy->SetMode(mode);
@@ -283,10 +317,12 @@
       mStore->isDown = true;
       co_await core::Sleep(mTimers, span);
       mStore->isDown = false;
+      mStoreDisturbedAt = mTimers.Now();
       break;
     case 7:
       WriteConfiguration();
       mStore->DropHistory();
+      mStoreDisturbedAt = mTimers.Now();
       break;
     default:
       replica.isDraining = true;
@@ -319,9 +355,54 @@
     // The operator writes again what was lost, and the replicas do with their heartbeats.
     mStore->Write("op/config", mConfiguration);
     mStore->isDown = false;
+    mStoreDisturbedAt = mTimers.Now();
+  }
+}
+
+/** Ends a replica's process; a new one starts after a while. */
+void
+SoakRun::EndReplica(Replica& aReplica, core::Duration aDownTime)
+{
+  if (aReplica.hasEnded) {
+    return;
+  }
+  aReplica.hasEnded = true;
+  ++aReplica.ends;
+  aReplica.proxy->Close();
+  mTimers.Schedule(aDownTime, [&aReplica] {
+    aReplica.hasEnded = false;
+    aReplica.proxy->Reopen();
+  });
+}
+
+/** Ends many replicas at the same moment, again and again. */
+core::Task<void>
+SoakRun::EndReplicas(core::TimePoint aEnd)
+{
+  // Its own random numbers leave the other faults of a seed as they are.
+  core::RandomSource random(mOptions.seed + 2 * kSeedOffset);
+  co_await core::Sleep(mTimers, milliseconds{ 1500 });
+  while (mTimers.Now() < aEnd) {
+    ++mCounts.faults;
+    const double share = random.Fraction();
+    for (Replica& replica : mReplicas) {
+      if (random.Fraction() < share) {
+        EndReplica(replica, milliseconds(200 + random.Below(1500)));
+      }
+    }
+    co_await core::Sleep(mTimers, milliseconds(500 + random.Below(2500)));
   }
 }
 
+bool
+SoakRun::IsInTouch(std::size_t aDaemon) const
+{
+  const core::TimePoint since = mTimers.Now() - CrashingRequests::kContactTime;
+  const Daemon& daemon = mDaemons[aDaemon];
+  return daemon.disturbedAt < since && mStoreDisturbedAt < since && !mStore->isDown &&
+         !daemon.isStopping && !daemon.isPaused;
+}
+
 core::Task<void>
 SoakRun::StopGracefully(Daemon& aDaemon)
 {
@@ -365,6 +446,8 @@
   while (mFaultsEndedAt == core::TimePoint{}) {
     co_await core::Sleep(mTimers, milliseconds{ 50 });
   }
+  // One that took no part in what the others know.
+  AddDaemon(static_cast<int>(mDaemons.size()));
   const std::string newestTarget = "/version-" + std::to_string(mVersion - 1) + "/x";
   for (const Daemon& daemon : mDaemons) {
     bool isServing = false;
@@ -388,6 +471,7 @@
   }
   co_await core::Sleep(mTimers, kPostRecoveryTime);
   mIsFinished = true;
+  mCrashingRequests->Stop();
   // Lets pending client requests reach their timeout.
   co_await core::Sleep(mTimers, kClientTimeout + milliseconds{ 500 });
   mDaemons.clear();
@@ -420,6 +504,9 @@
   if (response.status == 503 || response.status == 429 || response.status == 408) {
     ++mCounts.refused;
     mRefusedIds.push_back(aId);
+    if (response.body.find("quarantined") != std::string::npos) {
+      AddViolation(aId + ": refused because replicas ended, which it did not cause");
+    }
     return;
   }
   if (response.status == 404) {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -4,6 +4,7 @@
 #include "core/random_source.h"
 #include "net/http_client.h"
 #include "platform/tests/platform_fakes.h"
+#include "soak/crashing_requests.h"
 #include "soak/daemon_process.h"
 #include "soak/soak_replica.h"
 #include "soak/tcp_proxy.h"
@@ -62,6 +63,9 @@
 
   const SoakCounts& Counts() const { return mCounts; }
 
+  /** @return the number of replicas that ended under requests that end them. */
+  std::uint64_t EndsUnderRequests() const { return mCrashingRequests->Ends(); }
+
 private:
   /** A daemon and its proxy to the store. */
   struct Daemon
@@ -72,6 +76,8 @@
     std::unique_ptr<DaemonProcess> process;
     bool isStopping = false;
     bool isPaused = false;
+    /** When it was last started, or a fault of it or of its way to the store began or ended. */
+    core::TimePoint disturbedAt{};
   };
 
   /** A replica behind a proxy. */
@@ -81,6 +87,9 @@
     std::unique_ptr<TcpProxy> proxy;
     std::uint64_t sequence = 0;
     bool isDraining = false;
+    bool hasEnded = false;
+    /** Number of times its process has ended. */
+    std::uint64_t ends = 0;
   };
 
   SoakOptions mOptions;
@@ -92,6 +101,8 @@
   std::unique_ptr<platform::tests::FakePlatformStore> mStore;
   std::vector<Daemon> mDaemons;
   std::vector<Replica> mReplicas;
+  std::unique_ptr<CrashingRequests> mCrashingRequests;
+  core::TimePoint mStoreDisturbedAt{};
   std::vector<std::string> mViolations;
   /** Ids of requests refused as not run; these must never run. */
   std::vector<std::string> mRefusedIds;
@@ -111,6 +122,9 @@
   core::Task<void> InjectFaults(core::TimePoint aEnd);
   core::Task<void> InjectFault();
   core::Task<void> RestoreStore(core::TimePoint aEnd);
+  void EndReplica(Replica& aReplica, core::Duration aDownTime);
+  core::Task<void> EndReplicas(core::TimePoint aEnd);
+  bool IsInTouch(std::size_t aDaemon) const;
   core::Task<void> StopGracefully(Daemon& aDaemon);
   core::Task<void> RunClient(std::uint64_t aNumber);
   core::Task<void> CheckRecovery();
--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <stdexcept>
@@ -123,6 +125,21 @@
   return net::ToString(mState->acceptor.local_endpoint());
 }
 
+void
+TcpProxy::Close()
+{
+  // A socket that is shut down refuses connections but keeps its port.
+  ::shutdown(mState->acceptor.native_handle(), SHUT_RD);
+  mState->CloseAll();
+}
+
+void
+TcpProxy::Reopen()
+{
+  mState->acceptor.listen();
+  core::Start(mState->loop.get_executor(), mState->Accept(mState));
+}
+
 void
 TcpProxy::SetMode(ProxyMode aMode)
 {
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -38,6 +38,12 @@
   /** Sets the mode of open and new connections. */
   void SetMode(ProxyMode aMode);
 
+  /** Resets all connections and refuses new ones, as the machine of a process that has ended. */
+  void Close();
+
+  /** Accepts connections again after Close(). */
+  void Reopen();
+
 private:
   struct State;
   std::shared_ptr<State> mState;
