--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -42,6 +42,11 @@
                                                          "replica_resting",
                                                          "replica_limited" };
 
+/** Events about a request's content; part of the context on whichever daemon they were written. */
+constexpr std::array<std::string_view, 3> kFingerprintEvents{ "request_suspected",
+                                                              "crash_notice_read",
+                                                              "crash_disproved" };
+
 template<typename Names>
 bool
 Contains(const Names& aNames, std::string_view aName)
@@ -75,6 +80,18 @@
           (isNotice && IsMentioned(aLines, aLine.Field("service") + ':')));
 }
 
+/** @return whether a line tells of replicas that ended under the request's content. */
+bool
+ConcernsFingerprint(const std::vector<LogLine>& aLines, const LogLine& aLine)
+{
+  const std::string fingerprint = aLine.Field("fingerprint");
+  return !fingerprint.empty() && Contains(kFingerprintEvents, aLine.event) &&
+         aLine.Field("request") != aLines.back().Field("request") &&
+         std::any_of(aLines.begin(), aLines.end(), [&fingerprint](const LogLine& aOwn) {
+           return aOwn.Field("fingerprint") == fingerprint;
+         });
+}
+
 void
 AddContext(RequestTrace& aTrace, const std::vector<LogLine>& aLines)
 {
@@ -85,6 +102,10 @@
   }
   std::map<std::pair<std::string, std::string>, const LogLine*> latest;
   for (const LogLine& line : aLines) {
+    if (line.time <= last.time && ConcernsFingerprint(aTrace.lines, line)) {
+      aTrace.context.push_back(line);
+      continue;
+    }
     if (vms.count(line.vm) == 0 || line.time > last.time) {
       continue;
     }
--- a/console/tests/request_trace_test.cpp
+++ b/console/tests/request_trace_test.cpp
@@ -25,6 +25,9 @@
 {"time":"2026-04-15T12:58:01.410Z","level":"warning","vm":"front-3","slice":"store","event":"store_restored","previous_era":"1","era":"2"}
 {"time":"2026-04-15T12:58:01.420Z","level":"warning","vm":"front-3","slice":"store","event":"store_era_changed","feed":"op/","era":"1","revision":"50","read_era":"2","read_revision":"49"}
 {"time":"2026-04-15T12:58:01.430Z","level":"warning","vm":"front-3","slice":"caller","event":"request_refused","request":"old","reason":"no_route"}
+{"time":"2026-04-15T12:58:01.440Z","level":"info","vm":"front-4","slice":"query","event":"request_suspected","request":"first","fingerprint":"07bc","replica":"i-7","verdict":"suspected","ended":"1"}
+{"time":"2026-04-15T12:58:01.445Z","level":"info","vm":"front-4","slice":"query","event":"request_suspected","request":"other","fingerprint":"99aa","replica":"i-7","verdict":"suspected","ended":"1"}
+{"time":"2026-04-15T12:58:01.450Z","level":"warning","vm":"front-5","slice":"caller","event":"request_refused","request":"again","fingerprint":"07bc","reason":"quarantined","input":"3 ended"}
 {"time":"2026-04-15T12:58:02.000Z","level":"info","vm":"front-1","slice":"caller","event":"lines_dropped","failures":"12","successes":"90"}
 )";
 
@@ -55,6 +58,14 @@
   BOOST_TEST(trace.context[1].Field("replica") == "i-3");
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantined_request_has_the_replicas_that_ended_at_other_daemons_as_context)
+{
+  const RequestTrace trace = TraceOf("again");
+  BOOST_TEST_REQUIRE(trace.context.size() == 1U);
+  BOOST_TEST(trace.context[0].vm == "front-4");
+  BOOST_TEST(trace.context[0].Field("replica") == "i-7");
+}
+
 BOOST_AUTO_TEST_CASE(a_request_after_a_restore_of_the_store_has_the_restore_as_context)
 {
   const RequestTrace trace = TraceOf("old");
--- a/upstream/tests/crash_history_test.cpp
+++ b/upstream/tests/crash_history_test.cpp
@@ -102,6 +102,36 @@
   BOOST_TEST((Risk() == FingerprintRisk::Untried));
 }
 
+BOOST_AUTO_TEST_CASE(replicas_that_end_together_count_as_often_as_they_are)
+{
+  for (const char* replica : { "r1", "r2", "r3" }) {
+    history.Merge({ kRequest, EvidenceKind::Crash, replica, "a", 0, 77 });
+  }
+  BOOST_TEST(history.CrashCount(kRequest) == 1U);
+  BOOST_TEST((Risk() == FingerprintRisk::Suspect));
+  // The same replica ends again before its new process is known.
+  history.Merge({ kRequest, EvidenceKind::Crash, "r1", "a", 0, 78 });
+  BOOST_TEST((Risk() == FingerprintRisk::Quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_was_sent_before_an_end_disproves_it)
+{
+  const core::TimePoint before = timers.Now();
+  timers.Advance(std::chrono::milliseconds{ 10 });
+  history.Merge({ kRequest, EvidenceKind::Crash, "r1", "a", 3, 77 });
+  history.Merge({ kRequest, EvidenceKind::Crash, "r2", "a", 4, 77 });
+  timers.Advance(std::chrono::milliseconds{ 10 });
+  BOOST_TEST(history.Disprove(kRequest, 3, before).empty());
+  BOOST_TEST(history.Disprove(kRequest, 3, timers.Now()).empty());
+  BOOST_TEST(history.CrashCount(kRequest) == 1U);
+  BOOST_TEST(history.Disprove(kRequest, 4, timers.Now()) == std::vector<std::uint64_t>{ 77 });
+  BOOST_TEST(history.CrashCount(kRequest) == 0U);
+  // Late evidence of the same episode changes nothing.
+  history.Merge({ kRequest, EvidenceKind::Disproved, {}, {}, 0, 77 });
+  history.Merge({ kRequest, EvidenceKind::Crash, "r5", "a", 5, 77 });
+  BOOST_TEST(history.CrashCount(kRequest) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::upstream
