Send lost parts again as soon as some part of the request was answered

With many replicas ending at once a query's lost parts went out one after the other until one retry was answered, up to two round trips between regions. An answer to any part shows as well that the request doesn't end each replica that runs it.

--- a/query/crash_guard.cpp
+++ b/query/crash_guard.cpp
@@ -114,6 +114,8 @@
 {
   mLostServices.erase(aService);
   mGuard.RecordAnswer(mFingerprint, aService, aSentAt);
+  mIsCleared = true;
+  StartRetries();
 }
 
 void
@@ -124,10 +126,9 @@
 }
 
 void
-CrashWatch::EndRetry(bool aIsAnswered)
+CrashWatch::EndRetry()
 {
   mIsRetrying = false;
-  mIsCleared = mIsCleared || aIsAnswered;
   StartRetries();
 }
 
--- a/query/crash_guard.h
+++ b/query/crash_guard.h
@@ -101,13 +101,13 @@
   void RecordAnswer(const std::string& aService, core::TimePoint aSentAt);
 
   /**
-   * Requests to send a lost part again. Until one retry was answered, one part is sent again at a
-   * time, all but the first one only when the earlier losses have been judged.
+   * Requests to send a lost part again. Until some part of the request was answered, one part is
+   * sent again at a time, all but the first one only when the earlier losses have been judged.
    */
   void RequestRetry(RetryFunction aRetry);
 
   /** Reports that the retry that was allowed last has ended, or wasn't sent. */
-  void EndRetry(bool aIsAnswered);
+  void EndRetry();
 
   /** Ends the watch. @param aIsAnswered whether the caller got an answer. */
   void End(bool aIsAnswered);
@@ -126,7 +126,7 @@
   std::size_t mPendingChecks = 0;
   bool mIsRetrying = false;
   bool mHasRetried = false;
-  /** Whether a retry was answered, so that the replicas had ended for another reason. */
+  /** Whether a part was answered, so that the request doesn't end each replica that runs it. */
   bool mIsCleared = false;
   bool mIsEnded = false;
 
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -129,7 +129,7 @@
   mIsAbandoned = true;
   mReplicas.CancelWait(mPlan.service, mWaiter);
   mWaiter = 0;
-  EndAwaitedRetry(false);
+  EndAwaitedRetry();
 }
 
 void
@@ -285,7 +285,7 @@
   mPlan.crashes->RequestRetry([weak = weak_from_this(), crashes = mPlan.crashes](bool aMayRun) {
     const std::shared_ptr<PartAttempts> self = weak.lock();
     if (!self || self->mIsAbandoned) {
-      crashes->EndRetry(false);
+      crashes->EndRetry();
       return;
     }
     self->mIsAwaitedRetry = aMayRun;
@@ -294,10 +294,10 @@
 }
 
 void
-PartAttempts::EndAwaitedRetry(bool aIsAnswered)
+PartAttempts::EndAwaitedRetry()
 {
   if (std::exchange(mIsAwaitedRetry, false)) {
-    mPlan.crashes->EndRetry(aIsAnswered);
+    mPlan.crashes->EndRetry();
   }
 }
 
@@ -348,7 +348,7 @@
 void
 PartAttempts::Wait()
 {
-  EndAwaitedRetry(false);
+  EndAwaitedRetry();
   mState = PartState::Waiting;
   mWaiter =
     mReplicas.WaitForRoom(mPlan.service, mPlan.route->priority, [self = shared_from_this()] {
@@ -385,7 +385,7 @@
 {
   ReportToCrashWatch(mAttempts[aIndex], aResult.status);
   RecordEnd(mAttempts[aIndex], aResult.status);
-  EndAwaitedRetry(aResult.status == AttemptStatus::Answered);
+  EndAwaitedRetry();
   if (mIsAbandoned || mState == PartState::Answered || mState == PartState::Failed) {
     return;
   }
@@ -455,7 +455,7 @@
 void
 PartAttempts::Fail()
 {
-  EndAwaitedRetry(false);
+  EndAwaitedRetry();
   mState = PartState::Failed;
   mOnChange();
 }
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -148,7 +148,7 @@
   bool IsRetryingRefusers() const;
   void RetryAfterBackoff();
   void RetryAfterLoss();
-  void EndAwaitedRetry(bool aIsAnswered);
+  void EndAwaitedRetry();
   void ReportToCrashWatch(const SentAttempt& aAttempt, upstream::AttemptStatus aStatus);
   void RecordEnd(SentAttempt& aAttempt, upstream::AttemptStatus aStatus);
   void OnResult(std::size_t aIndex, upstream::AttemptResult aResult);
