--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -1,6 +1,7 @@
 #include "caller/entry_frontend.h"
 
 #include "caller/weighted_choice.h"
+#include "core/hex_text.h"
 #include "core/log.h"
 #include "core/task.h"
 
@@ -40,14 +41,6 @@
   return out.str();
 }
 
-std::string
-FormatFingerprint(std::uint64_t aFingerprint)
-{
-  std::ostringstream out;
-  out << std::hex << std::setfill('0') << std::setw(16) << aFingerprint;
-  return out.str();
-}
-
 std::string
 FormatMilliseconds(core::Duration aSpan)
 {
@@ -291,7 +284,7 @@
       { "outcome", std::string(query::NameOf(aResult.outcome)) },
       { "took_ms", FormatMilliseconds(aDuration) },
       { "deadline_ms", FormatMilliseconds(aMetadata.deadline.value_or(aRoute.timeout)) },
-      { "fingerprint", FormatFingerprint(aMetadata.fingerprint) },
+      { "fingerprint", core::ToHex(aMetadata.fingerprint) },
       { "attempts", std::to_string(aResult.attempts) },
       { "missing", std::to_string(aResult.missingShards) },
       { "reason", aResult.reason } });
@@ -307,7 +300,7 @@
                    "caller",
                    "request_refused",
                    { { "request", aMetadata.id },
-                     { "fingerprint", FormatFingerprint(aMetadata.fingerprint) },
+                     { "fingerprint", core::ToHex(aMetadata.fingerprint) },
                      { "reason", std::string(aReason) },
                      { "input", aInput } });
   }
--- a/core/random_source.cpp
+++ b/core/random_source.cpp
@@ -1,7 +1,6 @@
 #include "core/random_source.h"
 
-#include <array>
-#include <cstdio>
+#include "core/hex_text.h"
 
 namespace skylarkwing::core {
 
@@ -34,10 +33,7 @@
 std::string
 RandomSource::Token()
 {
-  constexpr int kTokenDigits = 16;
-  std::array<char, kTokenDigits + 1> buf{};
-  std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(mEngine()));
-  return { buf.data(), kTokenDigits };
+  return ToHex(mEngine());
 }
 
 } // namespace skylarkwing::core
--- a/daemon/console_wiring.cpp
+++ b/daemon/console_wiring.cpp
@@ -1,14 +1,12 @@
 #include "daemon/daemon_parts.h"
 
+#include "core/hex_text.h"
 #include "core/log.h"
 #include "daemon/status_reader.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <utility>
@@ -19,28 +17,6 @@
 
 /** Time limit of a change; after it, the outcome is reported as unknown. */
 constexpr core::Duration kChangeTimeLimit = std::chrono::seconds{ 10 };
-constexpr int kHexadecimal = 16;
-
-std::string
-FormatFingerprint(std::uint64_t aFingerprint)
-{
-  constexpr std::size_t kDigits = 16;
-  std::array<char, kDigits + 1> buf{};
-  std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(aFingerprint));
-  return { buf.data(), kDigits };
-}
-
-std::optional<std::uint64_t>
-ParseFingerprint(const std::string& aText)
-{
-  std::uint64_t fingerprint = 0;
-  const char* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, fingerprint, kHexadecimal);
-  if (result.ec != std::errc{} || result.ptr != end) {
-    return std::nullopt;
-  }
-  return fingerprint;
-}
 
 /** @return the token in a file without trailing white space, empty if there is none. */
 std::string
@@ -181,7 +157,7 @@
   std::vector<console::QuarantineStatus> list;
   for (const upstream::QuarantinedFingerprint& entry : dispatcher->QuarantinedFingerprints()) {
     console::QuarantineStatus status;
-    status.fingerprint = FormatFingerprint(entry.fingerprint);
+    status.fingerprint = core::ToHex(entry.fingerprint);
     status.crashedReplicas = entry.crashedReplicas;
     const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(entry.sinceLastSeen).count();
@@ -194,7 +170,7 @@
 bool
 Daemon::Parts::ReleaseQuarantine(const std::string& aFingerprint)
 {
-  const std::optional<std::uint64_t> fingerprint = ParseFingerprint(aFingerprint);
+  const std::optional<std::uint64_t> fingerprint = core::ParseHex(aFingerprint);
   if (!fingerprint) {
     return false;
   }
--- a/query/crash_guard.cpp
+++ b/query/crash_guard.cpp
@@ -50,13 +50,6 @@
   return settings;
 }
 
-/** @return a number for a service that is the same on all daemons. */
-std::uint32_t
-ShardOf(const std::string& aService)
-{
-  return static_cast<std::uint32_t>(XXH3_64bits(aService.data(), aService.size()));
-}
-
 } // namespace
 
 std::string_view
@@ -65,107 +58,10 @@
   return kVerdictNames.NameOf(aVerdict);
 }
 
-CrashWatch::CrashWatch(CrashGuard& aGuard, std::uint64_t aFingerprint, std::string aRequest)
-  : mGuard(aGuard)
-  , mFingerprint(aFingerprint)
-  , mRequest(std::move(aRequest))
-{
-}
-
-bool
-CrashWatch::MaySend() const
-{
-  return !mGuard.IsQuarantined(mFingerprint);
-}
-
-bool
-CrashWatch::IsSuspect() const
-{
-  return mGuard.IsSuspect(mFingerprint);
-}
-
-bool
-CrashWatch::IsSuspectAt(const std::string& aService) const
-{
-  const std::vector<CrashEvidence> crashes = mGuard.mHistory.EvidenceOf(mFingerprint);
-  const std::uint32_t shard = ShardOf(aService);
-  return std::any_of(crashes.begin(), crashes.end(), [shard](const CrashEvidence& aCrash) {
-    return aCrash.shard == shard;
-  });
-}
-
-void
-CrashWatch::RecordLoss(const LostAttempt& aAttempt)
-{
-  // Taken now, because other losses may begin a new episode before the check ends.
-  const std::uint64_t episode = mGuard.EpisodeOf(mFingerprint, aAttempt.sentAt).id;
-  mLostServices.insert(aAttempt.service);
-  ++mPendingChecks;
-  mGuard.mHooks.checkEnded(aAttempt.replica,
-                           [self = shared_from_this(), aAttempt, episode](bool aHasEnded) {
-                             self->mGuard.Judge(self, aAttempt, episode, aHasEnded);
-                             --self->mPendingChecks;
-                             self->StartRetries();
-                           });
-}
-
-void
-CrashWatch::RecordAnswer(const std::string& aService, core::TimePoint aSentAt)
-{
-  mLostServices.erase(aService);
-  mGuard.RecordAnswer(mFingerprint, aService, aSentAt);
-  mIsCleared = true;
-  StartRetries();
-}
-
-void
-CrashWatch::RequestRetry(RetryFunction aRetry)
-{
-  mWaitingRetries.push_back(std::move(aRetry));
-  StartRetries();
-}
-
-void
-CrashWatch::EndRetry()
-{
-  mIsRetrying = false;
-  StartRetries();
-}
-
-void
-CrashWatch::StartRetries()
-{
-  while (!mWaitingRetries.empty()) {
-    const bool maySend = MaySend();
-    const bool mustAwaitChecks = mPendingChecks > 0 && (mHasRetried || IsSuspect());
-    if (maySend && !mIsCleared && (mIsRetrying || mustAwaitChecks)) {
-      return;
-    }
-    const RetryFunction retry = std::move(mWaitingRetries.front());
-    mWaitingRetries.erase(mWaitingRetries.begin());
-    mIsRetrying = mIsRetrying || maySend;
-    mHasRetried = mHasRetried || maySend;
-    retry(maySend);
-  }
-}
-
-void
-CrashWatch::End(bool aIsAnswered)
-{
-  mIsEnded = true;
-  mWaitingRetries.clear();
-  if (aIsAnswered && mLostServices.empty()) {
-    mGuard.RememberAnswer(mFingerprint);
-  }
-  PublishAll();
-}
-
-void
-CrashWatch::PublishAll()
+std::uint32_t
+CrashGuard::NumberOf(const std::string& aService)
 {
-  for (const std::uint64_t episode : std::exchange(mUnpublishedEpisodes, {})) {
-    mGuard.PublishEpisode(mFingerprint, episode);
-  }
+  return static_cast<std::uint32_t>(XXH3_64bits(aService.data(), aService.size()));
 }
 
 CrashGuard::CrashGuard(core::TimerService& aTimers,
@@ -334,7 +230,7 @@
                                   EvidenceKind::Crash,
                                   aAttempt.replica,
                                   std::to_string(aAttempt.processStart),
-                                  ShardOf(aAttempt.service),
+                                  NumberOf(aAttempt.service),
                                   aEpisode };
     mHistory.Merge(evidence);
     const bool isQuarantined = IsQuarantined(fingerprint);
@@ -359,7 +255,7 @@
   if (mHistory.IsEmpty()) {
     return;
   }
-  for (const std::uint64_t episode : mHistory.Disprove(aFingerprint, ShardOf(aService), aSentAt)) {
+  for (const std::uint64_t episode : mHistory.Disprove(aFingerprint, NumberOf(aService), aSentAt)) {
     if (IsPublic(episode)) {
       mHooks.publish({ aFingerprint, EvidenceKind::Disproved, {}, {}, 0, episode });
     }
--- a/upstream/fingerprint_gate.cpp
+++ b/upstream/fingerprint_gate.cpp
@@ -1,8 +1,9 @@
 #include "upstream/fingerprint_gate.h"
 
+#include "core/hex_text.h"
+
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <utility>
 
 namespace skylarkwing::upstream {
@@ -16,9 +17,7 @@
 std::string
 PermitName(std::uint64_t aFingerprint)
 {
-  char buf[17] = {};
-  std::snprintf(buf, sizeof(buf), "%016llx", static_cast<unsigned long long>(aFingerprint));
-  return std::string("fingerprint-") + buf;
+  return "fingerprint-" + core::ToHex(aFingerprint);
 }
 
 } // namespace
