--- a/query/crash_guard.cpp
+++ b/query/crash_guard.cpp
@@ -132,16 +132,6 @@
   return std::find(crashes.begin(), crashes.end(), aEvidence) != crashes.end();
 }
 
-std::size_t
-CrashGuard::QuarantinedCount() const
-{
-  const auto quarantined = mHistory.Quarantined();
-  return static_cast<std::size_t>(
-    std::count_if(quarantined.begin(), quarantined.end(), [this](const auto& aItem) {
-      return mHistory.QuarantineLeft(aItem.fingerprint) > core::Duration::zero();
-    }));
-}
-
 bool
 CrashGuard::IsQuarantined(std::uint64_t aFingerprint)
 {
--- a/query/crash_guard.h
+++ b/query/crash_guard.h
@@ -106,9 +106,6 @@
     return mHistory.CrashCount(aFingerprint);
   }
 
-  /** @return the number of fingerprints that are quarantined now. */
-  std::size_t QuarantinedCount() const;
-
 private:
   friend class CrashWatch;
 
--- a/query/crash_watch.h
+++ b/query/crash_watch.h
@@ -41,7 +41,7 @@
   /** @return whether the request may be sent to a replica now. */
   bool MaySend() const;
 
-  /** @return whether the request may have ended replicas; it then runs at one replica at a time. */
+  /** @return whether the request may have ended replicas; it isn't hedged then. */
   bool IsSuspect() const;
 
   /** @return whether the request may have ended a replica of a service. */
@@ -59,7 +59,7 @@
    */
   void RequestRetry(RetryFunction aRetry);
 
-  /** Reports that the retry that was allowed last has ended, or wasn't sent. */
+  /** Reports that the allowed retry has ended, or wasn't sent. */
   void EndRetry();
 
   /** Ends the watch. @param aIsAnswered whether the caller got an answer. */
