--- a/query/tests/replica_simulation.cpp
+++ b/query/tests/replica_simulation.cpp
@@ -57,11 +57,7 @@
       co_return reply;
     }
     mReplica->RecordArrival(mVm, mLoop.timers.Now());
-    if (!mReplica->fatalTarget.empty() && mReplica->fatalTarget == aRequest.target) {
-      mReplica->fatalArrivals.push_back(mLoop.timers.Now());
-      mReplica->End();
-      mLoop.timers.Schedule(mReplica->fatalDownTime,
-                            [replica = mReplica] { replica->hasEnded = false; });
+    if (EndOn(aRequest)) {
       co_await core::Sleep(mLoop.timers, mReplica->roundTrip / 2);
       reply.error = net::HttpClientError::Broken;
       co_return reply;
@@ -80,27 +76,13 @@
       co_return reply;
     }
     reply.response.headers = aRequest.headers;
-    if (mReplica->isLeaving) {
-      reply.response.headers.push_back({ kLeavingHeader, "1" });
-    }
-    if (mReplica->maxRate) {
-      reply.response.headers.push_back({ kMaxRateHeader, std::to_string(*mReplica->maxRate) });
-      mReplica->toldAt.emplace(mVm, back);
-    }
-    if (isBackingOff) {
-      const auto backoff = std::chrono::duration_cast<milliseconds>(mReplica->backoff);
-      reply.response.headers.push_back({ kBackoffHeader, std::to_string(backoff.count()) });
-    }
+    AddNotices(reply.response, back);
     if (mReplica->isAnotherReplica) {
       co_await core::Sleep(mLoop.timers, mReplica->roundTrip / 2);
       reply.response.headers.push_back({ kWrongReplicaHeader, "1" });
       co_return reply;
     }
-    while (IsOpen() && mLoop.timers.Now() < back) {
-      co_await core::Sleep(mLoop.timers,
-                           std::min<core::Duration>(back - mLoop.timers.Now(), kStep));
-    }
-    if (!IsOpen()) {
+    if (!co_await SleepWhileOpen(back)) {
       reply.error = net::HttpClientError::Broken;
       co_return reply;
     }
@@ -134,6 +116,44 @@
   /** Number of ends of the replica when the connection was opened. */
   std::uint32_t mProcess = 0;
   bool mIsOpen = false;
+
+  /** Ends the replica's process if the request is one that does so. */
+  bool EndOn(const net::HttpRequest& aRequest)
+  {
+    if (mReplica->fatalTarget.empty() || mReplica->fatalTarget != aRequest.target) {
+      return false;
+    }
+    mReplica->fatalArrivals.push_back(mLoop.timers.Now());
+    mReplica->End();
+    mLoop.timers.Schedule(mReplica->fatalDownTime,
+                          [replica = mReplica] { replica->hasEnded = false; });
+    return true;
+  }
+
+  void AddNotices(net::HttpResponse& aResponse, core::TimePoint aBack)
+  {
+    if (mReplica->isLeaving) {
+      aResponse.headers.push_back({ kLeavingHeader, "1" });
+    }
+    if (mReplica->maxRate) {
+      aResponse.headers.push_back({ kMaxRateHeader, std::to_string(*mReplica->maxRate) });
+      mReplica->toldAt.emplace(mVm, aBack);
+    }
+    if (mReplica->backoff > core::Duration::zero()) {
+      const auto backoff = std::chrono::duration_cast<milliseconds>(mReplica->backoff);
+      aResponse.headers.push_back({ kBackoffHeader, std::to_string(backoff.count()) });
+    }
+  }
+
+  /** @return whether the connection lasted until then. */
+  core::Task<bool> SleepWhileOpen(core::TimePoint aEnd)
+  {
+    while (IsOpen() && mLoop.timers.Now() < aEnd) {
+      co_await core::Sleep(mLoop.timers,
+                           std::min<core::Duration>(aEnd - mLoop.timers.Now(), kStep));
+    }
+    co_return IsOpen();
+  }
 };
 
 upstream::ReplicaProtocol
