Don't block the event loop when a client's socket turns out to have no bytes

The wait for readability may be answered by an event for bytes that were read since, and the socket blocks in synchronous calls; the check for would_block right after it never applied. A daemon would have stood still for all its callers.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -155,7 +155,11 @@
     }
     char byte = 0;
     beast::error_code ec;
-    mStream->socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    auto& socket = mStream->socket();
+    // The bytes that made it readable may have been read before, and receive() would block for
+    // good.
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
     // Received bytes belong to a pipelined request, which is read after the response.
     if (ec && ec != asio::error::would_block) {
       SetDisconnected();
