Detect and log whether a daemon is cut off from all replicas

Logs and metrics couldn't tell a daemon whose own paths are cut from replicas that are down for everybody. PartitionDetector suspects a cut when several replicas of different services owe an answer or refuse connections, or when a request fails and nothing was heard since it arrived. It then tries to connect to three replicas and asks three other daemons when they last heard from one; contact before the check doesn't count. Report only: nothing acts on it yet. Without a suspicion nothing is sent.

--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -17,7 +17,7 @@
 using nlohmann::ordered_json;
 
 /** Events of which only the latest one per daemon is part of the context. */
-constexpr std::array<std::string_view, 12> kLatestOnlyEvents{ "configuration_in_force",
+constexpr std::array<std::string_view, 14> kLatestOnlyEvents{ "configuration_in_force",
                                                               "fleet_changed",
                                                               "load_changed",
                                                               "operator_feed_lost",
@@ -27,6 +27,8 @@
                                                               "started",
                                                               "stopping",
                                                               "store_era_changed",
+                                                              "partition_checked",
+                                                              "partition_ended",
                                                               "peer_has_newer_configuration",
                                                               "store_restored" };
 
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -81,6 +81,7 @@
   , mRetrySettings(aRetrySettings)
   , mSharedLimits(mLocality.vm, mLocality.regions)
   , mStartedAt(aTimers.Now())
+  , mPartition(aTimers)
   , mIsAlive(std::make_shared<bool>(true))
 {
 }
@@ -185,6 +186,11 @@
     }
   };
   hooks.drawJitter = [this, isAlive = mIsAlive] { return *isAlive ? mRandom.Fraction() : 0.0; };
+  hooks.onContact = [this, isAlive = mIsAlive, replica = aReplica](ReplicaContact aContact) {
+    if (*isAlive) {
+      OnContact(replica, aContact);
+    }
+  };
   return hooks;
 }
 
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
+#include "upstream/partition_detector.h"
 #include "upstream/replica_client.h"
 #include "upstream/retry_budget.h"
 #include "upstream/room_wait.h"
@@ -217,6 +218,22 @@
    */
   void CheckEnded(const std::string& aId, std::function<void(bool)> aCallback);
 
+  /** Sets the callbacks of the detector of partitions; it probes the replicas by itself. */
+  void SetPartitionHooks(PartitionHooks aHooks);
+
+  /** @return whether this daemon has a network path to the replicas. */
+  PartitionDetector& Partition() { return mPartition; }
+
+  /** Looks for replicas that owe an answer. To be called every few tens of milliseconds. */
+  void ReviewPartition();
+
+  /**
+   * Tries to connect to a few replicas of different services, started after this call.
+   *
+   * @param aCallback called once, now or later, with whether one has accepted.
+   */
+  void ProbeReplicas(std::function<void(bool)> aCallback);
+
   /** @return this daemon's share of what the fleet may do together. */
   double OwnShare() const { return mSharedLimits.OwnShare(); }
 
@@ -283,6 +300,10 @@
   RemovedReplicas mRemoved;
   std::map<std::string, Service, std::less<>> mServices;
   WaiterId mLastWaiter = 0;
+  PartitionDetector mPartition;
+  /** The callbacks of the next probe; the running one was started before. */
+  std::vector<std::function<void(bool)>> mProbes;
+  bool mIsProbing = false;
   /** False once this object is destroyed; callbacks that come later check it. */
   std::shared_ptr<bool> mIsAlive;
 
@@ -297,6 +318,10 @@
   static std::size_t CountAhead(const Service& aService, std::uint32_t aPriority);
   ReplicaClientHooks HooksFor(const AnnouncedReplica& aReplica);
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
+  void OnContact(const AnnouncedReplica& aReplica, ReplicaContact aContact);
+  SilentReplicas CountReplicas() const;
+  std::vector<std::shared_ptr<ReplicaClient>> ChooseProbes();
+  void StartProbe();
   void OnRateLimitChanged(const std::string& aId, RateLimitChange aChange);
   RateShare RateShareOf(const ReplicaClient& aClient);
   core::Duration RateLimitWaitOf(const ReplicaClient& aClient);
--- /dev/null
+++ b/upstream/replica_balancer_partition.cpp
@@ -0,0 +1,156 @@
+// The part of ReplicaBalancer that finds out whether this daemon is cut off from the replicas.
+
+#include "upstream/replica_balancer.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace skylarkwing::upstream {
+
+namespace {
+
+/** Replicas of different services that are probed together. */
+constexpr std::size_t kProbedReplicas = 3;
+
+} // namespace
+
+void
+ReplicaBalancer::SetPartitionHooks(PartitionHooks aHooks)
+{
+  aHooks.probeReplicas = [this](std::function<void(bool)> aCallback) {
+    ProbeReplicas(std::move(aCallback));
+  };
+  mPartition.SetHooks(std::move(aHooks));
+}
+
+void
+ReplicaBalancer::OnContact(const AnnouncedReplica& aReplica, ReplicaContact aContact)
+{
+  switch (aContact) {
+    case ReplicaContact::Answered:
+      mPartition.RecordAnswer();
+      break;
+    case ReplicaContact::Connected:
+      mPartition.RecordConnected();
+      break;
+    case ReplicaContact::ConnectFailed:
+      mPartition.SetSize(CountReplicas());
+      mPartition.RecordConnectFailure(aReplica.id, aReplica.service);
+      break;
+  }
+}
+
+SilentReplicas
+ReplicaBalancer::CountReplicas() const
+{
+  const auto services = std::count_if(mServices.begin(), mServices.end(), [](const auto& aEntry) {
+    return !aEntry.second.clients.empty();
+  });
+  return { mClients.size(), static_cast<std::size_t>(services) };
+}
+
+void
+ReplicaBalancer::ReviewPartition()
+{
+  if (!mPartition.IsSilent()) {
+    return;
+  }
+  const core::TimePoint latest = mTimers.Now() - PartitionDetector::kMaxSilence;
+  SilentReplicas silent;
+  std::set<std::string_view> services;
+  for (const auto& [id, client] : mClients) {
+    const auto oldest = client->OldestAttempt();
+    if (oldest && *oldest <= latest) {
+      ++silent.replicas;
+      services.insert(client->Replica().service);
+    }
+  }
+  silent.services = services.size();
+  if (silent.replicas > 0) {
+    mPartition.SetSize(CountReplicas());
+    mPartition.ReviewSilence(silent);
+  }
+}
+
+void
+ReplicaBalancer::ProbeReplicas(std::function<void(bool)> aCallback)
+{
+  mProbes.push_back(std::move(aCallback));
+  if (!mIsProbing) {
+    StartProbe();
+  }
+}
+
+std::vector<std::shared_ptr<ReplicaClient>>
+ReplicaBalancer::ChooseProbes()
+{
+  struct Option
+  {
+    bool hasFailed;
+    std::uint64_t order;
+    std::shared_ptr<ReplicaClient> client;
+  };
+  std::vector<Option> options;
+  options.reserve(mClients.size());
+  for (const auto& [id, client] : mClients) {
+    // A replica that asks for rest still shows whether it can be reached.
+    if (!client->Replica().isDraining && !client->Availability().IsLeaving()) {
+      options.push_back({ client->HasConnectFailed(), mRandom.Below(1U << 30U), client });
+    }
+  }
+  std::sort(options.begin(), options.end(), [](const Option& aLeft, const Option& aRight) {
+    return std::make_pair(aLeft.hasFailed, aLeft.order) <
+           std::make_pair(aRight.hasFailed, aRight.order);
+  });
+  std::set<std::string_view> services;
+  std::vector<std::shared_ptr<ReplicaClient>> chosen;
+  for (const Option& option : options) {
+    if (chosen.size() < kProbedReplicas &&
+        services.insert(option.client->Replica().service).second) {
+      chosen.push_back(option.client);
+    }
+  }
+  return chosen;
+}
+
+void
+ReplicaBalancer::StartProbe()
+{
+  const std::vector<std::shared_ptr<ReplicaClient>> chosen = ChooseProbes();
+  const auto callbacks =
+    std::make_shared<std::vector<std::function<void(bool)>>>(std::exchange(mProbes, {}));
+  if (chosen.empty()) {
+    for (const auto& callback : *callbacks) {
+      callback(false);
+    }
+    return;
+  }
+  mIsProbing = true;
+  const auto left = std::make_shared<std::size_t>(chosen.size());
+  const auto report = [callbacks](bool aIsConnected) {
+    for (const auto& callback : std::exchange(*callbacks, {})) {
+      callback(aIsConnected);
+    }
+  };
+  for (const std::shared_ptr<ReplicaClient>& client : chosen) {
+    client->TestConnection([this, isAlive = mIsAlive, left, report](bool aIsConnected) {
+      --*left;
+      if (!*isAlive) {
+        return;
+      }
+      if (aIsConnected || *left == 0) {
+        report(aIsConnected);
+      }
+      if (*left > 0) {
+        return;
+      }
+      mIsProbing = false;
+      if (!mProbes.empty()) {
+        StartProbe();
+      }
+    });
+  }
+}
+
+} // namespace skylarkwing::upstream
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -40,6 +40,14 @@
   return result;
 }
 
+/** @return whether an attempt that ended so has got bytes of the replica. */
+bool
+IsAnswer(AttemptStatus aStatus)
+{
+  return aStatus != AttemptStatus::NothingSent && aStatus != AttemptStatus::Lost &&
+         aStatus != AttemptStatus::TimedOut;
+}
+
 AttemptStatus
 StatusOf(net::HttpClientError aError)
 {
@@ -169,9 +177,8 @@
   candidate.inFlight = static_cast<std::uint32_t>(mAttemptStarts.size());
   candidate.waiting = now - mLoadAt < kMaxLoadAge ? mLoad.waiting : 0;
   candidate.slots = mReplica.slots;
-  if (!mAttemptStarts.empty()) {
-    const core::TimePoint oldest = *std::min_element(mAttemptStarts.begin(), mAttemptStarts.end());
-    candidate.stalledFor = now - std::max(oldest, mLastAnswerAt);
+  if (const auto oldest = OldestAttempt()) {
+    candidate.stalledFor = now - std::max(*oldest, mLastAnswerAt);
   }
   // A new connection costs another round trip, and the replica a handshake.
   candidate.typicalTime +=
@@ -220,6 +227,9 @@
   AttemptResult result = co_await Exchange(aAttempt, std::move(aRequest), aDeadline);
   aAttempt->mConnection.reset();
   RemoveStart(aAttempt->mStart);
+  if (IsAnswer(result.status)) {
+    mHooks.onContact(ReplicaContact::Answered);
+  }
   if (!aAttempt->mIsCancelled) {
     RecordResult(*aAttempt, result.status);
   }
@@ -294,8 +304,12 @@
   }
   const core::TimePoint begin = mTimers.Now();
   const bool isConnected = co_await connection->Connect(mReplica.address, limit);
+  const core::Duration took = mTimers.Now() - begin;
   if (isConnected) {
-    RecordRoundTrip(mTimers.Now() - begin);
+    RecordConnected(took);
+  } else if (!aAttempt->mIsCancelled && (took < limit || limit >= mSettings.connectTimeout)) {
+    // A timeout shortened by a near deadline says nothing about the replica.
+    RecordConnectFailure();
   }
   co_return isConnected;
 }
@@ -335,10 +349,11 @@
   const bool isConnected = co_await connection->Connect(mReplica.address, mSettings.connectTimeout);
   mIsPreconnecting = false;
   if (!isConnected) {
+    RecordConnectFailure();
     Suspect("no_connection");
     co_return;
   }
-  RecordRoundTrip(mTimers.Now() - begin);
+  RecordConnected(mTimers.Now() - begin);
   Release(connection);
 }
 
@@ -349,38 +364,73 @@
     aCallback(false);
     return;
   }
-  mEndChecks.push_back(std::move(aCallback));
-  if (mEndChecks.size() == 1) {
-    core::Start(mExecutor, RunEndCheck(shared_from_this()));
-  }
+  TestConnection([self = shared_from_this(), callback = std::move(aCallback)](bool aIsConnected) {
+    if (!aIsConnected) {
+      self->mIdle.clear();
+      core::LogEvent(core::LogLevel::Warning,
+                     "upstream",
+                     "replica_ended",
+                     { { "replica", self->mReplica.id },
+                       { "service", self->mReplica.service },
+                       { "in_flight", std::to_string(self->mAttemptStarts.size()) } });
+    }
+    callback(!aIsConnected);
+  });
 }
 
-core::Task<void>
-ReplicaClient::RunEndCheck([[maybe_unused]] std::shared_ptr<ReplicaClient> aSelf)
+void
+ReplicaClient::TestConnection(std::function<void(bool)> aCallback)
 {
-  const std::shared_ptr<net::HttpConnection> connection = mMakeConnection();
-  const bool isConnected = co_await connection->Connect(mReplica.address, mSettings.connectTimeout);
-  if (isConnected) {
-    Release(connection);
-  } else {
-    mIdle.clear();
-    core::LogEvent(core::LogLevel::Warning,
-                   "upstream",
-                   "replica_ended",
-                   { { "replica", mReplica.id },
-                     { "service", mReplica.service },
-                     { "in_flight", std::to_string(mAttemptStarts.size()) } });
+  mConnectionTests.push_back(std::move(aCallback));
+  if (!mIsTestingConnection) {
+    mIsTestingConnection = true;
+    core::Start(mExecutor, RunConnectionTests(shared_from_this()));
   }
-  for (const auto& callback : std::exchange(mEndChecks, {})) {
-    callback(!isConnected);
+}
+
+core::Task<void>
+ReplicaClient::RunConnectionTests([[maybe_unused]] std::shared_ptr<ReplicaClient> aSelf)
+{
+  while (!mConnectionTests.empty()) {
+    const auto callbacks = std::exchange(mConnectionTests, {});
+    const std::shared_ptr<net::HttpConnection> connection = mMakeConnection();
+    const core::TimePoint begin = mTimers.Now();
+    const bool isConnected =
+      co_await connection->Connect(mReplica.address, mSettings.connectTimeout);
+    if (isConnected) {
+      RecordConnected(mTimers.Now() - begin);
+      Release(connection);
+    } else {
+      RecordConnectFailure();
+    }
+    for (const auto& callback : callbacks) {
+      callback(isConnected);
+    }
   }
+  mIsTestingConnection = false;
+}
+
+std::optional<core::TimePoint>
+ReplicaClient::OldestAttempt() const
+{
+  const auto it = std::min_element(mAttemptStarts.begin(), mAttemptStarts.end());
+  return it == mAttemptStarts.end() ? std::nullopt : std::optional<core::TimePoint>(*it);
+}
+
+void
+ReplicaClient::RecordConnectFailure()
+{
+  mHasConnectFailed = true;
+  mHooks.onContact(ReplicaContact::ConnectFailed);
 }
 
 void
-ReplicaClient::RecordRoundTrip(core::Duration aConnectTime)
+ReplicaClient::RecordConnected(core::Duration aTook)
 {
-  mRoundTrip = mIsRoundTripMeasured ? std::min(mRoundTrip, aConnectTime) : aConnectTime;
+  mRoundTrip = mIsRoundTripMeasured ? std::min(mRoundTrip, aTook) : aTook;
   mIsRoundTripMeasured = true;
+  mHasConnectFailed = false;
+  mHooks.onContact(ReplicaContact::Connected);
 }
 
 void
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -129,6 +129,17 @@
   Hedge,
 };
 
+/** A sign that a replica can be reached, or that it can't. */
+enum class ReplicaContact
+{
+  /** It has answered a request, whatever the answer. */
+  Answered,
+  /** It has accepted a new connection. */
+  Connected,
+  /** A new connection could not be opened. */
+  ConnectFailed,
+};
+
 /** Requests that this daemon sent to a replica while its rate was limited. */
 struct LimitedUse
 {
@@ -148,6 +159,8 @@
   std::function<void(RateLimitChange)> onRateLimitChange;
   /** @return a random number from 0 to 1. */
   std::function<double()> drawJitter;
+  /** Called with each sign that the replica can or can't be reached. */
+  std::function<void(ReplicaContact)> onContact;
 };
 
 /**
@@ -241,6 +254,20 @@
    */
   void CheckEnded(std::function<void(bool)> aCallback);
 
+  /**
+   * Opens a connection after this call, and keeps it for a request.
+   *
+   * @param aCallback called once, later, with whether the replica accepted the connection.
+   */
+  void TestConnection(std::function<void(bool)> aCallback);
+
+  /** @return whether the last new connection could not be opened. */
+  bool HasConnectFailed() const { return mHasConnectFailed; }
+
+  /** @return when the oldest request that is not answered yet was sent, nothing when there is none.
+   */
+  std::optional<core::TimePoint> OldestAttempt() const;
+
   /** Closes idle connections and lets running attempts end. No further request may be sent. */
   void Retire();
 
@@ -266,8 +293,10 @@
   /** The replica's idle timeout for connections, as last announced. */
   core::Duration mIdleTimeout;
   bool mIsPreconnecting = false;
-  /** The callbacks of the check whether the process has ended. */
-  std::vector<std::function<void(bool)>> mEndChecks;
+  /** The callbacks of the next test of the connection; the running one was started before. */
+  std::vector<std::function<void(bool)>> mConnectionTests;
+  bool mIsTestingConnection = false;
+  bool mHasConnectFailed = false;
   std::vector<IdleConnection> mIdle;
   std::vector<core::TimePoint> mAttemptStarts;
   core::Duration mTypicalTime;
@@ -301,8 +330,9 @@
   bool MaySend(const Attempt& aAttempt, core::TimePoint aDeadline) const;
   void HandleNotice(const ReplicaNotice& aNotice, core::TimePoint aSentAt);
   core::Task<void> Preconnect(std::shared_ptr<ReplicaClient> aSelf);
-  core::Task<void> RunEndCheck(std::shared_ptr<ReplicaClient> aSelf);
-  void RecordRoundTrip(core::Duration aConnectTime);
+  core::Task<void> RunConnectionTests(std::shared_ptr<ReplicaClient> aSelf);
+  void RecordConnectFailure();
+  void RecordConnected(core::Duration aTook);
   void DropStale();
   std::shared_ptr<net::HttpConnection> TakeIdle(bool aIsIdempotent);
   void Release(std::shared_ptr<net::HttpConnection> aConnection);
