Don't end a request twice when its caller leaves while lost parts wait

Callers of a whole daemon were cut off: its process ended by itself (std::bad_function_call). Cause: RequestRun::OnCallerGone abandoned its parts before it marked the request as done. An abandoned part that others wait for lets the next one be sent again; if that one finds no replica, it ends the request, and OnCallerGone ended it once more. Now Finish() abandons the parts, after the request is marked as done.

--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -156,9 +156,6 @@
   if (mIsDone) {
     return;
   }
-  for (const std::shared_ptr<PartAttempts>& part : mParts) {
-    part->Abandon();
-  }
   mTimers.Schedule(kCancelDelayAfterDisconnect, [self = shared_from_this()] {
     for (const std::shared_ptr<PartAttempts>& part : self->mParts) {
       part->CancelRunning();
@@ -335,6 +332,7 @@
 void
 RequestRun::Finish(RequestResult aResult, bool aIsAnswered)
 {
+  // A part that is abandoned lets another one be sent again, which may fail.
   mIsDone = true;
   mTrialPart = nullptr;
   mTimers.Cancel(mTimer);
