Serve requests through another daemon while cut off from all replicas

Cause: a daemon had one way to the replicas only; nobody else was told. Now a daemon that is partitioned sends the whole request to another one, over the port that daemons already use for copies of the store: method, target, headers and body as they came, with the version of the configuration, the failure domains that are out, the age, and whether attempts may have reached a replica. The other daemon runs it as its own, never forwards it, and says final, not run or lost. It refuses with an older configuration, when it is cut off or stopping, and sooner than its own callers under load. Requests that must not run twice go on only after a certain not run. Requests under way are ended and sent on if they are idempotent; a repeat draws on the retry budget of the daemon that runs it. Open connections that still get answers are used first. A return forgets the failures of the cut.

--- a/caller/entry_admission.cpp
+++ b/caller/entry_admission.cpp
@@ -18,9 +18,22 @@
 /** Lower priorities are treated like this one. */
 constexpr std::uint32_t kLowestPriority = 4;
 
+/** Factor of the limits for requests of other daemons. */
+constexpr double kForwardedFactor = 0.6;
+
 /** Retry delay for refused callers; about the duration of a short overload. */
 constexpr core::Duration kRetryAfter = std::chrono::milliseconds{ 150 };
 
+double
+ShareOf(std::uint32_t aPriority)
+{
+  double share = 1.0;
+  for (std::uint32_t n = 0; n < std::min(aPriority, kLowestPriority); ++n) {
+    share *= kPriorityFactor;
+  }
+  return share;
+}
+
 } // namespace
 
 void
@@ -37,14 +50,22 @@
 std::optional<core::Duration>
 EntryAdmission::Refuse(std::uint32_t aPriority, core::TimePoint aNow) const
 {
-  double share = 1.0;
-  for (std::uint32_t n = 0; n < std::min(aPriority, kLowestPriority); ++n) {
-    share *= kPriorityFactor;
-  }
+  return RefuseBeyond(ShareOf(aPriority), aNow);
+}
+
+std::optional<core::Duration>
+EntryAdmission::RefuseForwarded(std::uint32_t aPriority, core::TimePoint aNow) const
+{
+  return RefuseBeyond(ShareOf(aPriority) * kForwardedFactor, aNow);
+}
+
+std::optional<core::Duration>
+EntryAdmission::RefuseBeyond(double aShare, core::TimePoint aNow) const
+{
   const bool isLagging = aNow - mMaxLagAt <= kLagRetention &&
-                         mMaxLag > std::chrono::duration_cast<core::Duration>(mLimits.lag * share);
+                         mMaxLag > std::chrono::duration_cast<core::Duration>(mLimits.lag * aShare);
   const bool isFull =
-    static_cast<double>(mRunning) >= static_cast<double>(mLimits.requests) * share;
+    static_cast<double>(mRunning) >= static_cast<double>(mLimits.requests) * aShare;
   if (!isLagging && !isFull) {
     return std::nullopt;
   }
--- a/caller/entry_admission.h
+++ b/caller/entry_admission.h
@@ -44,6 +44,13 @@
    */
   std::optional<core::Duration> Refuse(std::uint32_t aPriority, core::TimePoint aNow) const;
 
+  /**
+   * Decides on a request of another daemon. Those of this daemon's own callers go before it, so
+   * that they don't suffer from the failure of others.
+   */
+  std::optional<core::Duration> RefuseForwarded(std::uint32_t aPriority,
+                                                core::TimePoint aNow) const;
+
   /** Records the start of an accepted request. */
   void Begin() { ++mRunning; }
 
@@ -58,6 +65,8 @@
   core::Duration mMaxLag{};
   core::TimePoint mMaxLagAt{};
   core::Duration mAverageLag{};
+
+  std::optional<core::Duration> RefuseBeyond(double aShare, core::TimePoint aNow) const;
 };
 
 } // namespace skylarkwing::caller
--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -30,6 +30,12 @@
 /** Retry delay for callers of a daemon that has no configuration yet. */
 constexpr core::Duration kNoConfigurationRetryAfter = std::chrono::milliseconds{ 400 };
 
+/** A failed request is given to another daemon only with at least this much time left. */
+constexpr core::Duration kMinTimeElsewhere = std::chrono::milliseconds{ 30 };
+
+/** Weight of the newest request in the average of those that are forwarded. */
+constexpr double kForwardedSmoothing = 0.1;
+
 const core::Metrics::Buckets kLatencyBuckets{ 0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12,
                                               0.15,  0.2,  0.3,  0.5,  1.0,  2.0,  5.0 };
 
@@ -67,7 +73,8 @@
 bool
 IsFailure(RequestOutcome aOutcome)
 {
-  return aOutcome != RequestOutcome::Complete && aOutcome != RequestOutcome::Relayed;
+  return aOutcome != RequestOutcome::Complete && aOutcome != RequestOutcome::Relayed &&
+         aOutcome != RequestOutcome::Forwarded;
 }
 
 } // namespace
@@ -119,42 +126,134 @@
 core::Task<net::HttpResponse>
 EntryFrontend::Handle(net::HttpRequest aRequest)
 {
-  const core::TimePoint arrival = mTimers.Now();
-  RequestMetadata metadata = mProtocol.readMetadata(aRequest);
-  const auto table = mTable;
-  if (!table) {
-    LogRefusal(metadata, "no_configuration", "");
-    co_return MakeNotRunRefusal("no_configuration", kNoConfigurationRetryAfter);
-  }
-  const std::string host = aRequest.Header("Host").value_or("");
-  const declaration::Route* route = table->Match(host, aRequest.Path());
-  if (route == nullptr) {
+  Served served = co_await Serve(std::move(aRequest), std::nullopt);
+  co_return std::move(served.response);
+}
+
+core::Task<net::HttpResponse>
+EntryFrontend::HandleForwarded(net::HttpRequest aRequest)
+{
+  const auto terms = TakeForwardTerms(aRequest);
+  Served served;
+  if (terms) {
+    served = co_await Serve(std::move(aRequest), terms);
+  } else {
+    served.response = MakeNotRunRefusal("terms_unreadable", kNoConfigurationRetryAfter);
+    served.outcome = { ForwardVerdict::NotRun, "terms_unreadable" };
+  }
+  AddForwardOutcome(served.response, served.outcome);
+  co_return std::move(served.response);
+}
+
+core::Task<EntryFrontend::Served>
+EntryFrontend::Serve(net::HttpRequest aRequest, std::optional<ForwardTerms> aTerms)
+{
+  Job job;
+  const core::TimePoint now = mTimers.Now();
+  job.metadata = mProtocol.readMetadata(aRequest);
+  job.request = std::move(aRequest);
+  job.terms = std::move(aTerms);
+  job.arrival = now - (job.terms ? job.terms->age : core::Duration::zero());
+  job.table = mTable;
+  if (auto refusal = FindRoute(job)) {
+    co_return std::move(*refusal);
+  }
+  const core::Duration timeout = job.route->timeout;
+  job.deadline = std::min(now + job.metadata.deadline.value_or(timeout), job.arrival + timeout);
+  if (auto refusal = Refuse(job)) {
+    co_return std::move(*refusal);
+  }
+  Prepare(job);
+  mAdmission.Begin();
+  RequestResult result = co_await Run(job);
+  mAdmission.End();
+  RecordResult(job, result, mTimers.Now() - now);
+  Served served;
+  served.outcome = OutcomeFor(result);
+  served.response = ToResponse(std::move(result));
+  co_return served;
+}
+
+std::optional<EntryFrontend::Served>
+EntryFrontend::FindRoute(Job& aJob)
+{
+  const RequestMetadata& metadata = aJob.metadata;
+  if (!aJob.table) {
+    return RefuseNotRun(metadata, "no_configuration", "", kNoConfigurationRetryAfter);
+  }
+  if (aJob.terms && aJob.table->version < aJob.terms->version) {
+    return RefuseNotRun(
+      metadata, "outdated", std::to_string(aJob.table->version), kNoConfigurationRetryAfter);
+  }
+  const std::string host = aJob.request.Header("Host").value_or("");
+  aJob.route = aJob.table->Match(host, aJob.request.Path());
+  if (aJob.route == nullptr) {
     mUnknownRoutes.Increment();
-    LogRefusal(metadata, "no_route", host + aRequest.Path());
-    co_return MakeRefusal(kNotFound, "no_route");
+    LogRefusal(metadata, "no_route", host + aJob.request.Path());
+    return Served{ MakeRefusal(kNotFound, "no_route"), {} };
   }
+  return std::nullopt;
+}
+
+std::optional<EntryFrontend::Served>
+EntryFrontend::Refuse(const Job& aJob)
+{
+  const RequestMetadata& metadata = aJob.metadata;
+  const core::TimePoint now = mTimers.Now();
   if (const auto retryAfter = mCrashGuard.Refuse(metadata.fingerprint)) {
     mQuarantineRefusals.Increment();
     const std::size_t crashes = mCrashGuard.CrashCount(metadata.fingerprint);
-    LogRefusal(metadata, "quarantined", std::to_string(crashes) + " ended");
-    co_return MakeNotRunRefusal("quarantined", *retryAfter);
+    Served refusal =
+      RefuseNotRun(metadata, "quarantined", std::to_string(crashes) + " ended", *retryAfter);
+    // All daemons know of it.
+    refusal.outcome.verdict = ForwardVerdict::Final;
+    return refusal;
+  }
+  if (const auto retryAfter = mStopAdmission.Refuse(now, aJob.deadline)) {
+    return RefuseNotRun(metadata,
+                        "stopping",
+                        FormatMilliseconds(aJob.deadline - now) + " ms to its deadline",
+                        *retryAfter);
   }
-  const core::Duration wait = std::min<core::Duration>(
-    metadata.deadline.value_or(core::Duration(route->timeout)), route->timeout);
-  if (const auto retryAfter = mStopAdmission.Refuse(arrival, arrival + wait)) {
-    LogRefusal(metadata, "stopping", FormatMilliseconds(wait) + " ms to its deadline");
-    co_return MakeNotRunRefusal("stopping", *retryAfter);
+  if (aJob.terms && mStopAdmission.LateFrom()) {
+    return RefuseNotRun(metadata, "stopping", "forwarded", kNoConfigurationRetryAfter);
   }
-  if (const auto retryAfter = mAdmission.Refuse(route->priority, arrival)) {
+  if (aJob.terms && mReplicas.Partition().IsPartitioned()) {
+    return RefuseNotRun(metadata, "partitioned", "forwarded", kNoConfigurationRetryAfter);
+  }
+  const auto retryAfter = aJob.terms ? mAdmission.RefuseForwarded(aJob.route->priority, now)
+                                     : mAdmission.Refuse(aJob.route->priority, now);
+  if (retryAfter) {
     mOverloads.Increment();
-    LogRefusal(metadata, "overloaded", std::to_string(mAdmission.Running()) + " running");
-    co_return MakeNotRunRefusal("overloaded", *retryAfter);
+    return RefuseNotRun(
+      metadata, "overloaded", std::to_string(mAdmission.Running()) + " running", *retryAfter);
+  }
+  return std::nullopt;
+}
+
+void
+EntryFrontend::Prepare(Job& aJob)
+{
+  net::HttpRequest& request = aJob.request;
+  aJob.forwarded = std::make_shared<upstream::ForwardedRequest>();
+  aJob.forwarded->id = aJob.metadata.id;
+  aJob.forwarded->isIdempotent = aJob.route->isIdempotent;
+  aJob.forwarded->message.headers = mProtocol.forwardHeaders(request);
+  aJob.forwarded->message.method = std::move(request.method);
+  aJob.forwarded->message.target = std::move(request.target);
+  aJob.forwarded->message.body = std::move(request.body);
+  aJob.services = ServicesFor(*aJob.route);
+}
+
+void
+EntryFrontend::InterruptRunning(core::Duration aMinAge)
+{
+  const core::TimePoint latest = mTimers.Now() - aMinAge;
+  for (const std::shared_ptr<query::RequestRun>& run : std::set(mRunning)) {
+    if (run->Arrival() <= latest) {
+      run->Interrupt();
+    }
   }
-  mAdmission.Begin();
-  RequestResult result = co_await Run(std::move(aRequest), metadata, *route, table, arrival);
-  mAdmission.End();
-  RecordResult(metadata, *route, table->version, result, mTimers.Now() - arrival);
-  co_return ToResponse(std::move(result));
 }
 
 void
@@ -163,6 +262,9 @@
   for (const std::shared_ptr<query::RequestRun>& run : std::set(mRunning)) {
     run->GiveUp();
   }
+  for (const std::shared_ptr<ForwardRun>& run : std::set(mForwarding)) {
+    run->Cancel();
+  }
 }
 
 void
@@ -180,31 +282,47 @@
 }
 
 core::Task<RequestResult>
-EntryFrontend::Run(net::HttpRequest aRequest,
-                   RequestMetadata aMetadata,
-                   const declaration::Route& aRoute,
-                   std::shared_ptr<const declaration::RoutingTable> aTable,
-                   core::TimePoint aArrival)
+EntryFrontend::Run(Job& aJob)
 {
-  const std::shared_ptr<net::HttpClientWatch> client = std::move(aRequest.client);
-  auto forwarded = std::make_shared<upstream::ForwardedRequest>();
-  forwarded->id = aMetadata.id;
-  forwarded->isIdempotent = aRoute.isIdempotent;
-  forwarded->message.headers = mProtocol.forwardHeaders(aRequest);
-  forwarded->message.method = std::move(aRequest.method);
-  forwarded->message.target = std::move(aRequest.target);
-  forwarded->message.body = std::move(aRequest.body);
+  if (aJob.terms || mForwarder == nullptr) {
+    co_return co_await RunHere(aJob);
+  }
+  const bool isPartitioned = mReplicas.Partition().IsPartitioned();
+  const bool mustForward = isPartitioned && !mReplicas.HasOpenPaths(aJob.services);
+  mForwardedShare += ((mustForward ? 1.0 : 0.0) - mForwardedShare) * kForwardedSmoothing;
+  if (mustForward) {
+    co_return co_await RunElsewhere(aJob, false);
+  }
+  RequestResult result = co_await RunHere(aJob);
+  if (!co_await IsCutOff(aJob, result)) {
+    co_return result;
+  }
+  const std::string reason = std::move(result.reason);
+  // What was sent after the last sign of a replica has reached none.
+  const auto contact = mReplicas.Partition().LastContact();
+  const bool isRepeat = result.firstRunAt && contact && *result.firstRunAt <= *contact;
+  RequestResult forwarded = co_await RunElsewhere(aJob, isRepeat);
+  forwarded.reason = reason + forwarded.reason;
+  co_return forwarded;
+}
 
+core::Task<RequestResult>
+EntryFrontend::RunHere(Job& aJob)
+{
+  const std::shared_ptr<net::HttpClientWatch> client = aJob.request.client;
   query::RequestPlan plan;
-  plan.route = &aRoute;
-  plan.table = std::move(aTable);
-  plan.request = std::move(forwarded);
-  plan.services = ServicesFor(aRoute);
-  plan.arrival = aArrival;
+  plan.route = aJob.route;
+  plan.table = aJob.table;
+  plan.request = aJob.forwarded;
+  plan.services = aJob.services;
+  plan.arrival = aJob.arrival;
+  plan.deadline = aJob.deadline;
   plan.loopLag = mAdmission.AverageLag();
-  plan.crashes = mCrashGuard.Watch(aMetadata.fingerprint, aMetadata.id);
-  const core::Duration timeout = aRoute.timeout;
-  plan.deadline = aArrival + std::min(aMetadata.deadline.value_or(timeout), timeout);
+  plan.crashes = mCrashGuard.Watch(aJob.metadata.fingerprint, aJob.metadata.id);
+  if (aJob.terms) {
+    plan.isRepeat = aJob.terms->isRepeat;
+    plan.domainsOut = std::make_shared<const std::vector<std::string>>(aJob.terms->domainsOut);
+  }
 
   RequestResult result;
   std::shared_ptr<query::RequestRun> running;
@@ -229,6 +347,62 @@
   co_return result;
 }
 
+core::Task<bool>
+EntryFrontend::IsCutOff(const Job& aJob, const RequestResult& aResult)
+{
+  const bool mayRunAgain = aResult.outcome == RequestOutcome::NotRun ||
+                           (aJob.route->isIdempotent && aResult.outcome == RequestOutcome::Failed);
+  if (!mayRunAgain || !aResult.isUnreachable || aJob.deadline - mTimers.Now() < kMinTimeElsewhere) {
+    co_return false;
+  }
+  bool isCutOff = false;
+  std::function<void(std::function<void()>)> start = [&](std::function<void()> aWake) {
+    mReplicas.Partition().JudgeFailure(aJob.arrival,
+                                       [&isCutOff, wake = std::move(aWake)](bool aIsPartitioned) {
+                                         isCutOff = aIsPartitioned;
+                                         wake();
+                                       });
+  };
+  co_await core::AwaitCallback(std::move(start));
+  co_return isCutOff;
+}
+
+core::Task<RequestResult>
+EntryFrontend::RunElsewhere(Job& aJob, bool aIsRepeat)
+{
+  // Long enough for an answer in time or a little later; then another daemon is faster.
+  constexpr core::Duration kMinPatience = std::chrono::milliseconds{ 400 };
+  constexpr int kPatienceFactor = 2;
+  ForwardPlan plan;
+  plan.request = aJob.forwarded;
+  plan.terms = { mVm, aJob.table->version, {}, aIsRepeat, mReplicas.DomainsOut() };
+  plan.arrival = aJob.arrival;
+  plan.deadline = aJob.deadline;
+  plan.regions = aJob.route->regions;
+  plan.patience = std::max<core::Duration>(aJob.route->objective * kPatienceFactor, kMinPatience);
+
+  const std::shared_ptr<net::HttpClientWatch> client = aJob.request.client;
+  RequestResult result;
+  result.outcome = RequestOutcome::CallerGone;
+  if (client && client->IsDisconnected()) {
+    co_return result;
+  }
+  const auto run = std::make_shared<ForwardRun>();
+  if (client) {
+    client->OnDisconnect([run] { run->Cancel(); });
+  }
+  mForwarding.insert(run);
+  result = co_await mForwarder->Forward(std::move(plan), run);
+  mForwarding.erase(run);
+  if (client) {
+    client->OnDisconnect(nullptr);
+  }
+  if (client && client->IsDisconnected()) {
+    result.outcome = RequestOutcome::CallerGone;
+  }
+  co_return result;
+}
+
 std::vector<std::string>
 EntryFrontend::ServicesFor(const declaration::Route& aRoute)
 {
@@ -254,6 +428,8 @@
       return MakeNotRunRefusal("no_replica", aResult.retryAfter);
     case RequestOutcome::TimedOut:
       return MakeRefusal(kGatewayTimeout, "timed_out");
+    case RequestOutcome::Forwarded:
+      return std::move(aResult.response);
     case RequestOutcome::Failed:
     case RequestOutcome::CallerGone:
       break;
@@ -261,12 +437,27 @@
   return MakeRefusal(kBadGateway, "failed");
 }
 
+ForwardOutcome
+EntryFrontend::OutcomeFor(const RequestResult& aResult)
+{
+  switch (aResult.outcome) {
+    case RequestOutcome::NotRun:
+      return { ForwardVerdict::NotRun,
+               mReplicas.Partition().IsPartitioned() ? "partitioned" : "no_replica" };
+    case RequestOutcome::Failed:
+    case RequestOutcome::TimedOut:
+      if (mReplicas.Partition().IsPartitioned()) {
+        return { ForwardVerdict::Lost, "partitioned" };
+      }
+      break;
+    default:
+      break;
+  }
+  return {};
+}
+
 void
-EntryFrontend::RecordResult(const RequestMetadata& aMetadata,
-                            const declaration::Route& aRoute,
-                            std::uint64_t aVersion,
-                            const RequestResult& aResult,
-                            core::Duration aDuration)
+EntryFrontend::RecordResult(const Job& aJob, const RequestResult& aResult, core::Duration aDuration)
 {
   mOutcomes[static_cast<std::size_t>(aResult.outcome)]->Increment();
   mLatency.Observe(std::chrono::duration<double>(aDuration).count());
@@ -278,18 +469,30 @@
     isFailure ? LogLevel::Warning : LogLevel::Info,
     "caller",
     "request_ended",
-    { { "request", aMetadata.id },
-      { "route", aRoute.name },
-      { "version", std::to_string(aVersion) },
+    { { "request", aJob.metadata.id },
+      { "route", aJob.route->name },
+      { "version", std::to_string(aJob.table->version) },
       { "outcome", std::string(query::NameOf(aResult.outcome)) },
       { "took_ms", FormatMilliseconds(aDuration) },
-      { "deadline_ms", FormatMilliseconds(aMetadata.deadline.value_or(aRoute.timeout)) },
-      { "fingerprint", core::ToHex(aMetadata.fingerprint) },
+      { "deadline_ms", FormatMilliseconds(aJob.metadata.deadline.value_or(aJob.route->timeout)) },
+      { "fingerprint", core::ToHex(aJob.metadata.fingerprint) },
+      { "forwarded_by", aJob.terms ? aJob.terms->origin : "" },
       { "attempts", std::to_string(aResult.attempts) },
       { "missing", std::to_string(aResult.missingShards) },
       { "reason", aResult.reason } });
 }
 
+EntryFrontend::Served
+EntryFrontend::RefuseNotRun(const RequestMetadata& aMetadata,
+                            std::string_view aReason,
+                            const std::string& aInput,
+                            core::Duration aRetryAfter)
+{
+  LogRefusal(aMetadata, aReason, aInput);
+  return { MakeNotRunRefusal(aReason, aRetryAfter),
+           { ForwardVerdict::NotRun, std::string(aReason) } };
+}
+
 void
 EntryFrontend::LogRefusal(const RequestMetadata& aMetadata,
                           std::string_view aReason,
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "caller/entry_admission.h"
+#include "caller/forward_terms.h"
+#include "caller/peer_forwarder.h"
 #include "caller/stop_admission.h"
 #include "core/log_rate_limiter.h"
 #include "core/metrics.h"
@@ -42,6 +44,9 @@
   /** @return the header fields that are forwarded to replicas. */
   std::function<std::vector<net::HttpHeader>(const net::HttpRequest&)> forwardHeaders;
 
+  /** Sets how long the caller still waits, for a daemon that gets the request from this one. */
+  std::function<void(net::HttpRequest&, core::Duration)> setDeadline;
+
   /** Creates the response to a query over shards. */
   std::function<net::HttpResponse(query::RequestResult)> makeGatherAnswer;
 
@@ -49,7 +54,10 @@
   std::function<net::HttpResponse(net::HttpResponse)> makeRelayedAnswer;
 };
 
-/** Routes the requests of callers, admits them and forwards them to replicas. */
+/**
+ * Routes the requests of callers, admits them and forwards them to replicas, or to other daemons
+ * while this one is cut off from the replicas.
+ */
 class EntryFrontend
 {
 public:
@@ -67,10 +75,28 @@
   /** @return the active routing table, null when there is none. */
   const std::shared_ptr<const declaration::RoutingTable>& Table() const { return mTable; }
 
-  /** Handles one request. */
+  /** Sets what forwards requests to other daemons; it must outlive this object. */
+  void SetForwarder(PeerForwarder* aForwarder, std::string aVm)
+  {
+    mForwarder = aForwarder;
+    mVm = std::move(aVm);
+  }
+
+  /** Handles one request of a caller. */
   core::Task<net::HttpResponse> Handle(net::HttpRequest aRequest);
 
+  /** Handles one request that another daemon forwards. */
+  core::Task<net::HttpResponse> HandleForwarded(net::HttpRequest aRequest);
+
+  /**
+   * Ends those running requests that other daemons may serve, after the replicas were cut off.
+   *
+   * @param aMinAge only requests that arrived at least this long ago.
+   */
+  void InterruptRunning(core::Duration aMinAge);
+
   EntryAdmission& Admission() { return mAdmission; }
+  const EntryAdmission& Admission() const { return mAdmission; }
 
   /** Begins to refuse requests that can't end before the process exits. */
   void BeginStop(core::TimePoint aExit) { mStopAdmission.Begin(mTimers.Now(), aExit); }
@@ -78,6 +104,9 @@
   /** @return when requests with a long deadline are no longer accepted, nothing before a stop. */
   std::optional<core::TimePoint> RefusesLateFrom() const { return mStopAdmission.LateFrom(); }
 
+  /** @return the average share of recent requests of callers that other daemons had to serve. */
+  double ForwardedShare() const { return mForwardedShare; }
+
   /** Ends all running requests without a response of a replica. */
   void GiveUpRunning();
 
@@ -93,27 +122,60 @@
   EntryAdmission mAdmission;
   StopAdmission mStopAdmission;
   std::set<std::shared_ptr<query::RequestRun>> mRunning;
+  PeerForwarder* mForwarder = nullptr;
+  /** Name of this daemon's VM. */
+  std::string mVm;
+  std::set<std::shared_ptr<ForwardRun>> mForwarding;
+  double mForwardedShare = 0.0;
   std::shared_ptr<const declaration::RoutingTable> mTable;
   core::LogRateLimiter mFailureLines;
   core::LogRateLimiter mSuccessLines;
-  std::array<prometheus::Counter*, 7> mOutcomes{};
+  std::array<prometheus::Counter*, 8> mOutcomes{};
   prometheus::Counter& mUnknownRoutes;
   prometheus::Counter& mOverloads;
   prometheus::Counter& mQuarantineRefusals;
   prometheus::Histogram& mLatency;
 
-  core::Task<query::RequestResult> Run(net::HttpRequest aRequest,
-                                       RequestMetadata aMetadata,
-                                       const declaration::Route& aRoute,
-                                       std::shared_ptr<const declaration::RoutingTable> aTable,
-                                       core::TimePoint aArrival);
+  /** A response, and what it means for the daemon that has forwarded the request. */
+  struct Served
+  {
+    net::HttpResponse response;
+    ForwardOutcome outcome;
+  };
+
+  /** A request with all that determines how it is served. */
+  struct Job
+  {
+    net::HttpRequest request;
+    RequestMetadata metadata;
+    /** Set when another daemon has forwarded the request. */
+    std::optional<ForwardTerms> terms;
+    std::shared_ptr<const declaration::RoutingTable> table;
+    /** Owned by the table. */
+    const declaration::Route* route = nullptr;
+    std::vector<std::string> services;
+    std::shared_ptr<upstream::ForwardedRequest> forwarded;
+    /** When the request arrived at the first daemon. */
+    core::TimePoint arrival;
+    core::TimePoint deadline;
+  };
+
+  core::Task<Served> Serve(net::HttpRequest aRequest, std::optional<ForwardTerms> aTerms);
+  std::optional<Served> FindRoute(Job& aJob);
+  std::optional<Served> Refuse(const Job& aJob);
+  void Prepare(Job& aJob);
+  core::Task<query::RequestResult> Run(Job& aJob);
+  core::Task<query::RequestResult> RunHere(Job& aJob);
+  core::Task<query::RequestResult> RunElsewhere(Job& aJob, bool aIsRepeat);
+  core::Task<bool> IsCutOff(const Job& aJob, const query::RequestResult& aResult);
   std::vector<std::string> ServicesFor(const declaration::Route& aRoute);
   net::HttpResponse ToResponse(query::RequestResult aResult);
-  void RecordResult(const RequestMetadata& aMetadata,
-                    const declaration::Route& aRoute,
-                    std::uint64_t aVersion,
-                    const query::RequestResult& aResult,
-                    core::Duration aDuration);
+  ForwardOutcome OutcomeFor(const query::RequestResult& aResult);
+  void RecordResult(const Job& aJob, const query::RequestResult& aResult, core::Duration aDuration);
+  Served RefuseNotRun(const RequestMetadata& aMetadata,
+                      std::string_view aReason,
+                      const std::string& aInput,
+                      core::Duration aRetryAfter);
   void LogRefusal(const RequestMetadata& aMetadata,
                   std::string_view aReason,
                   const std::string& aInput);
--- a/caller/weighted_choice.cpp
+++ b/caller/weighted_choice.cpp
@@ -5,16 +5,16 @@
 namespace skylarkwing::caller {
 
 std::size_t
-ChooseByWeight(const std::vector<declaration::WeightedService>& aServices, double aFraction)
+ChooseByWeight(const std::vector<double>& aWeights, double aFraction)
 {
   double total = 0.0;
-  for (const declaration::WeightedService& service : aServices) {
-    total += std::max(0.0, service.weight);
+  for (const double weight : aWeights) {
+    total += std::max(0.0, weight);
   }
   double remaining = aFraction * total;
   std::size_t chosen = 0;
-  for (std::size_t n = 0; n < aServices.size(); ++n) {
-    const double weight = std::max(0.0, aServices[n].weight);
+  for (std::size_t n = 0; n < aWeights.size(); ++n) {
+    const double weight = std::max(0.0, aWeights[n]);
     if (weight <= 0.0) {
       continue;
     }
@@ -27,4 +27,15 @@
   return chosen;
 }
 
+std::size_t
+ChooseByWeight(const std::vector<declaration::WeightedService>& aServices, double aFraction)
+{
+  std::vector<double> weights;
+  weights.reserve(aServices.size());
+  for (const declaration::WeightedService& service : aServices) {
+    weights.push_back(service.weight);
+  }
+  return ChooseByWeight(weights, aFraction);
+}
+
 } // namespace skylarkwing::caller
--- a/caller/weighted_choice.h
+++ b/caller/weighted_choice.h
@@ -7,6 +7,16 @@
 
 namespace skylarkwing::caller {
 
+/**
+ * Chooses in proportion to weights.
+ *
+ * @param aWeights not empty, none negative.
+ * @param aFraction a random number in [0, 1).
+ * @return an index into `aWeights`.
+ */
+std::size_t
+ChooseByWeight(const std::vector<double>& aWeights, double aFraction);
+
 /**
  * Chooses the service for one request of a route, in proportion to the weights.
  *
--- a/membership/entry_directory.cpp
+++ b/membership/entry_directory.cpp
@@ -33,8 +33,11 @@
   std::map<std::string, std::vector<const EntryMember*>> domains;
   std::map<std::string, double> weights;
   for (const auto& [vm, member] : mMembers) {
-    domains[member.failureDomain].push_back(&member);
-    weights[vm] = member.capacity * kReserveWeight;
+    weights[vm] = 0.0;
+  }
+  for (const EntryMember* member : WithPathToReplicas()) {
+    domains[member->failureDomain].push_back(member);
+    weights[member->vm] = member->capacity * kReserveWeight;
   }
   for (const auto& [domain, members] : domains) {
     for (const EntryMember* member : Preferred(members)) {
@@ -44,6 +47,20 @@
   return weights;
 }
 
+std::vector<const EntryMember*>
+EntryDirectory::WithPathToReplicas() const
+{
+  std::vector<const EntryMember*> all;
+  std::vector<const EntryMember*> connected;
+  for (const auto& [vm, member] : mMembers) {
+    all.push_back(&member);
+    if (!member.isPartitioned) {
+      connected.push_back(&member);
+    }
+  }
+  return connected.empty() ? all : connected;
+}
+
 std::vector<const EntryMember*>
 EntryDirectory::Preferred(const std::vector<const EntryMember*>& aMembers)
 {
@@ -68,14 +85,13 @@
 {
   std::vector<const EntryMember*> near;
   std::vector<const EntryMember*> inRegion;
-  std::vector<const EntryMember*> all;
-  for (const auto& [vm, member] : mMembers) {
-    all.push_back(&member);
-    if (member.region == aCaller.region) {
-      inRegion.push_back(&member);
+  const std::vector<const EntryMember*> all = WithPathToReplicas();
+  for (const EntryMember* member : all) {
+    if (member->region == aCaller.region) {
+      inRegion.push_back(member);
     }
-    if (member.failureDomain == aCaller.failureDomain) {
-      near.push_back(&member);
+    if (member->failureDomain == aCaller.failureDomain) {
+      near.push_back(member);
     }
   }
   const auto& nearest = !near.empty() ? near : !inRegion.empty() ? inRegion : all;
--- a/membership/entry_directory.h
+++ b/membership/entry_directory.h
@@ -23,6 +23,10 @@
   double capacity = 1.0;
   /** Whether it has more work than it can finish in time. */
   bool isBusy = false;
+  /** Whether it is cut off from the replicas, so that others serve what still comes to it. */
+  bool isPartitioned = false;
+  /** Whether it serves requests that other daemons forward; earlier builds don't. */
+  bool servesOthers = false;
 };
 
 /** The location of a caller; empty fields are unknown. */
@@ -60,15 +64,17 @@
   const std::map<std::string, EntryMember>& Members() const { return mMembers; }
 
   /**
-   * @return the weight of each member's share of the work, by VM: its capacity, or a small part of
-   *         it while callers are sent to larger members of its failure domain.
+   * @return the weight of each member's share of the work, by VM: its capacity, a small part of it
+   *         while callers are sent to larger members of its failure domain, or 0 while it is cut
+   * off from the replicas.
    */
   std::map<std::string, double> Weights() const;
 
   /**
    * @param aSpread rotates a list that is cut, so that callers get different parts of it.
    * @return addresses for a caller: those in its failure domain, else in its region, else all; at
-   *         most kMaxEntryAddresses.
+   *         most kMaxEntryAddresses. Members that are cut off from the replicas are left out while
+   *         there are others.
    *
    * A query over many shards takes so long on a small member that it misses its latency objective.
    * Callers therefore get the large members, and the small ones too while the large are busy.
@@ -78,6 +84,7 @@
 private:
   std::map<std::string, EntryMember> mMembers;
 
+  std::vector<const EntryMember*> WithPathToReplicas() const;
   static std::vector<const EntryMember*> Preferred(const std::vector<const EntryMember*>& aMembers);
 };
 
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -67,8 +67,13 @@
 void
 PartAttempts::Start()
 {
-  mReplicas.RecordFirstAttempt(mPlan.service);
   mStartedAt = mTimers.Now();
+  if (!mPlan.isRepeat) {
+    mReplicas.RecordFirstAttempt(mPlan.service);
+  } else if (!mReplicas.TryTakeExtraAttempt(mPlan.service, ExtraAttempt::Retry)) {
+    Fail();
+    return;
+  }
   SendOrWait();
 }
 
@@ -146,9 +151,28 @@
 bool
 PartAttempts::MayHaveRun() const
 {
-  return std::any_of(mAttempts.begin(), mAttempts.end(), [](const SentAttempt& aAttempt) {
-    return !aAttempt.status || !upstream::IsCertainlyNotRun(*aAttempt.status);
-  });
+  return FirstRunAt().has_value();
+}
+
+std::optional<core::TimePoint>
+PartAttempts::FirstRunAt() const
+{
+  const auto first =
+    std::find_if(mAttempts.begin(), mAttempts.end(), [](const SentAttempt& aAttempt) {
+      return !aAttempt.status || !upstream::IsCertainlyNotRun(*aAttempt.status);
+    });
+  return first == mAttempts.end() ? std::nullopt : std::optional<core::TimePoint>(first->startedAt);
+}
+
+bool
+PartAttempts::IsUnreachable() const
+{
+  return mRefusal == SendRefusal::Unreachable ||
+         std::any_of(mAttempts.begin(), mAttempts.end(), [](const SentAttempt& aAttempt) {
+           return !aAttempt.status || *aAttempt.status == AttemptStatus::NothingSent ||
+                  *aAttempt.status == AttemptStatus::Lost ||
+                  *aAttempt.status == AttemptStatus::TimedOut;
+         });
 }
 
 std::optional<core::Duration>
@@ -216,6 +240,7 @@
   request.triedReplicas = IsRetryingRefusers() ? nullptr : &mTried;
   request.allowedReplicas = IsRetryingRefusers() ? &mRefusedBy : nullptr;
   request.deadline = mPlan.deadline;
+  request.domainsOut = mPlan.domainsOut.get();
   return request;
 }
 
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -26,6 +26,10 @@
   core::TimePoint objective;
   /** Prevents attempts at a request that ends replicas; may be null. */
   std::shared_ptr<CrashWatch> crashes;
+  /** Whether an earlier attempt may have reached a replica, so that the first one here is extra. */
+  bool isRepeat = false;
+  /** Failure domains whose replicas must not be used; may be null. */
+  std::shared_ptr<const std::vector<std::string>> domainsOut;
 };
 
 /** State of a part. */
@@ -85,6 +89,12 @@
   /** @return whether a replica may have run the part. */
   bool MayHaveRun() const;
 
+  /** @return when the first attempt was sent that a replica may have run, nothing if none was. */
+  std::optional<core::TimePoint> FirstRunAt() const;
+
+  /** @return whether an attempt has found no way to its replica, or has got no answer. */
+  bool IsUnreachable() const;
+
   /**
    * @return the time until a replica accepts work whose backoff or rate limit prevents the part,
    *         nothing when neither does.
--- a/query/request_result.cpp
+++ b/query/request_result.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr core::NameTable<RequestOutcome, 7> kOutcomeNames{
-  { "complete", "partial", "passed", "not_run", "failed", "timed_out", "caller_gone" }
+constexpr core::NameTable<RequestOutcome, 8> kOutcomeNames{
+  { "complete", "partial", "passed", "not_run", "failed", "timed_out", "caller_gone", "forwarded" }
 };
 
 } // namespace
--- a/query/request_result.h
+++ b/query/request_result.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
   TimedOut,
   /** The caller disconnected. */
   CallerGone,
+  /** Another daemon has served it; its response is relayed. */
+  Forwarded,
 };
 
 /** @return the name of an outcome, for logs and metric labels. */
@@ -38,7 +41,7 @@
 struct RequestResult
 {
   RequestOutcome outcome = RequestOutcome::Failed;
-  /** The relayed response of a replica. */
+  /** The relayed response of a replica or of another daemon. */
   net::HttpResponse response;
   /** For a query over shards: the signatures of the merged answers. */
   std::vector<std::string> signatures;
@@ -51,6 +54,10 @@
   std::string reason;
   /** Number of attempts sent to replicas. */
   std::size_t attempts = 0;
+  /** Whether an attempt has found no way to its replica, or got no answer. */
+  bool isUnreachable = false;
+  /** When the first of those attempts was sent that a replica may have run; nothing if none was. */
+  std::optional<core::TimePoint> firstRunAt;
 };
 
 /** Receives the result of a request, exactly once. */
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -50,7 +50,7 @@
   for (const std::string& service : mPlan.services) {
     PartPlan plan{ service,       mPlan.route,    mPlan.table,
                    mPlan.request, mPlan.deadline, mPlan.arrival + mPlan.route->objective,
-                   mPlan.crashes };
+                   mPlan.crashes, mPlan.isRepeat, mPlan.domainsOut };
     mParts.push_back(std::make_shared<PartAttempts>(
       mReplicas, mTimers, std::move(plan), [self = weak_from_this()] {
         if (const auto run = self.lock()) {
@@ -174,6 +174,22 @@
   }
 }
 
+void
+RequestRun::Interrupt()
+{
+  const auto mayHaveRun = [](const auto& aPart) { return aPart->MayHaveRun(); };
+  if (mIsDone ||
+      (!mPlan.route->isIdempotent && std::any_of(mParts.begin(), mParts.end(), mayHaveRun))) {
+    return;
+  }
+  RequestResult result = MakeFailure(false);
+  result.isUnreachable = true;
+  Finish(std::move(result));
+  for (const std::shared_ptr<PartAttempts>& part : mParts) {
+    part->CancelRunning();
+  }
+}
+
 void
 RequestRun::Review()
 {
@@ -317,6 +333,10 @@
   std::size_t loggedParts = 0;
   for (const std::shared_ptr<PartAttempts>& part : mParts) {
     mayHaveRun = mayHaveRun || part->MayHaveRun();
+    result.isUnreachable = result.isUnreachable || part->IsUnreachable();
+    if (const auto runAt = part->FirstRunAt()) {
+      result.firstRunAt = std::min(result.firstRunAt.value_or(*runAt), *runAt);
+    }
     result.attempts += part->SentCount();
     if (part->State() != PartState::Answered && loggedParts++ < kMaxLoggedParts) {
       result.reason += part->AttemptSummary() + "; ";
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -23,6 +23,10 @@
   core::Duration loopLag{};
   /** Prevents attempts at a request that ends replicas; may be null. */
   std::shared_ptr<CrashWatch> crashes;
+  /** Whether an earlier attempt may have reached replicas, so that all attempts are extra ones. */
+  bool isRepeat = false;
+  /** Failure domains whose replicas must not be used, besides those known here; may be null. */
+  std::shared_ptr<const std::vector<std::string>> domainsOut;
 };
 
 /**
@@ -49,6 +53,15 @@
   /** Ends the request now, because its deadline lies after the end of the process. */
   void GiveUp();
 
+  /**
+   * Ends the request now if it may run elsewhere, because the replicas can't be reached any more.
+   * One that may have run and must not run twice goes on waiting for its answer.
+   */
+  void Interrupt();
+
+  /** @return when the request arrived. */
+  core::TimePoint Arrival() const { return mPlan.arrival; }
+
 private:
   upstream::ReplicaBalancer& mReplicas;
   core::TimerService& mTimers;
--- a/upstream/partition_detector.cpp
+++ b/upstream/partition_detector.cpp
@@ -16,8 +16,8 @@
 constexpr core::NameTable<PartitionTrigger, 3> kTriggerNames{
   { "silence", "connect_failures", "failed_request" }
 };
-constexpr core::NameTable<PartitionVerdict, 3> kVerdictNames{
-  { "connected", "partitioned", "replicas_down" }
+constexpr core::NameTable<PartitionVerdict, 4> kVerdictNames{
+  { "connected", "partitioned", "replicas_down", "no_peers" }
 };
 
 } // namespace
@@ -161,6 +161,7 @@
   mReport.replicas = aReplicas;
   mReport.silentFor = now - LastContact().value_or(now);
   mHaveProbesFailed = false;
+  mHasPeerReply = false;
   mHasPeerContact = false;
   SetState(PartitionState::Checking);
   Probe();
@@ -205,7 +206,7 @@
     return;
   }
   if (mTimers.Now() - mCheckStart >= kMaxCheckTime) {
-    EndCheck(PartitionVerdict::ReplicasDown);
+    EndCheck(mHasPeerReply ? PartitionVerdict::ReplicasDown : PartitionVerdict::NoPeers);
     return;
   }
   ScheduleNext(kAskInterval, &PartitionDetector::AskPeers);
--- a/upstream/partition_detector.h
+++ b/upstream/partition_detector.h
@@ -42,6 +42,8 @@
   Partitioned,
   /** No other daemon has reached a replica either. */
   ReplicasDown,
+  /** No other daemon could be asked. */
+  NoPeers,
 };
 
 /** @return the name of a state, trigger or verdict, for logs and metric labels. */
@@ -100,7 +102,7 @@
   static constexpr std::size_t kMinServices = 2;
 
   /** Time without an answer after which replicas that owe one are suspicious. */
-  static constexpr core::Duration kMaxSilence = std::chrono::milliseconds{ 300 };
+  static constexpr core::Duration kMaxSilence = std::chrono::milliseconds{ 200 };
 
   /** How often other daemons are asked during a check, and when it ends without an answer. */
   static constexpr core::Duration kAskInterval = std::chrono::milliseconds{ 100 };
@@ -138,6 +140,9 @@
   /** Starts a check if enough replicas have owed an answer for kMaxSilence. */
   void ReviewSilence(SilentReplicas aSilent);
 
+  /** Records that another daemon has answered, whether it has heard from a replica or not. */
+  void RecordPeerReply() { mHasPeerReply = true; }
+
   /** Records that another daemon heard from a replica at the given time. */
   void RecordPeerContact(core::TimePoint aAt);
 
@@ -176,6 +181,7 @@
   core::TimePoint mCheckStart{};
   PartitionReport mReport;
   bool mHaveProbesFailed = false;
+  bool mHasPeerReply = false;
   bool mHasPeerContact = false;
   bool mIsProbing = false;
   std::vector<std::function<void(bool)>> mAwaitingVerdict;
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr core::NameTable<SendRefusal, 7> kRefusalNames{ { "none",
+constexpr core::NameTable<SendRefusal, 8> kRefusalNames{ { "none",
                                                            "no_replica",
                                                            "replica_leaving",
                                                            "replica_resting",
                                                            "replica_limited",
                                                            "no_room",
+                                                           "unreachable",
                                                            "quarantined" } };
 
 /** Assumed round trips by distance, until they are measured. */
@@ -272,6 +273,10 @@
   const bool mustQueue =
     !aRequest.hasWaited && RateLimitWait(aRequest).value_or(core::Duration::zero()).count() > 0;
   const std::shared_ptr<ReplicaClient> client = mustQueue ? nullptr : Choose(usable, aRequest);
+  if (!client && mPartition.IsPartitioned()) {
+    result.refusal = SendRefusal::Unreachable;
+    return result;
+  }
   if (!client) {
     const bool areAllLimited = std::all_of(usable.begin(), usable.end(), [](const auto& aClient) {
       return aClient->RateLimit().MaxRate().has_value();
@@ -392,6 +397,9 @@
 {
   ShareRoundTrips();
   mSharedLimits.Expire(mTimers.Now());
+  if (mPartition.IsPartitioned()) {
+    return;
+  }
   for (auto& [name, service] : mServices) {
     if (!IsInUse(service)) {
       continue;
@@ -422,8 +430,10 @@
     (aRequest.allowedReplicas != nullptr && !Contains(*aRequest.allowedReplicas, replica.id));
   const bool isInRegion = aRequest.regions == nullptr || aRequest.regions->empty() ||
                           Contains(*aRequest.regions, mLocality.RegionOf(replica.failureDomain));
-  if (isExcluded || !isInRegion || aClient.IsAddressReassigned() ||
-      mDomainsOut.count(replica.failureDomain) > 0) {
+  const bool isDomainOut =
+    mDomainsOut.count(replica.failureDomain) > 0 ||
+    (aRequest.domainsOut != nullptr && Contains(*aRequest.domainsOut, replica.failureDomain));
+  if (isExcluded || !isInRegion || aClient.IsAddressReassigned() || isDomainOut) {
     return SendRefusal::NoReplica;
   }
   if (replica.isDraining || aClient.Availability().IsLeaving()) {
@@ -487,7 +497,8 @@
     candidates.push_back(client->Candidate());
     const bool isTooSlow = aRequest.maxExpectedTime > core::Duration::zero() &&
                            ExpectedTime(candidates.back()) >= aRequest.maxExpectedTime;
-    if (isTooSlow || !IsWithinRateLimit(*client, aRequest.kind)) {
+    const bool isUnreachable = mPartition.IsPartitioned() && !client->HasIdleConnection();
+    if (isTooSlow || isUnreachable || !IsWithinRateLimit(*client, aRequest.kind)) {
       candidates.back().hasRoom = false;
     }
   }
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -53,6 +53,8 @@
   RateLimited,
   /** All replicas that may be used are busy. */
   NoRoom,
+  /** This daemon is cut off from the replicas, and no connection is open that may be used. */
+  Unreachable,
   /** Replicas have ended under the request, so that it may run no more. */
   Quarantined,
 };
@@ -98,6 +100,8 @@
   /** The only replicas that may be used; null means any. */
   const std::vector<std::string>* allowedReplicas = nullptr;
   core::TimePoint deadline;
+  /** Failure domains whose replicas must not be used, besides those known here; null means none. */
+  const std::vector<std::string>* domainsOut = nullptr;
   /** 0 is the most important; those that wait and are at least as important go first. */
   std::uint32_t priority = 0;
   /** Whether it has waited for room; others that wait then have no precedence. */
@@ -163,6 +167,9 @@
   /** Sets the weights that determine this daemon's share of the limits. */
   void SetFleetWeights(FleetWeights aFleet);
 
+  /** @return the failure domains that are out of service. */
+  std::vector<std::string> DomainsOut() const { return { mDomainsOut.begin(), mDomainsOut.end() }; }
+
   /** Sets whether a failure domain is out of service. */
   void SetDomainOut(const std::string& aFailureDomain, bool aIsOut);
 
@@ -224,6 +231,12 @@
   /** @return whether this daemon has a network path to the replicas. */
   PartitionDetector& Partition() { return mPartition; }
 
+  /**
+   * @return whether a request to all the services can be sent while this daemon is cut off: over
+   *         connections that were opened before and still get answers.
+   */
+  bool HasOpenPaths(const std::vector<std::string>& aServices);
+
   /** Looks for replicas that owe an answer. To be called every few tens of milliseconds. */
   void ReviewPartition();
 
@@ -304,6 +317,7 @@
   /** The callbacks of the next probe; the running one was started before. */
   std::vector<std::function<void(bool)>> mProbes;
   bool mIsProbing = false;
+  bool mWasPartitioned = false;
   /** False once this object is destroyed; callbacks that come later check it. */
   std::shared_ptr<bool> mIsAlive;
 
@@ -319,6 +333,7 @@
   ReplicaClientHooks HooksFor(const AnnouncedReplica& aReplica);
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
   void OnContact(const AnnouncedReplica& aReplica, ReplicaContact aContact);
+  void OnPartitionStateChange(PartitionState aState);
   SilentReplicas CountReplicas() const;
   std::vector<std::shared_ptr<ReplicaClient>> ChooseProbes();
   void StartProbe();
--- a/upstream/replica_balancer_partition.cpp
+++ b/upstream/replica_balancer_partition.cpp
@@ -21,9 +21,39 @@
   aHooks.probeReplicas = [this](std::function<void(bool)> aCallback) {
     ProbeReplicas(std::move(aCallback));
   };
+  const auto onStateChange = std::move(aHooks.onStateChange);
+  aHooks.onStateChange = [this, onStateChange](PartitionState aState) {
+    OnPartitionStateChange(aState);
+    onStateChange(aState);
+  };
   mPartition.SetHooks(std::move(aHooks));
 }
 
+void
+ReplicaBalancer::OnPartitionStateChange(PartitionState aState)
+{
+  const bool wasPartitioned = std::exchange(mWasPartitioned, aState == PartitionState::Partitioned);
+  if (!wasPartitioned || mWasPartitioned) {
+    return;
+  }
+  // The failures of the partition say nothing about the replicas.
+  for (const auto& [id, client] : mClients) {
+    client->ForgetFailures();
+  }
+}
+
+bool
+ReplicaBalancer::HasOpenPaths(const std::vector<std::string>& aServices)
+{
+  return mPartition.HasRecentAnswer() &&
+         std::all_of(aServices.begin(), aServices.end(), [this](const std::string& aService) {
+           const auto& clients = ServiceOf(aService).clients;
+           return std::any_of(clients.begin(), clients.end(), [this](const auto& aClient) {
+             return MayUse(*aClient, {}) && aClient->HasIdleConnection();
+           });
+         });
+}
+
 void
 ReplicaBalancer::OnContact(const AnnouncedReplica& aReplica, ReplicaContact aContact)
 {
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -395,8 +395,7 @@
     const auto callbacks = std::exchange(mConnectionTests, {});
     const std::shared_ptr<net::HttpConnection> connection = mMakeConnection();
     const core::TimePoint begin = mTimers.Now();
-    const bool isConnected =
-      co_await connection->Connect(mReplica.address, mSettings.connectTimeout);
+    const bool isConnected = co_await connection->Connect(mReplica.address, mSettings.testTimeout);
     if (isConnected) {
       RecordConnected(mTimers.Now() - begin);
       Release(connection);
@@ -417,6 +416,24 @@
   return it == mAttemptStarts.end() ? std::nullopt : std::optional<core::TimePoint>(*it);
 }
 
+bool
+ReplicaClient::HasIdleConnection() const
+{
+  const core::TimePoint now = mTimers.Now();
+  return std::any_of(mIdle.begin(), mIdle.end(), [now](const IdleConnection& aIdle) {
+    return now < aIdle.usableUntil && aIdle.connection->IsOpen();
+  });
+}
+
+void
+ReplicaClient::ForgetFailures()
+{
+  mFailures = 0;
+  mFailureRate = {};
+  mSuspectUntil = {};
+  mHasConnectFailed = false;
+}
+
 void
 ReplicaClient::RecordConnectFailure()
 {
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -99,6 +99,8 @@
 {
   /** Timeout for opening a connection: twice the longest round trip, and the handshake. */
   core::Duration connectTimeout = std::chrono::milliseconds{ 400 };
+  /** Timeout for a connection that only shows whether the replica can be reached. */
+  core::Duration testTimeout = std::chrono::milliseconds{ 250 };
   /** Time after the deadline in which a replica's own error may still arrive. */
   core::Duration answerSlack = std::chrono::milliseconds{ 150 };
   /**
@@ -261,6 +263,12 @@
    */
   void TestConnection(std::function<void(bool)> aCallback);
 
+  /** @return whether a connection is open and free. */
+  bool HasIdleConnection() const;
+
+  /** Forgets the failures that made the replica suspect. */
+  void ForgetFailures();
+
   /** @return whether the last new connection could not be opened. */
   bool HasConnectFailed() const { return mHasConnectFailed; }
 
