Count the end of a replica only if another replica can be reached

A daemon that is cut off by resets took its lost connections for replicas that had ended under the requests, wrote that to the store, and made all daemons refuse well requests. Cause: CheckEnded asked only whether the replica accepts a connection. Now a loss counts if the daemon has heard from some replica within 10 ms after the refusal; if not, three others are tried, and other daemons asked: it doesn't count while this daemon is partitioned, or no other answers.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -357,11 +357,11 @@
   }
   bool isCutOff = false;
   std::function<void(std::function<void()>)> start = [&](std::function<void()> aWake) {
-    mReplicas.Partition().JudgeFailure(aJob.arrival,
-                                       [&isCutOff, wake = std::move(aWake)](bool aIsPartitioned) {
-                                         isCutOff = aIsPartitioned;
-                                         wake();
-                                       });
+    mReplicas.Partition().JudgeFailure(
+      aJob.arrival, [&isCutOff, wake = std::move(aWake)](upstream::PartitionVerdict aVerdict) {
+        isCutOff = aVerdict == upstream::PartitionVerdict::Partitioned;
+        wake();
+      });
   };
   co_await core::AwaitCallback(std::move(start));
   co_return isCutOff;
--- a/console/request_trace.cpp
+++ b/console/request_trace.cpp
@@ -33,10 +33,10 @@
                                                               "store_restored" };
 
 /** Events about one replica; part of the context when a line of the request names it. */
-constexpr std::array<std::string_view, 9> kReplicaEvents{
-  "replica_suspected", "replica_elsewhere",       "replica_leaving",
-  "replica_resting",   "replica_limited",         "replica_announced",
-  "replica_gone",      "announcement_unreadable", "replica_ended"
+constexpr std::array<std::string_view, 10> kReplicaEvents{
+  "replica_suspected", "replica_elsewhere",      "replica_leaving", "replica_resting",
+  "replica_limited",   "replica_announced",      "replica_gone",    "announcement_unreadable",
+  "replica_ended",     "replica_end_unconfirmed"
 };
 
 /** Those after which a replica accepts no work, or less. */
--- a/upstream/partition_detector.cpp
+++ b/upstream/partition_detector.cpp
@@ -16,8 +16,8 @@
 constexpr core::NameTable<PartitionTrigger, 3> kTriggerNames{
   { "silence", "connect_failures", "failed_request" }
 };
-constexpr core::NameTable<PartitionVerdict, 4> kVerdictNames{
-  { "connected", "partitioned", "replicas_down", "no_peers" }
+constexpr core::NameTable<PartitionVerdict, 5> kVerdictNames{
+  { "connected", "partitioned", "replicas_down", "peers_silent", "no_peers" }
 };
 
 } // namespace
@@ -116,17 +116,40 @@
 }
 
 void
-PartitionDetector::JudgeFailure(core::TimePoint aArrival, std::function<void(bool)> aCallback)
+PartitionDetector::JudgeFailure(core::TimePoint aArrival, VerdictFunction aCallback)
 {
-  const auto contact = LastContact();
-  if (mState == PartitionState::Connected && (!contact || *contact <= aArrival)) {
-    StartCheck(PartitionTrigger::FailedRequest, mFailedConnects.size());
-  }
-  if (mState != PartitionState::Checking) {
-    aCallback(IsPartitioned());
+  if (mState == PartitionState::Connected && HasContactSince(aArrival)) {
+    aCallback(PartitionVerdict::Connected);
     return;
   }
-  mAwaitingVerdict.push_back(std::move(aCallback));
+  StartCheck(PartitionTrigger::FailedRequest, mFailedConnects.size());
+  ReportVerdict(std::move(aCallback));
+}
+
+void
+PartitionDetector::JudgeLoss(core::TimePoint aLostAt, VerdictFunction aCallback)
+{
+  if (mState == PartitionState::Connected && !HasContactSince(aLostAt)) {
+    mNextCheck = {};
+  }
+  JudgeFailure(aLostAt, std::move(aCallback));
+}
+
+bool
+PartitionDetector::HasContactSince(core::TimePoint aTime) const
+{
+  const auto contact = LastContact();
+  return contact && *contact > aTime;
+}
+
+void
+PartitionDetector::ReportVerdict(VerdictFunction aCallback)
+{
+  if (mState == PartitionState::Checking) {
+    mAwaitingVerdict.push_back(std::move(aCallback));
+  } else {
+    aCallback(mReport.verdict);
+  }
 }
 
 bool
@@ -161,11 +184,12 @@
   mReport.replicas = aReplicas;
   mReport.silentFor = now - LastContact().value_or(now);
   mHaveProbesFailed = false;
+  mHasPeers = false;
   mHasPeerReply = false;
   mHasPeerContact = false;
   SetState(PartitionState::Checking);
-  Probe();
   AskPeers();
+  Probe();
 }
 
 void
@@ -206,12 +230,12 @@
     return;
   }
   if (mTimers.Now() - mCheckStart >= kMaxCheckTime) {
-    EndCheck(mHasPeerReply ? PartitionVerdict::ReplicasDown : PartitionVerdict::NoPeers);
+    EndCheck(mHasPeerReply ? PartitionVerdict::ReplicasDown : PartitionVerdict::PeersSilent);
     return;
   }
   ScheduleNext(kAskInterval, &PartitionDetector::AskPeers);
   if (!mHasPeerContact) {
-    mHooks.askPeers();
+    mHasPeers = mHooks.askPeers() > 0 || mHasPeers;
   }
 }
 
@@ -220,6 +244,8 @@
 {
   if (mHaveProbesFailed && mHasPeerContact) {
     EndCheck(PartitionVerdict::Partitioned);
+  } else if (mHaveProbesFailed && !mHasPeers) {
+    EndCheck(PartitionVerdict::NoPeers);
   }
 }
 
@@ -239,7 +265,7 @@
     ScheduleNext(kProbeInterval, &PartitionDetector::Probe);
   }
   for (const auto& callback : std::exchange(mAwaitingVerdict, {})) {
-    callback(isPartitioned);
+    callback(aVerdict);
   }
 }
 
--- a/upstream/partition_detector.h
+++ b/upstream/partition_detector.h
@@ -42,7 +42,9 @@
   Partitioned,
   /** No other daemon has reached a replica either. */
   ReplicasDown,
-  /** No other daemon could be asked. */
+  /** No other daemon has answered. */
+  PeersSilent,
+  /** No other daemon is known. */
   NoPeers,
 };
 
@@ -78,8 +80,8 @@
 {
   /** Tries to connect to some replicas, and reports once, later, whether one has accepted. */
   std::function<void(std::function<void(bool)>)> probeReplicas = [](auto) {};
-  /** Asks some other daemons; RecordPeerContact() gets their answers. */
-  std::function<void()> askPeers = [] {};
+  /** Asks some other daemons; RecordPeerContact() gets their answers. @return how many. */
+  std::function<std::size_t()> askPeers = [] { return 0; };
   std::function<void(const PartitionReport&)> onChecked = [](const auto&) {};
   std::function<void(PartitionState)> onStateChange = [](auto) {};
 };
@@ -146,13 +148,23 @@
   /** Records that another daemon heard from a replica at the given time. */
   void RecordPeerContact(core::TimePoint aAt);
 
+  using VerdictFunction = std::function<void(PartitionVerdict)>;
+
   /**
    * Finds out whether a request failed because of a partition; starts a check if nothing was heard
-   * from any replica since it arrived.
+   * from any replica since it arrived. During the pause after a check its verdict counts.
+   *
+   * @param aCallback called once, now or when a check ends.
+   */
+  void JudgeFailure(core::TimePoint aArrival, VerdictFunction aCallback);
+
+  /**
+   * Finds out whether a replica was lost because of a partition; starts a check, without a pause,
+   * if nothing was heard from any replica since.
    *
-   * @param aCallback called once, now or when a check ends, with whether there is a partition.
+   * @param aCallback called once, now or when a check ends.
    */
-  void JudgeFailure(core::TimePoint aArrival, std::function<void(bool)> aCallback);
+  void JudgeLoss(core::TimePoint aLostAt, VerdictFunction aCallback);
 
   PartitionState State() const { return mState; }
   bool IsPartitioned() const { return mState == PartitionState::Partitioned; }
@@ -181,16 +193,19 @@
   core::TimePoint mCheckStart{};
   PartitionReport mReport;
   bool mHaveProbesFailed = false;
+  bool mHasPeers = false;
   bool mHasPeerReply = false;
   bool mHasPeerContact = false;
   bool mIsProbing = false;
-  std::vector<std::function<void(bool)>> mAwaitingVerdict;
+  std::vector<VerdictFunction> mAwaitingVerdict;
   core::TimerId mTimer = 0;
   /** False once this object is destroyed; callbacks that come later check it. */
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
 
   bool IsEnough(SilentReplicas aEvidence) const;
+  bool HasContactSince(core::TimePoint aTime) const;
   void StartCheck(PartitionTrigger aTrigger, std::size_t aReplicas);
+  void ReportVerdict(VerdictFunction aCallback);
   void Probe();
   void OnProbed(core::TimePoint aStart, bool aIsConnected);
   void AskPeers();
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -28,6 +28,10 @@
  */
 constexpr double kRetryAfterJitter = 0.25;
 
+/** Log lines per second on lost replicas of which this daemon can't tell whether they have ended.
+ */
+constexpr std::uint32_t kUnconfirmedLinesPerSecond = 5;
+
 /** Connections for a service are kept for this long after its last request. */
 constexpr core::Duration kKeepWarmAfterUse = std::chrono::seconds{ 10 };
 
@@ -83,8 +87,10 @@
   , mSharedLimits(mLocality.vm, mLocality.regions)
   , mStartedAt(aTimers.Now())
   , mPartition(aTimers)
+  , mUnconfirmedLines(kUnconfirmedLinesPerSecond)
   , mIsAlive(std::make_shared<bool>(true))
 {
+  SetPartitionHooks({});
 }
 
 ReplicaBalancer::~ReplicaBalancer()
@@ -289,18 +295,6 @@
   return result;
 }
 
-void
-ReplicaBalancer::CheckEnded(const std::string& aId, std::function<void(bool)> aCallback)
-{
-  const auto it = mClients.find(aId);
-  if (it == mClients.end()) {
-    // Its entry is gone: it has shut down, or was gone before.
-    aCallback(false);
-    return;
-  }
-  it->second->CheckEnded(std::move(aCallback));
-}
-
 void
 ReplicaBalancer::RecordFirstAttempt(std::string_view aService)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/log_rate_limiter.h"
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
 #include "upstream/partition_detector.h"
@@ -219,7 +220,9 @@
                   AttemptCallback aCallback);
 
   /**
-   * Finds out whether the process of a replica has ended after a connection to it was lost.
+   * Finds out whether the process of a replica has ended after a connection to it was lost: it
+   * refuses a connection, and another replica accepts one, so that it isn't this daemon that is cut
+   * off.
    *
    * @param aCallback called once, now or later; with false for a replica that is shutting down.
    */
@@ -318,6 +321,7 @@
   std::vector<std::function<void(bool)>> mProbes;
   bool mIsProbing = false;
   bool mWasPartitioned = false;
+  core::LogRateLimiter mUnconfirmedLines;
   /** False once this object is destroyed; callbacks that come later check it. */
   std::shared_ptr<bool> mIsAlive;
 
@@ -334,6 +338,7 @@
   void OnAvailabilityChanged(const std::string& aId, AvailabilityChange aChange);
   void OnContact(const AnnouncedReplica& aReplica, ReplicaContact aContact);
   void OnPartitionStateChange(PartitionState aState);
+  void ConfirmEnd(std::shared_ptr<ReplicaClient> aClient, std::function<void(bool)> aCallback);
   SilentReplicas CountReplicas() const;
   std::vector<std::shared_ptr<ReplicaClient>> ChooseProbes();
   void StartProbe();
--- a/upstream/replica_balancer_partition.cpp
+++ b/upstream/replica_balancer_partition.cpp
@@ -2,6 +2,8 @@
 
 #include "upstream/replica_balancer.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -13,6 +15,9 @@
 /** Replicas of different services that are probed together. */
 constexpr std::size_t kProbedReplicas = 3;
 
+/** Time in which a daemon with traffic hears from some replica, if it isn't cut off. */
+constexpr core::Duration kContactWait = std::chrono::milliseconds{ 10 };
+
 } // namespace
 
 void
@@ -103,6 +108,56 @@
   }
 }
 
+void
+ReplicaBalancer::CheckEnded(const std::string& aId, std::function<void(bool)> aCallback)
+{
+  const auto it = mClients.find(aId);
+  if (it == mClients.end() || it->second->MayEnd()) {
+    // Its entry is gone, or it shuts down.
+    aCallback(false);
+    return;
+  }
+  const std::shared_ptr<ReplicaClient> client = it->second;
+  client->TestConnection(
+    [this, isAlive = mIsAlive, client, callback = std::move(aCallback)](bool aIsConnected) {
+      if (aIsConnected || !*isAlive) {
+        callback(false);
+      } else {
+        ConfirmEnd(client, callback);
+      }
+    });
+}
+
+void
+ReplicaBalancer::ConfirmEnd(std::shared_ptr<ReplicaClient> aClient,
+                            std::function<void(bool)> aCallback)
+{
+  const auto report = [this, client = std::move(aClient), callback = std::move(aCallback)](
+                        PartitionVerdict aVerdict) {
+    // A daemon that is cut off can't tell, and must not make others refuse the request.
+    const bool hasEnded =
+      aVerdict != PartitionVerdict::Partitioned && aVerdict != PartitionVerdict::PeersSilent;
+    if (hasEnded) {
+      client->RecordEnd();
+    } else if (mUnconfirmedLines.Allow(mTimers.Now())) {
+      core::LogEvent(core::LogLevel::Info,
+                     "upstream",
+                     "replica_end_unconfirmed",
+                     { { "replica", client->Replica().id },
+                       { "service", client->Replica().service },
+                       { "verdict", std::string(NameOf(aVerdict)) },
+                       { "unlogged", std::to_string(mUnconfirmedLines.TakeDroppedCount()) } });
+    }
+    callback(hasEnded);
+  };
+  const core::TimePoint failedAt = mTimers.Now();
+  mTimers.Schedule(kContactWait, [this, isAlive = mIsAlive, failedAt, report] {
+    if (*isAlive) {
+      mPartition.JudgeLoss(failedAt, report);
+    }
+  });
+}
+
 void
 ReplicaBalancer::ProbeReplicas(std::function<void(bool)> aCallback)
 {
@@ -133,13 +188,17 @@
     return std::make_pair(aLeft.hasFailed, aLeft.order) <
            std::make_pair(aRight.hasFailed, aRight.order);
   });
+  // Different services first: the replicas of one may be down together.
   std::set<std::string_view> services;
+  const auto next =
+    std::stable_partition(options.begin(), options.end(), [&services](const Option& aOption) {
+      return services.insert(aOption.client->Replica().service).second;
+    });
+  std::stable_partition(
+    options.begin(), next, [](const Option& aOption) { return !aOption.hasFailed; });
   std::vector<std::shared_ptr<ReplicaClient>> chosen;
-  for (const Option& option : options) {
-    if (chosen.size() < kProbedReplicas &&
-        services.insert(option.client->Replica().service).second) {
-      chosen.push_back(option.client);
-    }
+  for (std::size_t n = 0; n < std::min(kProbedReplicas, options.size()); ++n) {
+    chosen.push_back(options[n].client);
   }
   return chosen;
 }
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -358,24 +358,15 @@
 }
 
 void
-ReplicaClient::CheckEnded(std::function<void(bool)> aCallback)
+ReplicaClient::RecordEnd()
 {
-  if (mIsRetired || mReplica.isDraining || mAvailability.IsLeaving()) {
-    aCallback(false);
-    return;
-  }
-  TestConnection([self = shared_from_this(), callback = std::move(aCallback)](bool aIsConnected) {
-    if (!aIsConnected) {
-      self->mIdle.clear();
-      core::LogEvent(core::LogLevel::Warning,
-                     "upstream",
-                     "replica_ended",
-                     { { "replica", self->mReplica.id },
-                       { "service", self->mReplica.service },
-                       { "in_flight", std::to_string(self->mAttemptStarts.size()) } });
-    }
-    callback(!aIsConnected);
-  });
+  mIdle.clear();
+  core::LogEvent(core::LogLevel::Warning,
+                 "upstream",
+                 "replica_ended",
+                 { { "replica", mReplica.id },
+                   { "service", mReplica.service },
+                   { "in_flight", std::to_string(mAttemptStarts.size()) } });
 }
 
 void
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -248,13 +248,11 @@
   /** @return what was sent while the rate was limited since the last call. */
   LimitedUse TakeLimitedUse() { return std::exchange(mLimitedUse, {}); }
 
-  /**
-   * Finds out whether the replica's process has ended after a connection was lost: it then refuses
-   * new ones. A replica that is shutting down may end, and is not reported.
-   *
-   * @param aCallback called once, now or later, with whether the process has ended.
-   */
-  void CheckEnded(std::function<void(bool)> aCallback);
+  /** @return whether the replica is shutting down, so that its process may end. */
+  bool MayEnd() const { return mIsRetired || mReplica.isDraining || mAvailability.IsLeaving(); }
+
+  /** Records that the replica's process has ended. */
+  void RecordEnd();
 
   /**
    * Opens a connection after this call, and keeps it for a request.
--- a/upstream/tests/partition_detector_test.cpp
+++ b/upstream/tests/partition_detector_test.cpp
@@ -53,6 +53,7 @@
           detector.RecordPeerContact(askedAt);
         }
       });
+      return 3;
     };
     hooks.onChecked = [this](const PartitionReport& aReport) { reports.push_back(aReport); };
     detector.SetHooks(std::move(hooks));
@@ -71,7 +72,9 @@
   std::optional<bool> Judge(core::TimePoint aArrival)
   {
     auto verdict = std::make_shared<std::optional<bool>>();
-    detector.JudgeFailure(aArrival, [verdict](bool aIsPartitioned) { *verdict = aIsPartitioned; });
+    detector.JudgeFailure(aArrival, [verdict](PartitionVerdict aVerdict) {
+      *verdict = aVerdict == PartitionVerdict::Partitioned;
+    });
     timers.Advance(seconds{ 1 });
     return *verdict;
   }
@@ -96,7 +99,7 @@
   detector.RecordAnswer();
   FailConnects(4, 2);
   detector.RecordAnswer();
-  timers.Advance(milliseconds{ 200 });
+  timers.Advance(milliseconds{ 100 });
   BOOST_TEST(detector.IsPartitioned());
   BOOST_TEST(detector.HasRecentAnswer());
 }
@@ -139,7 +142,7 @@
   FailConnects(12, 4);
   timers.Advance(seconds{ 1 });
   BOOST_REQUIRE(reports.size() == 1U);
-  BOOST_TEST((reports[0].verdict == PartitionVerdict::NoPeers));
+  BOOST_TEST((reports[0].verdict == PartitionVerdict::PeersSilent));
   arePeersThere = true;
   timers.Advance(milliseconds{ 200 });
   FailConnects(12, 4);
