--- a/caller/tests/entry_admission_test.cpp
+++ b/caller/tests/entry_admission_test.cpp
@@ -34,6 +34,17 @@
   BOOST_TEST(!admission.Refuse(0, kNow).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(requests_of_other_daemons_are_refused_before_those_of_own_callers)
+{
+  EntryAdmission admission({ 100, milliseconds{ 60 } });
+  for (int n = 0; n < 60; ++n) {
+    admission.Begin();
+  }
+  BOOST_TEST(admission.RefuseForwarded(0, kNow).has_value());
+  BOOST_TEST(!admission.Refuse(0, kNow).has_value());
+  BOOST_TEST(!admission.Refuse(2, kNow).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(refuses_while_the_event_loop_lags)
 {
   EntryAdmission admission({ 100, milliseconds{ 60 } });
--- a/membership/tests/entry_directory_test.cpp
+++ b/membership/tests/entry_directory_test.cpp
@@ -50,6 +50,25 @@
   BOOST_TEST(directory.AddressesFor({ "gent", "vlaanderen" }, 0).at(0) == "10.3.0.1:80");
 }
 
+BOOST_AUTO_TEST_CASE(callers_get_daemons_that_are_cut_off_from_the_replicas)
+{
+  EntryDirectory directory = MakeDirectory();
+  const auto cut = [&directory](const std::string& aVm) {
+    EntryMember member = directory.Members().at(aVm);
+    member.isPartitioned = true;
+    directory.Put(member);
+  };
+  cut("g1");
+  BOOST_TEST(directory.AddressesFor({ "gent", "vlaanderen" }, 0).at(0) == "10.1.0.2:80");
+  BOOST_TEST(directory.Weights().at("g1") == 0.0);
+  cut("g2");
+  BOOST_TEST(directory.AddressesFor({ "gent", "vlaanderen" }, 0).at(0) == "10.2.0.1:80");
+  cut("a1");
+  cut("n1");
+  BOOST_TEST(directory.AddressesFor({ "gent", "vlaanderen" }, 0).size() == 2U);
+  BOOST_TEST(directory.Weights().at("g1") == 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(callers_without_a_location_get_all)
 {
   BOOST_TEST(MakeDirectory().AddressesFor({}, 0).size() == 4U);
