Don't say that a request hasn't run when it may have, after other daemons refused it

An idempotent request that may have run at this daemon before the cut, and that no other daemon would serve, was answered 503, which says that it hasn't run: whether attempts need the retry budget and whether the request may have run were one flag. They are two now; the refusal of another daemon isn't passed on either in that case. Found by reading; the tests of peer_forwarder came with the fix. A partition's verdict also no longer outlives its end.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -291,17 +291,19 @@
   const bool mustForward = isPartitioned && !mReplicas.HasOpenPaths(aJob.services);
   mForwardedShare += ((mustForward ? 1.0 : 0.0) - mForwardedShare) * kForwardedSmoothing;
   if (mustForward) {
-    co_return co_await RunElsewhere(aJob, false);
+    co_return co_await RunElsewhere(aJob, false, false);
   }
   RequestResult result = co_await RunHere(aJob);
   if (!co_await IsCutOff(aJob, result)) {
     co_return result;
   }
   const std::string reason = std::move(result.reason);
-  // What was sent after the last sign of a replica has reached none.
+  // What was sent after the last sign of a replica has most likely reached none, and needs no
+  // budget.
   const auto contact = mReplicas.Partition().LastContact();
   const bool isRepeat = result.firstRunAt && contact && *result.firstRunAt <= *contact;
-  RequestResult forwarded = co_await RunElsewhere(aJob, isRepeat);
+  const bool mayHaveRun = result.outcome != RequestOutcome::NotRun;
+  RequestResult forwarded = co_await RunElsewhere(aJob, mayHaveRun, isRepeat);
   forwarded.reason = reason + forwarded.reason;
   co_return forwarded;
 }
@@ -368,7 +370,7 @@
 }
 
 core::Task<RequestResult>
-EntryFrontend::RunElsewhere(Job& aJob, bool aIsRepeat)
+EntryFrontend::RunElsewhere(Job& aJob, bool aMayHaveRun, bool aIsRepeat)
 {
   // Long enough for an answer in time or a little later; then another daemon is faster.
   constexpr core::Duration kMinPatience = std::chrono::milliseconds{ 400 };
@@ -379,6 +381,7 @@
   plan.arrival = aJob.arrival;
   plan.deadline = aJob.deadline;
   plan.regions = aJob.route->regions;
+  plan.mayHaveRun = aMayHaveRun;
   plan.patience = std::max<core::Duration>(aJob.route->objective * kPatienceFactor, kMinPatience);
 
   const std::shared_ptr<net::HttpClientWatch> client = aJob.request.client;
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -166,7 +166,7 @@
   void Prepare(Job& aJob);
   core::Task<query::RequestResult> Run(Job& aJob);
   core::Task<query::RequestResult> RunHere(Job& aJob);
-  core::Task<query::RequestResult> RunElsewhere(Job& aJob, bool aIsRepeat);
+  core::Task<query::RequestResult> RunElsewhere(Job& aJob, bool aMayHaveRun, bool aIsRepeat);
   core::Task<bool> IsCutOff(const Job& aJob, const query::RequestResult& aResult);
   std::vector<std::string> ServicesFor(const declaration::Route& aRoute);
   net::HttpResponse ToResponse(query::RequestResult aResult);
--- a/caller/peer_forwarder.cpp
+++ b/caller/peer_forwarder.cpp
@@ -88,7 +88,9 @@
                      (reply.outcome.reason.empty() ? "" : "(" + reply.outcome.reason + ")") + "; ";
     Count(verdict);
     if (reply.outcome.verdict == ForwardVerdict::Final) {
-      result.outcome = RequestOutcome::Forwarded;
+      // A refusal, which has a reason, says that the request was not run.
+      const bool isFalse = aPlan.mayHaveRun && !reply.outcome.reason.empty();
+      result.outcome = isFalse ? RequestOutcome::Failed : RequestOutcome::Forwarded;
       result.response = std::move(reply.response);
       co_return result;
     }
@@ -97,15 +99,16 @@
     }
     if (reply.outcome.verdict == ForwardVerdict::Lost) {
       aPlan.terms.isRepeat = true;
+      aPlan.mayHaveRun = true;
       if (!isIdempotent) {
         break;
       }
     }
   }
   const bool isLate = aPlan.deadline - mTimers.Now() < kMinForwardTime;
-  result.outcome = !aPlan.terms.isRepeat ? RequestOutcome::NotRun
-                   : isLate              ? RequestOutcome::TimedOut
-                                         : RequestOutcome::Failed;
+  result.outcome = !aPlan.mayHaveRun ? RequestOutcome::NotRun
+                   : isLate          ? RequestOutcome::TimedOut
+                                     : RequestOutcome::Failed;
   if (tried.empty()) {
     Count("no_peer");
   }
--- a/caller/peer_forwarder.h
+++ b/caller/peer_forwarder.h
@@ -26,6 +26,8 @@
   core::TimePoint deadline;
   /** Regions to which the request may be sent; empty means all. */
   std::vector<std::string> regions;
+  /** Whether it may have run already, so that its caller must not be told that it hasn't. */
+  bool mayHaveRun = false;
   /** How long an idempotent request waits for one daemon before another one is asked. */
   core::Duration patience{};
 };
--- a/caller/tests/peer_forwarding_test.cpp
+++ b/caller/tests/peer_forwarding_test.cpp
@@ -1,8 +1,11 @@
 #include "caller/forward_terms.h"
 #include "caller/peer_choice.h"
+#include "caller/peer_forwarder.h"
 
 #include "core/virtual_timer_service.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <boost/test/unit_test.hpp>
 
 #include <map>
@@ -32,8 +35,129 @@
   }
 };
 
+/** Connection to a daemon that replies as scripted; without a reply it breaks. */
+class ScriptedConnection : public net::HttpConnection
+{
+public:
+  explicit ScriptedConnection(std::vector<std::optional<ForwardOutcome>>& aScript)
+    : mScript(aScript)
+  {
+  }
+
+  core::Task<bool> Connect([[maybe_unused]] std::string aAddress,
+                           [[maybe_unused]] core::Duration aTimeout) override
+  {
+    co_return true;
+  }
+
+  core::Task<net::HttpResult> Exchange([[maybe_unused]] net::HttpRequest aRequest,
+                                       [[maybe_unused]] core::Duration aTimeout) override
+  {
+    const std::optional<ForwardOutcome> outcome = mScript.front();
+    mScript.erase(mScript.begin());
+    net::HttpResult result;
+    if (outcome) {
+      AddForwardOutcome(result.response, *outcome);
+    } else {
+      result.error = net::HttpClientError::Broken;
+    }
+    co_return result;
+  }
+
+  core::Task<net::HttpResult> ReadNext([[maybe_unused]] core::Duration aTimeout) override
+  {
+    co_return net::HttpResult{};
+  }
+
+  bool IsOpen() const override { return false; }
+  void Close() override {}
+
+private:
+  std::vector<std::optional<ForwardOutcome>>& mScript;
+};
+
+struct ForwarderFixture : ChoiceFixture
+{
+  boost::asio::io_context loop;
+  core::Metrics metrics;
+  std::vector<std::optional<ForwardOutcome>> script;
+
+  query::RequestOutcome Forward(bool aIsIdempotent, bool aMayHaveRun)
+  {
+    PeerForwarderHooks hooks;
+    hooks.listPeers = [this] { return peers; };
+    hooks.setDeadline = [](net::HttpRequest&, core::Duration) {};
+    const net::HttpConnectionFactory factory = [this] {
+      return std::make_shared<ScriptedConnection>(script);
+    };
+    PeerForwarder forwarder(timers, random, metrics, factory, "north", std::move(hooks));
+    auto request = std::make_shared<upstream::ForwardedRequest>();
+    request->isIdempotent = aIsIdempotent;
+    ForwardPlan plan;
+    plan.request = request;
+    plan.arrival = timers.Now();
+    plan.deadline = timers.Now() + seconds{ 1 };
+    plan.patience = seconds{ 1 };
+    plan.mayHaveRun = aMayHaveRun;
+    query::RequestOutcome outcome = query::RequestOutcome::CallerGone;
+    core::Start(loop.get_executor(), Run(forwarder, std::move(plan), outcome));
+    loop.run();
+    return outcome;
+  }
+
+  static core::Task<void> Run(PeerForwarder& aForwarder,
+                              ForwardPlan aPlan,
+                              query::RequestOutcome& aOutcome)
+  {
+    auto run = std::make_shared<ForwardRun>();
+    const query::RequestResult result = co_await aForwarder.Forward(std::move(aPlan), run);
+    aOutcome = result.outcome;
+  }
+};
+
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(peer_forwarder, ForwarderFixture)
+
+BOOST_AUTO_TEST_CASE(a_request_that_no_daemon_can_serve_has_not_run)
+{
+  script = { { { ForwardVerdict::NotRun, "partitioned" } },
+             { { ForwardVerdict::NotRun, "stopping" } },
+             { { ForwardVerdict::NotRun, "outdated" } },
+             { { ForwardVerdict::NotRun, "overloaded" } } };
+  BOOST_TEST((Forward(false, false) == query::RequestOutcome::NotRun));
+  BOOST_TEST(script.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_is_told_that_a_request_has_not_run_although_it_may_have)
+{
+  script.assign(4, ForwardOutcome{ ForwardVerdict::NotRun, "overloaded" });
+  BOOST_TEST((Forward(true, true) == query::RequestOutcome::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_of_another_daemon_reaches_a_caller_whose_request_may_have_run)
+{
+  script = { { { ForwardVerdict::Final, "quarantined" } } };
+  BOOST_TEST((Forward(true, true) == query::RequestOutcome::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_runs_once_is_sent_on_after_its_answer_was_lost)
+{
+  script = { std::nullopt, { { ForwardVerdict::Final, "" } } };
+  BOOST_TEST((Forward(false, false) == query::RequestOutcome::Failed));
+  BOOST_TEST(script.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_idempotent_request_is_not_sent_on_after_its_answer_was_lost)
+{
+  script = { std::nullopt,
+             { { ForwardVerdict::Lost, "partitioned" } },
+             { { ForwardVerdict::Final, "" } } };
+  BOOST_TEST((Forward(true, false) == query::RequestOutcome::Forwarded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(peer_choice, ChoiceFixture)
 
 BOOST_AUTO_TEST_CASE(requests_leave_the_region_although_a_daemon_there_can_serve_them)
--- a/upstream/partition_detector.cpp
+++ b/upstream/partition_detector.cpp
@@ -71,6 +71,7 @@
   if (mState == PartitionState::Checking) {
     EndCheck(PartitionVerdict::Connected);
   } else if (mState == PartitionState::Partitioned) {
+    mReport.verdict = PartitionVerdict::Connected;
     SetState(PartitionState::Connected);
   }
 }
