--- a/caller/peer_choice.cpp
+++ b/caller/peer_choice.cpp
@@ -66,6 +66,7 @@
     return nullptr;
   }
   std::vector<double> weights;
+  weights.reserve(nearest.size());
   for (const ForwardPeer* peer : nearest) {
     weights.push_back(peer->weight);
   }
