Reset a connection whose exchange was abandoned

What callers saw: nothing. What replicas saw: closing a connection doesn't discard what was written to it, so that a request which was written into a silent cut, timed out there and was served by another replica, arrived when the cut ended, and was run for nobody, with the whole time of its deadline.

The client sets SO_LINGER with a time of zero when it has connected, since a timeout closes the socket inside Beast, and takes it back before it closes an idle connection. A reset discards what hasn't arrived.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -128,14 +128,29 @@
   beast::flat_buffer buffer{ kMaxUnparsedBytes };
   std::optional<http::response_parser<http::buffer_body>> streamed;
   bool isOpen = false;
+  /** Whether a request was sent whose response has not been read completely. */
+  bool isAwaitingResponse = false;
 
   void Close()
   {
+    if (isOpen && !isAwaitingResponse) {
+      SetResetOnClose(false);
+    }
     isOpen = false;
     beast::error_code ec;
     stream.socket().close(ec);
   }
 
+  /**
+   * Sets whether closing the connection resets it. A reset discards what has not arrived yet, which
+   * a server behind a cut would otherwise get, and run, when the cut ends.
+   */
+  void SetResetOnClose(bool aIsReset)
+  {
+    beast::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger(aIsReset, 0), ignored);
+  }
+
   bool HasUnexpectedData();
   core::Task<HttpClientError> Send(HttpRequest aRequest, core::Duration aTimeout);
   void StartWrite(const std::shared_ptr<RequestWrite>& aWrite);
@@ -166,6 +181,7 @@
     Close();
     co_return HttpClientError::NothingSent;
   }
+  isAwaitingResponse = true;
   RequestWrite write;
   write.message = ToMessage(std::move(aRequest));
   stream.expires_after(aTimeout);
@@ -206,6 +222,7 @@
     Close();
     co_return Failure(HttpClientError::NothingSent);
   }
+  isAwaitingResponse = true;
   const auto write = std::make_shared<RequestWrite>();
   write->message = ToMessage(std::move(aRequest));
   write->head = SerializeHead(write->message);
@@ -216,6 +233,7 @@
     result.error = ToWriteError(*write);
   }
   if (!write->isDone || write->error) {
+    isAwaitingResponse = true;
     Close();
   }
   while (!write->isDone) {
@@ -236,6 +254,7 @@
     Close();
     co_return Failure(ToReadError(ec));
   }
+  isAwaitingResponse = false;
   if (!parser.get().keep_alive()) {
     Close();
   }
@@ -272,7 +291,10 @@
   }
   beast::error_code ignored;
   state->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  // A timeout closes the socket in the stream, so that the option is set beforehand.
+  state->SetResetOnClose(true);
   state->isOpen = true;
+  state->isAwaitingResponse = false;
   co_return true;
 }
 
@@ -297,6 +319,7 @@
   if (!state->isOpen) {
     co_return Failure(HttpClientError::Broken);
   }
+  state->isAwaitingResponse = true;
   state->stream.expires_after(aTimeout);
   co_return co_await state->ReadResponse();
 }
@@ -342,6 +365,7 @@
     co_return std::nullopt;
   }
   data.resize(data.size() - body.size);
+  state->isAwaitingResponse = !state->streamed->is_done();
   co_return data;
 }
 
