Try a suspected query at another shard when the one that lost replicas has none left

Cause: a suspected query begins with one part, that of the shard whose replica ended, and gave up when this part failed, even if nothing had been sent. Now the next shard is tried then.

Test crash_guard/a_suspected_query_fails_because_the_shard_that_lost_replicas_has_none_left failed before (1 partial answer instead of 2).

--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -82,6 +82,7 @@
   void CancelRunning();
 
   PartState State() const { return mState; }
+  const std::string& Service() const { return mPlan.service; }
 
   /** @return the answer, or the failure response of a replica when there is one. */
   upstream::AttemptResult& Result() { return mResult; }
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -66,17 +66,36 @@
   if (mParts.size() < 2 || !mPlan.crashes || !mPlan.crashes->IsSuspect()) {
     return false;
   }
+  ChooseTrialPart();
+  return mTrialPart != nullptr;
+}
+
+void
+RequestRun::ChooseTrialPart()
+{
   // The shard whose replica has ended shows whether the request was the cause.
-  std::size_t trial = 0;
+  mTrialPart = nullptr;
   for (std::size_t n = 0; n < mParts.size(); ++n) {
-    if (mPlan.crashes->IsSuspectAt(mPlan.services[n])) {
-      trial = n;
-      break;
+    const std::shared_ptr<PartAttempts>& part = mParts[n];
+    if (part->State() != PartState::Deferred) {
+      continue;
+    }
+    const bool isSuspectThere = mPlan.crashes->IsSuspectAt(mPlan.services[n]);
+    if (!part->ExpectedLatency()) {
+      if (isSuspectThere) {
+        // It fails at once without a replica, so that one that comes back doesn't get it untried.
+        part->Start();
+      }
+    } else if (!mTrialPart || isSuspectThere) {
+      mTrialPart = part;
+      if (isSuspectThere) {
+        break;
+      }
     }
   }
-  mTrialPart = mParts[trial];
-  mTrialPart->Start();
-  return true;
+  if (mTrialPart) {
+    mTrialPart->Start();
+  }
 }
 
 void
@@ -84,7 +103,12 @@
 {
   const core::Duration age = mTimers.Now() - mPlan.arrival;
   const core::Duration limit = mPlan.deadline - mPlan.arrival - kDeadlineMargin;
-  const PartState state = mTrialPart->State();
+  mIsStarting = true;
+  while (mTrialPart && mTrialPart->State() == PartState::Failed && !mTrialPart->MayHaveRun()) {
+    ChooseTrialPart();
+  }
+  mIsStarting = false;
+  const PartState state = mTrialPart ? mTrialPart->State() : PartState::Failed;
   if (state == PartState::Failed || age >= limit) {
     Finish(MakeFailure(age >= limit));
     return;
@@ -301,7 +325,15 @@
   }
   result.outcome = result.missingShards == 0 ? RequestOutcome::Complete : RequestOutcome::Partial;
   result.records = MergeRecords(bodies, mPlan.route->topRecords);
-  Finish(std::move(result), true);
+  Finish(std::move(result), IsAnsweredWhereSuspect());
+}
+
+bool
+RequestRun::IsAnsweredWhereSuspect() const
+{
+  return !mPlan.crashes || std::all_of(mParts.begin(), mParts.end(), [this](const auto& aPart) {
+    return aPart->State() == PartState::Answered || !mPlan.crashes->IsSuspectAt(aPart->Service());
+  });
 }
 
 core::Duration
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -78,6 +78,7 @@
   void MakeParts();
   void StartParts();
   bool StartTrialPart();
+  void ChooseTrialPart();
   void ReviewTrialPart();
   std::vector<std::size_t> ChooseDeferredParts(const std::vector<core::Duration>& aExpected) const;
   void SendDeferred();
@@ -86,6 +87,8 @@
   void ReviewSingle();
   void ScheduleReview(core::Duration aAge);
   void AnswerGather();
+  /** @return whether all shards have answered of which the request may have ended a replica. */
+  bool IsAnsweredWhereSuspect() const;
   core::Duration RetryAfter() const;
   RequestResult MakeFailure(bool aIsLate) const;
   void Finish(RequestResult aResult, bool aIsAnswered = false);
--- a/query/tests/crash_guard_test.cpp
+++ b/query/tests/crash_guard_test.cpp
@@ -263,6 +263,23 @@
   BOOST_TEST(FatalArrivals().size() <= before + 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_suspected_query_fails_because_the_shard_that_lost_replicas_has_none_left)
+{
+  Start(1, 6);
+  SetFatal("s3");
+  const declaration::Route& route = QueryRoute(6);
+  Ask(0, route, kFatal);
+  loop.Run(seconds{ 5 });
+  BOOST_REQUIRE(guards[0]->CrashCount(FingerprintOf(kFatal)) == 1U);
+  for (auto& [id, replica] : replicas) {
+    replica.hasEnded = id.compare(0, 3, "s3-") == 0;
+  }
+  const std::size_t before = outcome.partial;
+  Ask(0, route, kFatal);
+  loop.Run(seconds{ 5 });
+  BOOST_TEST(outcome.partial == before + 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_that_was_cut_off_sends_the_request_once_more_at_most)
 {
   Start(7, 1);
