Soak: cut the daemons of a failure domain off from all replicas

Each replica has a proxy for the daemons of each failure domain, and the store stand-in serves each domain its own addresses, so that a domain can be cut off while callers, the store and the other daemons reach it. Cuts hang (the accept queue is kept full, and bytes are held until the cut ends unless their sender reset the connection), reset, or refuse new connections, in series beside all other faults. At the end, with no other fault, one domain is cut off once more, and its callers must be served as the rule on cut-off daemons says.

A request that was under way at a cut-off daemon may run at most twice as many times as max_attempts: runs at replicas that are cut off from their daemon don't count by the rule, and another daemon has its own attempts. Requests that may run once keep the bound of one.

--other-program runs every second pair of daemons from an older build.

--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -18,20 +18,23 @@
 constexpr const char* kHelp =
   "Usage: soak --program FILE [--seed N] [--seconds N] [--processes N] [--clients N] [--folder "
   "DIR]\n"
+  "            [--other-program FILE]\n"
   "\n"
   "Runs daemons as processes under random faults and checks every response. Logs are kept if a\n"
-  "guarantee was violated or --folder is given. Exit codes: 0 no violations, 1 violations or a\n"
+  "guarantee was violated or --folder is given. Every second pair of daemons runs the other\n"
+  "program, if one is given. Exit codes: 0 no violations, 1 violations or a\n"
   "failed run, 2 wrong usage.\n";
 
 bool
 ParseOptions(int aCount, char** aArguments, SoakOptions& aOptions)
 {
-  const std::array<option, 8> known{ { { "program", required_argument, nullptr, 'p' },
+  const std::array<option, 9> known{ { { "program", required_argument, nullptr, 'p' },
                                        { "seed", required_argument, nullptr, 's' },
                                        { "seconds", required_argument, nullptr, 't' },
                                        { "processes", required_argument, nullptr, 'n' },
                                        { "clients", required_argument, nullptr, 'c' },
                                        { "folder", required_argument, nullptr, 'f' },
+                                       { "other-program", required_argument, nullptr, 'o' },
                                        { "help", no_argument, nullptr, 'h' },
                                        {} } };
   int name = 0;
@@ -55,6 +58,9 @@
       case 'f':
         aOptions.folder = optarg;
         break;
+      case 'o':
+        aOptions.otherProgram = optarg;
+        break;
       default:
         return false;
     }
--- a/soak/soak_replica.h
+++ b/soak/soak_replica.h
@@ -22,6 +22,9 @@
   /** @return the key for the runs of one request at one service. */
   static std::string Key(std::string_view aService, std::string_view aId);
 
+  /** @return the id of the request that a key stands for. */
+  static std::string IdOf(const std::string& aKey) { return aKey.substr(0, aKey.rfind('/')); }
+
   /** @return whether any service ran the request. */
   bool HasRun(std::string_view aId) const;
 };
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -45,6 +45,13 @@
 constexpr int kSeeds = 3;
 constexpr int kPortsPerRun = 200;
 constexpr std::uint64_t kPortRanges = 40;
+/** The failure domains of the daemons. */
+const std::vector<std::string> kDomains{ "east", "west" };
+
+/** Time from the beginning of a cut until callers of the daemons behind it are served again. */
+constexpr core::Duration kCutContactTime = std::chrono::seconds{ 4 };
+constexpr core::Duration kCutCheckTime = std::chrono::seconds{ 3 };
+
 /** Time after which a replica that ended under a request is back. */
 constexpr core::Duration kRestartTime = milliseconds{ 700 };
 /** Gives the parts of a run random numbers of their own. */
@@ -94,6 +101,7 @@
   core::Start(mLoop.get_executor(), InjectFaults(end));
   core::Start(mLoop.get_executor(), RestoreStore(end));
   core::Start(mLoop.get_executor(), EndReplicas(end));
+  core::Start(mLoop.get_executor(), CutPaths(end));
   mCrashingRequests->Start();
   for (int n = 0; n < mOptions.clients; ++n) {
     core::Start(mLoop.get_executor(), RunClient(static_cast<std::uint64_t>(n)));
@@ -120,7 +128,10 @@
       Replica replica;
       replica.server = std::make_unique<SoakReplica>(
         mLoop, mTimers, mLedger, service, "i-" + service + "-" + std::to_string(n));
-      replica.proxy = std::make_unique<TcpProxy>(mLoop, mTimers, replica.server->Address());
+      for (std::size_t domain = 0; domain < kDomains.size(); ++domain) {
+        replica.proxies.push_back(
+          std::make_unique<TcpProxy>(mLoop, mTimers, replica.server->Address()));
+      }
       mReplicas.push_back(std::move(replica));
     }
   }
@@ -133,6 +144,14 @@
       return true;
     };
   }
+  for (std::size_t domain = 0; domain < kDomains.size(); ++domain) {
+    mStoreViews.push_back(
+      mStore->AddView([this, domain](const std::string& aKey, const std::string& aValue) {
+        return AddressFor(domain, aKey, aValue);
+      }));
+  }
+  mCuts.resize(kDomains.size());
+  mCutChangedAt.resize(kDomains.size());
   CrashingRequestHooks hooks;
   hooks.daemonCount = [this] { return mDaemons.size(); };
   hooks.addressOf = [this](std::size_t aDaemon) { return mDaemons[aDaemon].address; };
@@ -162,9 +181,11 @@
   Daemon daemon;
   daemon.name = "vm-" + std::to_string(aNumber);
   daemon.address = address(0);
-  daemon.storeProxy = std::make_unique<TcpProxy>(mLoop, mTimers, mStore->Address());
+  daemon.domain = static_cast<std::size_t>(aNumber) % kDomains.size();
+  daemon.runsOtherProgram = !mOptions.otherProgram.empty() && aNumber / 2 % 2 == 1;
+  daemon.storeProxy = std::make_unique<TcpProxy>(mLoop, mTimers, mStoreViews[daemon.domain]);
   const json settings{ { "vm", daemon.name },
-                       { "failureDomain", aNumber % 2 == 0 ? "east" : "west" },
+                       { "failureDomain", kDomains[daemon.domain] },
                        { "region", "land" },
                        { "regions", { { "east", "land" }, { "west", "land" } } },
                        { "listen",
@@ -179,8 +200,10 @@
                        { "stopGraceSeconds", 3 } };
   const std::string file = mOptions.folder + "/" + daemon.name + ".json";
   std::ofstream(file) << settings.dump(2);
-  daemon.process = std::make_unique<DaemonProcess>(
-    mOptions.program, file, mOptions.folder + "/" + daemon.name + ".log");
+  daemon.process = std::make_unique<DaemonProcess>(daemon.runsOtherProgram ? mOptions.otherProgram
+                                                                           : mOptions.program,
+                                                   file,
+                                                   mOptions.folder + "/" + daemon.name + ".log");
   daemon.process->Start();
   daemon.disturbedAt = mTimers.Now();
   mDaemons.push_back(std::move(daemon));
@@ -224,8 +247,8 @@
         continue;
       }
       const json entry{ { "service", replica.server->Service() },
-                        { "address", replica.proxy->Address() },
-                        { "zone", n % 2 == 0 ? "east" : "west" },
+                        { "address", replica.server->Address() },
+                        { "zone", kDomains[n % kDomains.size()] },
                         { "version", "v1" },
                         { "slots", 4 },
                         { "state", replica.isDraining ? "draining" : "ready" },
@@ -304,9 +327,9 @@
       daemon.disturbedAt = mTimers.Now();
       break;
     case 4:
-      replica.proxy->SetMode(mode);
+      SetReplicaMode(replica, mode);
       co_await core::Sleep(mTimers, span);
-      replica.proxy->SetMode(ProxyMode::Pass);
+      SetReplicaMode(replica, ProxyMode::Pass);
       break;
     case 5:
       replica.server->mode = static_cast<ReplicaMode>(1 + mRandom.Below(5));
@@ -368,13 +391,123 @@
   }
   aReplica.hasEnded = true;
   ++aReplica.ends;
-  aReplica.proxy->Close();
+  for (const auto& proxy : aReplica.proxies) {
+    proxy->Close();
+  }
   mTimers.Schedule(aDownTime, [&aReplica] {
     aReplica.hasEnded = false;
-    aReplica.proxy->Reopen();
+    for (const auto& proxy : aReplica.proxies) {
+      proxy->Reopen();
+    }
   });
 }
 
+void
+SoakRun::SetReplicaMode(Replica& aReplica, ProxyMode aMode)
+{
+  for (const auto& proxy : aReplica.proxies) {
+    proxy->SetMode(aMode);
+  }
+}
+
+/** @return a replica's entry with the address under which a failure domain reaches it. */
+std::string
+SoakRun::AddressFor(std::size_t aDomain, const std::string& aKey, const std::string& aValue)
+{
+  for (const Replica& replica : mReplicas) {
+    if (aKey == "servers/" + replica.server->Id()) {
+      json entry = json::parse(aValue);
+      entry["address"] = replica.proxies[aDomain]->Address();
+      return entry.dump();
+    }
+  }
+  return aValue;
+}
+
+/** Cuts the daemons of a failure domain off from all replicas, or ends the cut. */
+void
+SoakRun::SetCut(std::size_t aDomain, PathCut aCut)
+{
+  mCuts[aDomain] = aCut;
+  mCutChangedAt[aDomain] = mTimers.Now();
+  for (const Replica& replica : mReplicas) {
+    replica.proxies[aDomain]->SetCut(aCut);
+  }
+}
+
+/** Cuts the daemons of one failure domain or of all off from all replicas, again and again. */
+core::Task<void>
+SoakRun::CutPaths(core::TimePoint aEnd)
+{
+  // Its own random numbers leave the other faults of a seed as they are.
+  core::RandomSource random(mOptions.seed + 3 * kSeedOffset);
+  co_await core::Sleep(mTimers, milliseconds{ 2000 });
+  while (mTimers.Now() < aEnd) {
+    ++mCounts.faults;
+    const auto cut = static_cast<PathCut>(1 + random.Below(3));
+    const std::size_t domain = random.Below(kDomains.size());
+    SetCut(domain, cut);
+    co_await core::Sleep(mTimers, milliseconds(200 + random.Below(3000)));
+    SetCut(domain, PathCut::None);
+    co_await core::Sleep(mTimers, milliseconds(100 + random.Below(3000)));
+  }
+}
+
+/**
+ * Checks that callers of daemons that are cut off from all replicas are served: at least two thirds
+ * as often as those of the others, or all but a few of all first tries are served.
+ */
+core::Task<void>
+SoakRun::CheckCutDaemonsServe()
+{
+  constexpr std::size_t kAllowedFailures = 10;
+  constexpr std::size_t kTriesPerAllowedFailure = 50;
+  core::RandomSource random(mOptions.seed + 4 * kSeedOffset);
+  const std::size_t domain = random.Below(kDomains.size());
+  SetCut(domain, static_cast<PathCut>(1 + random.Below(3)));
+  co_await core::Sleep(mTimers, kCutContactTime);
+  mIsCountingTries = true;
+  co_await core::Sleep(mTimers, kCutCheckTime);
+  mIsCountingTries = false;
+  const auto cut = static_cast<int>(mCuts[domain]);
+  SetCut(domain, PathCut::None);
+  const auto shareOf = [](const Tally& aTally) {
+    return static_cast<double>(aTally.served) /
+           static_cast<double>(std::max<std::size_t>(1, aTally.tries));
+  };
+  const std::size_t failures = mCutTries.tries - mCutTries.served;
+  const std::size_t allowed =
+    kAllowedFailures + (mCutTries.tries + mOtherTries.tries) / kTriesPerAllowedFailure;
+  if (shareOf(mCutTries) * 3.0 < shareOf(mOtherTries) * 2.0 && failures > allowed) {
+    AddViolation("daemons of " + kDomains[domain] + ", cut off by cut " + std::to_string(cut) +
+                 ", served " + std::to_string(mCutTries.served) + " of " +
+                 std::to_string(mCutTries.tries) + " first tries, the others " +
+                 std::to_string(mOtherTries.served) + " of " + std::to_string(mOtherTries.tries));
+  }
+}
+
+void
+SoakRun::RecordTry(const Daemon& aDaemon,
+                   const std::string& aId,
+                   core::TimePoint aSentAt,
+                   const net::HttpResult& aReply)
+{
+  const bool isCut = mCuts[aDaemon.domain] != PathCut::None;
+  if (isCut || mCutChangedAt[aDaemon.domain] >= aSentAt) {
+    mCutIds.insert(aId);
+  }
+  if (!mIsCountingTries || aDaemon.runsOtherProgram ||
+      aSentAt <
+        mCutChangedAt[aDaemon.domain] + (isCut ? kCutContactTime : core::Duration::zero())) {
+    return;
+  }
+  Tally& tally = isCut ? mCutTries : mOtherTries;
+  ++tally.tries;
+  const bool isServed =
+    aReply.error == net::HttpClientError::None && aReply.response.status == 200U;
+  tally.served += isServed ? 1 : 0;
+}
+
 /** Ends many replicas at the same moment, again and again. */
 core::Task<void>
 SoakRun::EndReplicas(core::TimePoint aEnd)
@@ -419,11 +552,13 @@
 {
   co_await core::Sleep(mTimers, RandomDuration(300, 900));
   std::shared_ptr<net::TcpHttpConnection> connection;
+  std::size_t daemon = 0;
   while (!mIsFinished) {
     if (!connection || !connection->IsOpen()) {
       connection = std::make_shared<net::TcpHttpConnection>(mLoop.get_executor());
-      const Daemon& daemon = mDaemons[mRandom.Below(mDaemons.size())];
-      if (!co_await connection->Connect(daemon.address, milliseconds{ 500 })) {
+      daemon = mRandom.Below(mDaemons.size());
+      const std::string address = mDaemons[daemon].address;
+      if (!co_await connection->Connect(address, milliseconds{ 500 })) {
         co_await core::Sleep(mTimers, milliseconds{ 50 });
         continue;
       }
@@ -432,8 +567,10 @@
     const std::string id = (kind == kOrder ? kOrderIdPrefix : "c") + std::to_string(aNumber) + "-" +
                            std::to_string(++mLastId) + "-end";
     ++mCounts.sent;
+    const core::TimePoint sentAt = mTimers.Now();
     const net::HttpResult reply =
       co_await connection->Exchange(MakeRequest(kind, id), kClientTimeout);
+    RecordTry(mDaemons[daemon], id, sentAt, reply);
     CheckResponse(kind, id, reply);
     co_await core::Sleep(mTimers, RandomDuration(5, 60));
   }
@@ -469,6 +606,7 @@
                    " does not serve the newest configuration after the faults: " + last);
     }
   }
+  co_await CheckCutDaemonsServe();
   co_await core::Sleep(mTimers, kPostRecoveryTime);
   mIsFinished = true;
   mCrashingRequests->Stop();
@@ -572,7 +710,10 @@
   }
   for (const auto& [key, runs] : mLedger.runs) {
     const bool isOrder = key.compare(0, kOrderIdPrefix.size(), kOrderIdPrefix) == 0;
-    if (runs > (isOrder ? 1 : kMaxAttempts)) {
+    // Runs at replicas that were cut off from their daemon don't count; another daemon's do.
+    const bool wasCut = mCutIds.count(SoakLedger::IdOf(key)) > 0;
+    const int attempts = wasCut ? 2 * kMaxAttempts : kMaxAttempts;
+    if (runs > (isOrder ? 1 : attempts)) {
       AddViolation(key + ": ran " + std::to_string(runs) + " times at one service");
     }
   }
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
   int seconds = 10;
   int processes = 4;
   int clients = 12;
+  /** Program of an older build, which every second pair of daemons runs; empty for none. */
+  std::string otherProgram;
 };
 
 /** Counts of one run. */
@@ -72,6 +75,9 @@
   {
     std::string name;
     std::string address;
+    /** Its failure domain in kDomains. */
+    std::size_t domain = 0;
+    bool runsOtherProgram = false;
     std::unique_ptr<TcpProxy> storeProxy;
     std::unique_ptr<DaemonProcess> process;
     bool isStopping = false;
@@ -80,11 +86,18 @@
     core::TimePoint disturbedAt{};
   };
 
-  /** A replica behind a proxy. */
+  /** First tries of clients at some daemons, and those that were served. */
+  struct Tally
+  {
+    std::size_t tries = 0;
+    std::size_t served = 0;
+  };
+
+  /** A replica, behind a proxy for the daemons of each failure domain. */
   struct Replica
   {
     std::unique_ptr<SoakReplica> server;
-    std::unique_ptr<TcpProxy> proxy;
+    std::vector<std::unique_ptr<TcpProxy>> proxies;
     std::uint64_t sequence = 0;
     bool isDraining = false;
     bool hasEnded = false;
@@ -101,6 +114,17 @@
   std::unique_ptr<platform::tests::FakePlatformStore> mStore;
   std::vector<Daemon> mDaemons;
   std::vector<Replica> mReplicas;
+  /** Addresses of the store for the daemons of each failure domain. */
+  std::vector<std::string> mStoreViews;
+  /** The cut between the daemons of each failure domain and all replicas, and its last change. */
+  std::vector<PathCut> mCuts;
+  std::vector<core::TimePoint> mCutChangedAt;
+  /** Requests that were under way at a daemon while it was cut off. */
+  std::set<std::string> mCutIds;
+  /** First tries at daemons that are cut off and at others, while these are counted. */
+  bool mIsCountingTries = false;
+  Tally mCutTries;
+  Tally mOtherTries;
   std::unique_ptr<CrashingRequests> mCrashingRequests;
   core::TimePoint mStoreDisturbedAt{};
   std::vector<std::string> mViolations;
@@ -124,6 +148,15 @@
   core::Task<void> RestoreStore(core::TimePoint aEnd);
   void EndReplica(Replica& aReplica, core::Duration aDownTime);
   core::Task<void> EndReplicas(core::TimePoint aEnd);
+  void SetReplicaMode(Replica& aReplica, ProxyMode aMode);
+  std::string AddressFor(std::size_t aDomain, const std::string& aKey, const std::string& aValue);
+  void SetCut(std::size_t aDomain, PathCut aCut);
+  core::Task<void> CutPaths(core::TimePoint aEnd);
+  core::Task<void> CheckCutDaemonsServe();
+  void RecordTry(const Daemon& aDaemon,
+                 const std::string& aId,
+                 core::TimePoint aSentAt,
+                 const net::HttpResult& aReply);
   bool IsInTouch(std::size_t aDaemon) const;
   core::Task<void> StopGracefully(Daemon& aDaemon);
   core::Task<void> RunClient(std::uint64_t aNumber);
--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -22,6 +22,10 @@
 
 constexpr core::Duration kDelay = std::chrono::milliseconds{ 150 };
 constexpr std::size_t kBufferBytes = std::size_t{ 16 } * 1024;
+constexpr core::Duration kCutPoll = std::chrono::milliseconds{ 5 };
+
+/** Connections that fill an accept queue of length zero, so that further ones hang. */
+constexpr std::size_t kQueueFillers = 4;
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -42,7 +46,12 @@
   std::string target;
   tcp::acceptor acceptor;
   ProxyMode mode = ProxyMode::Pass;
+  PathCut cut = PathCut::None;
+  bool isClosed = false;
+  bool isListening = true;
   std::vector<std::weak_ptr<tcp::socket>> sockets;
+  /** Keep the accept queue full during a silent cut. */
+  std::vector<tcp::socket> queueFillers;
 
   void CloseAll()
   {
@@ -57,9 +66,54 @@
     sockets.clear();
   }
 
+  /** Accepts, refuses or ignores new connections, as the process and the path are now. */
+  void UpdateListening()
+  {
+    queueFillers.clear();
+    isListening = !isClosed && cut == PathCut::None;
+    if (isClosed || cut == PathCut::Reset || cut == PathCut::RefuseNew) {
+      // A socket that is shut down refuses connections but keeps its port.
+      ::shutdown(acceptor.native_handle(), SHUT_RD);
+      return;
+    }
+    boost::system::error_code ignored;
+    acceptor.cancel(ignored);
+    if (cut == PathCut::Silent) {
+      acceptor.listen(0, ignored);
+      FillQueue();
+      return;
+    }
+    acceptor.listen(asio::socket_base::max_listen_connections, ignored);
+    core::Start(loop.get_executor(), Accept(shared_from_this()));
+  }
+
+  void FillQueue()
+  {
+    for (std::size_t n = 0; n < kQueueFillers; ++n) {
+      tcp::socket& filler = queueFillers.emplace_back(loop);
+      filler.async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+    }
+  }
+
+  /** Waits for the end of a silent cut. @return whether the sender's bytes still arrive. */
+  core::Task<bool> WaitForPath(std::shared_ptr<tcp::socket> aFrom)
+  {
+    if (cut != PathCut::Silent) {
+      co_return true;
+    }
+    while (cut == PathCut::Silent) {
+      co_await core::Sleep(timers, kCutPoll);
+    }
+    char byte = 0;
+    boost::system::error_code ec;
+    aFrom->non_blocking(true, ec);
+    aFrom->receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    co_return ec != asio::error::connection_reset&& ec != asio::error::bad_descriptor;
+  }
+
   core::Task<void> Accept(std::shared_ptr<State> aSelf)
   {
-    while (acceptor.is_open()) {
+    while (isListening) {
       auto [ec, socket] = co_await acceptor.async_accept(kAsTuple);
       if (ec) {
         co_return;
@@ -99,6 +153,9 @@
       if (mode == ProxyMode::Delay) {
         co_await core::Sleep(timers, kDelay);
       }
+      if (!co_await WaitForPath(aFrom)) {
+        break;
+      }
       if (mode == ProxyMode::DropAll || (mode == ProxyMode::DropResponses && aIsResponse)) {
         continue;
       }
@@ -128,16 +185,26 @@
 void
 TcpProxy::Close()
 {
-  // A socket that is shut down refuses connections but keeps its port.
-  ::shutdown(mState->acceptor.native_handle(), SHUT_RD);
+  mState->isClosed = true;
+  mState->UpdateListening();
   mState->CloseAll();
 }
 
 void
 TcpProxy::Reopen()
 {
-  mState->acceptor.listen();
-  core::Start(mState->loop.get_executor(), mState->Accept(mState));
+  mState->isClosed = false;
+  mState->UpdateListening();
+}
+
+void
+TcpProxy::SetCut(PathCut aCut)
+{
+  mState->cut = aCut;
+  mState->UpdateListening();
+  if (aCut == PathCut::Reset) {
+    mState->CloseAll();
+  }
 }
 
 void
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -26,6 +26,18 @@
   DropResponses,
 };
 
+/** How the network path through a proxy is cut. */
+enum class PathCut
+{
+  None,
+  /** Connections hang, and so do attempts to open new ones. */
+  Silent,
+  /** Connections are reset, and new ones refused. */
+  Reset,
+  /** Open connections live on, and new ones are refused. */
+  RefuseNew,
+};
+
 /** Forwards TCP connections to one address and injects network faults. */
 class TcpProxy
 {
@@ -44,6 +56,12 @@
   /** Accepts connections again after Close(). */
   void Reopen();
 
+  /**
+   * Cuts the path, or ends the cut. Bytes that a silent cut holds up arrive when it ends, unless
+   * their sender has reset the connection.
+   */
+  void SetCut(PathCut aCut);
+
 private:
   struct State;
   std::shared_ptr<State> mState;
