--- a/query/tests/crash_guard_test.cpp
+++ b/query/tests/crash_guard_test.cpp
@@ -263,6 +263,44 @@
   BOOST_TEST(FatalArrivals().size() <= before + 2);
 }
 
+BOOST_AUTO_TEST_CASE(extra_attempts_exceed_the_fleets_budget_beside_requests_that_end_replicas)
+{
+  constexpr core::Duration kWindow = seconds{ 10 };
+  constexpr double kRatio = 0.2;
+  constexpr double kSlack = 54.0;
+  Start(7, 1);
+  SetFatal("s0");
+  const declaration::Route& route = SingleRoute(true);
+  std::vector<core::TimePoint> asked;
+  for (int n = 0; n < 3000; ++n) {
+    const std::size_t before = quarantineRefusals;
+    Ask(random.Below(guards.size()), route, n % 15 == 0 ? kFatal : UniqueTargets()());
+    if (quarantineRefusals == before) {
+      asked.push_back(loop.timers.Now());
+    }
+    loop.Run(milliseconds{ 20 });
+  }
+  loop.Run(seconds{ 5 });
+  std::vector<core::TimePoint> arrived;
+  for (const auto& [id, replica] : replicas) {
+    arrived.insert(arrived.end(), replica.arrivalTimes.begin(), replica.arrivalTimes.end());
+  }
+  std::sort(arrived.begin(), arrived.end());
+  const auto countIn = [kWindow](const std::vector<core::TimePoint>& aTimes,
+                                 core::TimePoint aFrom) {
+    const auto begin = std::lower_bound(aTimes.begin(), aTimes.end(), aFrom);
+    return static_cast<double>(std::lower_bound(begin, aTimes.end(), aFrom + kWindow) - begin);
+  };
+  double most = 0.0;
+  for (const core::TimePoint& from : arrived) {
+    const double requests = countIn(asked, from);
+    most = std::max(most, countIn(arrived, from) - requests * (1.0 + kRatio));
+  }
+  BOOST_TEST(FatalArrivals().size() >= CrashGuard::kCrashesUntilQuarantine);
+  BOOST_TEST(most <= kSlack);
+  BOOST_TEST_MESSAGE("extra beyond the ratio: " << most << ", arrivals " << arrived.size());
+}
+
 BOOST_AUTO_TEST_CASE(a_suspected_query_fails_because_the_shard_that_lost_replicas_has_none_left)
 {
   Start(1, 6);
