--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -126,8 +126,12 @@
   for (const std::string& service : services) {
     for (int n = 0; n < 3; ++n) {
       Replica replica;
-      replica.server = std::make_unique<SoakReplica>(
-        mLoop, mTimers, mLedger, service, "i-" + service + "-" + std::to_string(n));
+      replica.server = std::make_unique<SoakReplica>(mLoop,
+                                                     mTimers,
+                                                     mLedger,
+                                                     service,
+                                                     "i-" + std::to_string(mOptions.seed) + "-" +
+                                                       service + "-" + std::to_string(n));
       for (std::size_t domain = 0; domain < kDomains.size(); ++domain) {
         replica.proxies.push_back(
           std::make_unique<TcpProxy>(mLoop, mTimers, replica.server->Address()));
--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -72,18 +72,21 @@
     queueFillers.clear();
     isListening = !isClosed && cut == PathCut::None;
     if (isClosed || cut == PathCut::Reset || cut == PathCut::RefuseNew) {
-      // A socket that is shut down refuses connections but keeps its port.
+      // A socket that is shut down refuses connections, and keeps its port if it doesn't share it.
       ::shutdown(acceptor.native_handle(), SHUT_RD);
+      acceptor.set_option(asio::socket_base::reuse_address(false));
       return;
     }
     boost::system::error_code ignored;
     acceptor.cancel(ignored);
+    // Its connections that are still open have the same port.
+    acceptor.set_option(asio::socket_base::reuse_address(true));
     if (cut == PathCut::Silent) {
-      acceptor.listen(0, ignored);
+      acceptor.listen(0);
       FillQueue();
       return;
     }
-    acceptor.listen(asio::socket_base::max_listen_connections, ignored);
+    acceptor.listen(asio::socket_base::max_listen_connections);
     core::Start(loop.get_executor(), Accept(shared_from_this()));
   }
 
