--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -83,7 +83,7 @@
     const bool isSuspectThere = mPlan.crashes->IsSuspectAt(mPlan.services[n]);
     if (!part->ExpectedLatency()) {
       if (isSuspectThere) {
-        // It fails at once without a replica, so that one that comes back doesn't get it untried.
+        // Fails it now: a replica that comes back must not get it together with the other parts.
         part->Start();
       }
     } else if (!mTrialPart || isSuspectThere) {
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_run.h"
 
+#include "core/name_table.h"
 #include "core/task.h"
 
 #include <nlohmann/json.hpp>
@@ -48,6 +49,8 @@
 /** The failure domains of the daemons. */
 const std::vector<std::string> kDomains{ "east", "west" };
 
+constexpr core::NameTable<CutKind, 4> kCutNames{ { "none", "silent", "reset", "refuse_new" } };
+
 /** Time from the beginning of a cut until callers of the daemons behind it are served again. */
 constexpr core::Duration kCutContactTime = std::chrono::seconds{ 4 };
 constexpr core::Duration kCutCheckTime = std::chrono::seconds{ 3 };
@@ -430,7 +433,7 @@
 
 /** Cuts the daemons of a failure domain off from all replicas, or ends the cut. */
 void
-SoakRun::SetCut(std::size_t aDomain, PathCut aCut)
+SoakRun::SetCut(std::size_t aDomain, CutKind aCut)
 {
   mCuts[aDomain] = aCut;
   mCutChangedAt[aDomain] = mTimers.Now();
@@ -439,7 +442,7 @@
   }
 }
 
-/** Cuts the daemons of one failure domain or of all off from all replicas, again and again. */
+/** Cuts the daemons of one failure domain after the other off from all replicas. */
 core::Task<void>
 SoakRun::CutPaths(core::TimePoint aEnd)
 {
@@ -448,11 +451,11 @@
   co_await core::Sleep(mTimers, milliseconds{ 2000 });
   while (mTimers.Now() < aEnd) {
     ++mCounts.faults;
-    const auto cut = static_cast<PathCut>(1 + random.Below(3));
+    const auto cut = static_cast<CutKind>(1 + random.Below(3));
     const std::size_t domain = random.Below(kDomains.size());
     SetCut(domain, cut);
     co_await core::Sleep(mTimers, milliseconds(200 + random.Below(3000)));
-    SetCut(domain, PathCut::None);
+    SetCut(domain, CutKind::None);
     co_await core::Sleep(mTimers, milliseconds(100 + random.Below(3000)));
   }
 }
@@ -468,13 +471,13 @@
   constexpr std::size_t kTriesPerAllowedFailure = 50;
   core::RandomSource random(mOptions.seed + 4 * kSeedOffset);
   const std::size_t domain = random.Below(kDomains.size());
-  SetCut(domain, static_cast<PathCut>(1 + random.Below(3)));
+  SetCut(domain, static_cast<CutKind>(1 + random.Below(3)));
   co_await core::Sleep(mTimers, kCutContactTime);
   mIsCountingTries = true;
   co_await core::Sleep(mTimers, kCutCheckTime);
   mIsCountingTries = false;
-  const auto cut = static_cast<int>(mCuts[domain]);
-  SetCut(domain, PathCut::None);
+  const std::string_view cut = kCutNames.NameOf(mCuts[domain]);
+  SetCut(domain, CutKind::None);
   const auto shareOf = [](const Tally& aTally) {
     return static_cast<double>(aTally.served) /
            static_cast<double>(std::max<std::size_t>(1, aTally.tries));
@@ -483,7 +486,7 @@
   const std::size_t allowed =
     kAllowedFailures + (mCutTries.tries + mOtherTries.tries) / kTriesPerAllowedFailure;
   if (shareOf(mCutTries) * 3.0 < shareOf(mOtherTries) * 2.0 && failures > allowed) {
-    AddViolation("daemons of " + kDomains[domain] + ", cut off by cut " + std::to_string(cut) +
+    AddViolation("daemons of " + kDomains[domain] + ", cut off (" + std::string(cut) + ")" +
                  ", served " + std::to_string(mCutTries.served) + " of " +
                  std::to_string(mCutTries.tries) + " first tries, the others " +
                  std::to_string(mOtherTries.served) + " of " + std::to_string(mOtherTries.tries));
@@ -496,7 +499,7 @@
                    core::TimePoint aSentAt,
                    const net::HttpResult& aReply)
 {
-  const bool isCut = mCuts[aDaemon.domain] != PathCut::None;
+  const bool isCut = mCuts[aDaemon.domain] != CutKind::None;
   if (isCut || mCutChangedAt[aDaemon.domain] >= aSentAt) {
     mCutIds.insert(aId);
   }
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -117,7 +117,7 @@
   /** Addresses of the store for the daemons of each failure domain. */
   std::vector<std::string> mStoreViews;
   /** The cut between the daemons of each failure domain and all replicas, and its last change. */
-  std::vector<PathCut> mCuts;
+  std::vector<CutKind> mCuts;
   std::vector<core::TimePoint> mCutChangedAt;
   /** Requests that were under way at a daemon while it was cut off. */
   std::set<std::string> mCutIds;
@@ -150,7 +150,7 @@
   core::Task<void> EndReplicas(core::TimePoint aEnd);
   void SetReplicaMode(Replica& aReplica, ProxyMode aMode);
   std::string AddressFor(std::size_t aDomain, const std::string& aKey, const std::string& aValue);
-  void SetCut(std::size_t aDomain, PathCut aCut);
+  void SetCut(std::size_t aDomain, CutKind aCut);
   core::Task<void> CutPaths(core::TimePoint aEnd);
   core::Task<void> CheckCutDaemonsServe();
   void RecordTry(const Daemon& aDaemon,
--- a/soak/tcp_proxy.cpp
+++ b/soak/tcp_proxy.cpp
@@ -46,7 +46,7 @@
   std::string target;
   tcp::acceptor acceptor;
   ProxyMode mode = ProxyMode::Pass;
-  PathCut cut = PathCut::None;
+  CutKind cut = CutKind::None;
   bool isClosed = false;
   bool isListening = true;
   std::vector<std::weak_ptr<tcp::socket>> sockets;
@@ -70,8 +70,8 @@
   void UpdateListening()
   {
     queueFillers.clear();
-    isListening = !isClosed && cut == PathCut::None;
-    if (isClosed || cut == PathCut::Reset || cut == PathCut::RefuseNew) {
+    isListening = !isClosed && cut == CutKind::None;
+    if (isClosed || cut == CutKind::Reset || cut == CutKind::RefuseNew) {
       // A socket that is shut down refuses connections, and keeps its port if it doesn't share it.
       ::shutdown(acceptor.native_handle(), SHUT_RD);
       acceptor.set_option(asio::socket_base::reuse_address(false));
@@ -81,7 +81,7 @@
     acceptor.cancel(ignored);
     // Its connections that are still open have the same port.
     acceptor.set_option(asio::socket_base::reuse_address(true));
-    if (cut == PathCut::Silent) {
+    if (cut == CutKind::Silent) {
       acceptor.listen(0);
       FillQueue();
       return;
@@ -101,10 +101,10 @@
   /** Waits for the end of a silent cut. @return whether the sender's bytes still arrive. */
   core::Task<bool> WaitForPath(std::shared_ptr<tcp::socket> aFrom)
   {
-    if (cut != PathCut::Silent) {
+    if (cut != CutKind::Silent) {
       co_return true;
     }
-    while (cut == PathCut::Silent) {
+    while (cut == CutKind::Silent) {
       co_await core::Sleep(timers, kCutPoll);
     }
     char byte = 0;
@@ -201,11 +201,11 @@
 }
 
 void
-TcpProxy::SetCut(PathCut aCut)
+TcpProxy::SetCut(CutKind aCut)
 {
   mState->cut = aCut;
   mState->UpdateListening();
-  if (aCut == PathCut::Reset) {
+  if (aCut == CutKind::Reset) {
     mState->CloseAll();
   }
 }
--- a/soak/tcp_proxy.h
+++ b/soak/tcp_proxy.h
@@ -2,6 +2,7 @@
 
 #include "core/task.h"
 #include "core/timer_service.h"
+#include "platform/tests/cut_connection.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,6 +13,8 @@
 
 namespace skylarkwing::soak {
 
+using platform::tests::CutKind;
+
 /** How a proxy treats its connections. */
 enum class ProxyMode
 {
@@ -26,18 +29,6 @@
   DropResponses,
 };
 
-/** How the network path through a proxy is cut. */
-enum class PathCut
-{
-  None,
-  /** Connections hang, and so do attempts to open new ones. */
-  Silent,
-  /** Connections are reset, and new ones refused. */
-  Reset,
-  /** Open connections live on, and new ones are refused. */
-  RefuseNew,
-};
-
 /** Forwards TCP connections to one address and injects network faults. */
 class TcpProxy
 {
@@ -60,7 +51,7 @@
    * Cuts the path, or ends the cut. Bytes that a silent cut holds up arrive when it ends, unless
    * their sender has reset the connection.
    */
-  void SetCut(PathCut aCut);
+  void SetCut(CutKind aCut);
 
 private:
   struct State;
