Don't let more daemons run a forwarded request than it may reach replicas

Cause: attempts were counted at each daemon, and forwards only by daemons asked. Daemons that have certainly not run it don't count.

Test peer_forwarder/a_request_runs_at_one_daemon_after_the_other_* failed before (a third daemon was asked). Its fixture allows three, so that an_idempotent_request_is_not_sent_on_* asserts what it did.

What remains: two daemons may each use the route's attempts.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -382,6 +382,7 @@
   plan.deadline = aJob.deadline;
   plan.regions = aJob.route->regions;
   plan.mayHaveRun = aMayHaveRun;
+  plan.maxRuns = aJob.route->maxAttempts;
   plan.patience = std::max<core::Duration>(aJob.route->objective * kPatienceFactor, kMinPatience);
 
   const std::shared_ptr<net::HttpClientWatch> client = aJob.request.client;
--- a/caller/peer_forwarder.cpp
+++ b/caller/peer_forwarder.cpp
@@ -74,6 +74,7 @@
   result.retryAfter = kRetryAfterNoPeer;
   const bool isIdempotent = aPlan.request->isIdempotent;
   std::vector<std::string> tried;
+  std::size_t runs = 0;
   while (!aRun->mIsCancelled && tried.size() < kMaxPeers &&
          aPlan.deadline - mTimers.Now() >= kMinForwardTime) {
     const std::vector<ForwardPeer> peers = mHooks.listPeers();
@@ -100,7 +101,7 @@
     if (reply.outcome.verdict == ForwardVerdict::Lost) {
       aPlan.terms.isRepeat = true;
       aPlan.mayHaveRun = true;
-      if (!isIdempotent) {
+      if (!isIdempotent || ++runs >= aPlan.maxRuns) {
         break;
       }
     }
--- a/caller/peer_forwarder.h
+++ b/caller/peer_forwarder.h
@@ -28,6 +28,8 @@
   std::vector<std::string> regions;
   /** Whether it may have run already, so that its caller must not be told that it hasn't. */
   bool mayHaveRun = false;
+  /** Daemons that may have run the request at most, besides this one. */
+  std::size_t maxRuns = 1;
   /** How long an idempotent request waits for one daemon before another one is asked. */
   core::Duration patience{};
 };
--- a/caller/tests/peer_forwarding_test.cpp
+++ b/caller/tests/peer_forwarding_test.cpp
@@ -82,7 +82,7 @@
   core::Metrics metrics;
   std::vector<std::optional<ForwardOutcome>> script;
 
-  query::RequestOutcome Forward(bool aIsIdempotent, bool aMayHaveRun)
+  query::RequestOutcome Forward(bool aIsIdempotent, bool aMayHaveRun, std::size_t aMaxRuns = 3)
   {
     PeerForwarderHooks hooks;
     hooks.listPeers = [this] { return peers; };
@@ -99,6 +99,7 @@
     plan.deadline = timers.Now() + seconds{ 1 };
     plan.patience = seconds{ 1 };
     plan.mayHaveRun = aMayHaveRun;
+    plan.maxRuns = aMaxRuns;
     query::RequestOutcome outcome = query::RequestOutcome::CallerGone;
     core::Start(loop.get_executor(), Run(forwarder, std::move(plan), outcome));
     loop.run();
@@ -156,6 +157,13 @@
   BOOST_TEST((Forward(true, false) == query::RequestOutcome::Forwarded));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_runs_at_one_daemon_after_the_other_when_none_answers_in_time)
+{
+  script = { std::nullopt, std::nullopt, { { ForwardVerdict::Final, "" } } };
+  BOOST_TEST((Forward(true, false, 2) == query::RequestOutcome::Failed));
+  BOOST_TEST(script.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(peer_choice, ChoiceFixture)
