--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,4 +1,4 @@
-# Sourced by each case's run.sh: run_case NAME FOLDER. TROUBLE=0 leaves the disruption out.
+# Sourced by each case's run.sh: run_case NAME FOLDER [ARGUMENT]. TROUBLE=0 leaves the disruption out.
 run_case()
 {
   local name="$1" case_folder="$2"
@@ -9,7 +9,7 @@
   local folder status=0
   folder="$(mktemp -d)"
   timeout -k 2 115 "target/review/$name" target/skylarkwing "$folder" \
-    "$case_folder/record.txt" "${TROUBLE:-1}" || status=$?
+    "$case_folder/record.txt" "${TROUBLE:-1}" "${@:3}" || status=$?
   rm -rf "$folder"
   [ "$status" -le 1 ] || status=2
   return "$status"
--- a/review/standin/small_platform.h
+++ b/review/standin/small_platform.h
@@ -264,6 +264,7 @@
   }
   bool HasBytes() const { return !mBuffer.empty(); }
   const std::string& Bytes() const { return mBuffer; }
+  void Drop(std::size_t aBytes) { mBuffer.erase(0, aBytes); }
   bool IsTimedOut() const { return mIsTimedOut; }
 
 private:
--- a/review/standin/spoiled_stamp.cpp
+++ b/review/standin/spoiled_answer.cpp
@@ -1,4 +1,6 @@
-// Case: a replica's success arrives with its Response-Stamp spoiled on the way out of the replica.
+// Cases: one byte of a replica's success is spoiled.
+// KIND "stamp": in the name of the header Response-Stamp, so that the success bears no stamp.
+// KIND "status": the first digit of the status, so that 200 turns into the interim status 100.
 #include "small_platform.h"
 
 using namespace review;
@@ -12,21 +14,22 @@
 constexpr double kShare = 0.35;
 constexpr double kDose = 0.02;
 constexpr long long kGarbleMs = 5500;
-constexpr long long kLengthMs = 30000;
+constexpr long long kTimeoutMs = 3000;
 
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
-  if (aCount != 5) {
-    std::cerr << "usage: spoiled_stamp PROGRAM FOLDER RECORD TROUBLE\n";
+  if (aCount != 6) {
+    std::cerr << "usage: spoiled_answer PROGRAM FOLDER RECORD TROUBLE KIND\n";
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
   StartTime();
   Record record(aArguments[3]);
   const bool hasTrouble = std::string(aArguments[4]) != "0";
+  const bool isStatus = std::string(aArguments[5]) == "status";
 
   Ledger ledger;
   std::mutex mutex;
@@ -59,7 +62,7 @@
       }
       if (isSpoiled) {
         ++spoiled;
-        aBytes[at + 11] = 'b';
+        aBytes[isStatus ? 9 : at + 11] = isStatus ? '1' : 'b';
         record.Line("replica spoils a byte of its answer to " +
                     aRequest.Header("request-id").value_or(""));
       }
@@ -78,8 +81,10 @@
 
   std::atomic<int> nextId{ 0 };
   std::atomic<int> unstamped{ 0 };
+  std::atomic<int> late{ 0 };
+  std::atomic<int> unanswered{ 0 };
   std::map<int, int> byStatus;
-  const auto end = Clock::now() + milliseconds(kLengthMs);
+  const auto end = Clock::now() + milliseconds(isStatus ? 90000 : 30000);
   std::vector<std::thread> clients;
   for (int n = 0; n < kClients; ++n) {
     clients.emplace_back([&, n] {
@@ -99,8 +104,21 @@
           "\r\nRequest-Deadline: 3000\r\nContent-Length: " + std::to_string(body.size()) +
           "\r\n\r\n" + body);
         std::optional<Message> answer;
+        const long long sentAt = NowMs();
+        const auto until = Clock::now() + milliseconds(kTimeoutMs + 500);
         if (isSent) {
-          answer = socket->Read(Clock::now() + milliseconds(4000));
+          answer = socket->Read(until);
+        }
+        while (answer && answer->Status() / 100 == 1) {
+          // An interim answer: the final one comes after it.
+          record.Line("client gets the interim " + std::to_string(answer->Status()) + " for " + id);
+          answer = socket->Read(until);
+        }
+        const long long took = NowMs() - sentAt;
+        late += took > kTimeoutMs ? 1 : 0;
+        if (!answer && took > kTimeoutMs) {
+          ++unanswered;
+          record.Line("CONFIG: " + id + " has no final answer 0.5 s after its route's timeout_ms");
         }
         const int status = answer ? answer->Status() : 0;
         const bool hasStamp = answer && answer->Header("response-stamp");
@@ -135,9 +153,13 @@
     text += std::to_string(status) + ": " + std::to_string(n) + ", ";
   }
   text += "answers of the faulty replica " + std::to_string(answers) + ", spoiled " +
-          std::to_string(spoiled) + "; MIXED " + std::to_string(unstamped) + deployment.Stop();
+          std::to_string(spoiled) + "; MIXED " + std::to_string(unstamped) +
+          ", longer than timeout_ms " + std::to_string(late) + ", of these without a final answer " +
+          std::to_string(unanswered) + deployment.Stop();
   record.Line(text);
   record.Flush();
   std::cout << text << std::endl;
-  std::_Exit(unstamped > 0 ? 1 : 0);
+  // CONFIG: eight or more of them, and over a quarter.
+  const bool isConfigBroken = unanswered >= 8 && unanswered * 4 > late;
+  std::_Exit(unstamped > 0 || isConfigBroken ? 1 : 0);
 }
