--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standin/*.cpp; do
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$(basename "$source" .cpp)" "$source"
+for source in review/standin/*.cc; do
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$(basename "$source" .cc)" "$source"
 done
--- a/review/standin/head_answer.cpp
+++ b/review/standin/head_answer.cc
@@ -1,5 +1,6 @@
-// Case: a HEAD request that the daemon itself has to refuse, while the replicas of a service are down.
-#include "small_platform.h"
+// Case: a HEAD request that the daemon itself has to refuse, while the replicas of a service are
+// down.
+#include "small_platform.hpp"
 
 using namespace review;
 
@@ -27,12 +28,17 @@
   std::string Key() const { return "servers/" + mId; }
   std::string Entry() const
   {
-    return json{ { "service", "stock" }, { "address", mListener.Address() },
-                 { "zone", mZone },      { "version", "v1" },
-                 { "slots", 6 },         { "state", "ready" },
-                 { "cold_remaining_ms", 0 }, { "sequence", 1 },
-                 { "born", 1700000000000LL } }
-      .dump();
+    return json{
+      { "service", "stock" },
+      { "address", mListener.Address() },
+      { "zone", mZone },
+      { "version", "v1" },
+      { "slots", 6 },
+      { "state", "ready" },
+      { "cold_remaining_ms", 0 },
+      { "sequence", 1 },
+      { "born", 1700000000000LL }
+    }.dump();
   }
 
 private:
@@ -106,12 +112,11 @@
     clients.emplace_back([&, n] {
       const int port = deployment.daemons[static_cast<std::size_t>(n)]->Callers();
       std::shared_ptr<Socket> socket;
-      const auto request = [](const std::string& aMethod,
-                              const std::string& aPath,
-                              const std::string& aId) {
-        return aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + kHost + "\r\nRequest-Id: " + aId +
-               "\r\nRequest-Deadline: 2000\r\n\r\n";
-      };
+      const auto request =
+        [](const std::string& aMethod, const std::string& aPath, const std::string& aId) {
+          return aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + kHost + "\r\nRequest-Id: " + aId +
+                 "\r\nRequest-Deadline: 2000\r\n\r\n";
+        };
       while (Clock::now() < end) {
         SleepMs(100);
         if (!socket && !(socket = Socket::Connect(port))) {
@@ -151,7 +156,8 @@
           continue;
         }
         const auto full = socket->Read(Clock::now() + milliseconds(3000));
-        record.Line("client gets " + std::to_string(full ? full->Status() : 0) + " for GET " + next);
+        record.Line("client gets " + std::to_string(full ? full->Status() : 0) + " for GET " +
+                    next);
         if (!full || full->Header("connection").value_or("") == "close") {
           socket.reset();
         }
--- a/review/standin/late_duplicate.cpp
+++ b/review/standin/late_duplicate.cc
@@ -1,5 +1,5 @@
 // Case: a full replica's refusal (503, Not-Executed) is also sent a second time, late.
-#include "small_platform.h"
+#include "small_platform.hpp"
 
 using namespace review;
 
@@ -127,10 +127,10 @@
         const std::string id = "q" + std::to_string(100000 + nextId++);
         const std::string body = "order " + id;
         record.Line("client sends " + id);
-        const std::string head = "POST /orders/new HTTP/1.1\r\nHost: " + std::string(kHost) +
-                                 "\r\nRequest-Id: " + id +
-                                 "\r\nRequest-Deadline: 3000\r\nContent-Length: " +
-                                 std::to_string(body.size()) + "\r\n\r\n";
+        const std::string head =
+          "POST /orders/new HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\nRequest-Id: " + id +
+          "\r\nRequest-Deadline: 3000\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n";
         Outcome outcome;
         std::optional<Message> answer;
         if (socket->Write(head + body)) {
@@ -205,9 +205,9 @@
   for (const auto& [status, n] : byStatus) {
     text += ", " + std::to_string(status) + ": " + std::to_string(n);
   }
-  text += "; answers of the faulty replicas " + std::to_string(answers) +
-          ", late second answers " + std::to_string(extras) + "; TWICE " + std::to_string(twice) +
-          ", REFUSED " + std::to_string(refused) + ", MIXED " + std::to_string(foreign);
+  text += "; answers of the faulty replicas " + std::to_string(answers) + ", late second answers " +
+          std::to_string(extras) + "; TWICE " + std::to_string(twice) + ", REFUSED " +
+          std::to_string(refused) + ", MIXED " + std::to_string(foreign);
   text += deployment.Stop();
   record.Line(text);
   record.Flush();
--- a/review/standin/small_platform.h
+++ b/review/standin/small_platform.hpp
@@ -42,18 +42,21 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-inline Clock::time_point& StartTime()
+inline Clock::time_point&
+StartTime()
 {
   static Clock::time_point start = Clock::now();
   return start;
 }
 
-inline long long NowMs()
+inline long long
+NowMs()
 {
   return std::chrono::duration_cast<milliseconds>(Clock::now() - StartTime()).count();
 }
 
-inline void SleepMs(long long aMs)
+inline void
+SleepMs(long long aMs)
 {
   std::this_thread::sleep_for(milliseconds(aMs));
 }
@@ -62,7 +65,10 @@
 class Record
 {
 public:
-  explicit Record(const std::string& aPath) : mFile(aPath) {}
+  explicit Record(const std::string& aPath)
+    : mFile(aPath)
+  {
+  }
   void Line(const std::string& aText)
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -79,7 +85,8 @@
   std::ofstream mFile;
 };
 
-inline std::string Lower(std::string aText)
+inline std::string
+Lower(std::string aText)
 {
   for (char& c : aText) {
     c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -120,7 +127,8 @@
 class Socket
 {
 public:
-  explicit Socket(int aFd) : mFd(aFd)
+  explicit Socket(int aFd)
+    : mFd(aFd)
   {
     const int on = 1;
     setsockopt(mFd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -228,8 +236,8 @@
     if (!message) {
       return std::nullopt;
     }
-    const std::size_t length = static_cast<std::size_t>(
-      std::atoll(message->Header("content-length").value_or("0").c_str()));
+    const std::size_t length =
+      static_cast<std::size_t>(std::atoll(message->Header("content-length").value_or("0").c_str()));
     while (mBuffer.size() < length) {
       if (!Fill(aUntil)) {
         return std::nullopt;
@@ -273,7 +281,8 @@
   bool mIsTimedOut = false;
 };
 
-inline int FreePort()
+inline int
+FreePort()
 {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -292,7 +301,8 @@
 public:
   using Handler = std::function<void(std::shared_ptr<Socket>)>;
 
-  explicit Listener(Handler aHandler) : mHandler(std::move(aHandler))
+  explicit Listener(Handler aHandler)
+    : mHandler(std::move(aHandler))
   {
     mFd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
@@ -325,7 +335,8 @@
   int mPort = 0;
 };
 
-inline std::string Base64(const std::string& aBytes)
+inline std::string
+Base64(const std::string& aBytes)
 {
   static const char* const kDigits =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -342,7 +353,8 @@
   return out;
 }
 
-inline std::string UrlDecode(const std::string& aText)
+inline std::string
+UrlDecode(const std::string& aText)
 {
   std::string out;
   for (std::size_t n = 0; n < aText.size(); ++n) {
@@ -356,7 +368,8 @@
   return out;
 }
 
-inline std::string QueryValue(const std::string& aTarget, const std::string& aName)
+inline std::string
+QueryValue(const std::string& aTarget, const std::string& aName)
 {
   std::istringstream in(aTarget.substr(std::min(aTarget.size(), aTarget.find('?') + 1)));
   std::string part;
@@ -369,7 +382,8 @@
   return "";
 }
 
-inline std::string Answer(int aStatus, const std::string& aHeaders, const std::string& aBody)
+inline std::string
+Answer(int aStatus, const std::string& aHeaders, const std::string& aBody)
 {
   const char* reason = aStatus == 200 ? "OK" : "Other";
   return "HTTP/1.1 " + std::to_string(aStatus) + " " + reason + "\r\n" + aHeaders +
@@ -504,8 +518,10 @@
       return { { "key", aItem.key }, { "mod_revision", aItem.revision }, { "deleted", true } };
     }
     const std::string value = mView ? mView(aPort, aItem.key, aItem.value) : aItem.value;
-    return { { "key", aItem.key },           { "value", Base64(value) },
-             { "mod_revision", aItem.revision }, { "create_rev", aItem.created },
+    return { { "key", aItem.key },
+             { "value", Base64(value) },
+             { "mod_revision", aItem.revision },
+             { "create_rev", aItem.created },
              { "lease", aItem.lease } };
   }
 
@@ -616,7 +632,8 @@
         }
       }
       for (const json& put : body.value("puts", json::array())) {
-        PutLocked(put.at("key"), FromBase64(put.at("value")), put.value("lease", std::uint64_t{ 0 }));
+        PutLocked(
+          put.at("key"), FromBase64(put.at("value")), put.value("lease", std::uint64_t{ 0 }));
       }
       for (const json& key : body.value("remove", json::array())) {
         RemoveLocked(key);
@@ -697,12 +714,13 @@
   const std::string& Id() const { return mSettings.id; }
   std::string Entry(const std::string& aAddress) const
   {
-    return json{ { "service", mSettings.service }, { "address", aAddress },
-                 { "zone", mSettings.zone },       { "version", "v1" },
-                 { "slots", mSettings.slots },     { "state", "ready" },
-                 { "cold_remaining_ms", 0 },       { "sequence", 1 },
-                 { "born", 1700000000000LL } }
-      .dump();
+    return json{
+      { "service", mSettings.service }, { "address", aAddress },
+      { "zone", mSettings.zone },       { "version", "v1" },
+      { "slots", mSettings.slots },     { "state", "ready" },
+      { "cold_remaining_ms", 0 },       { "sequence", 1 },
+      { "born", 1700000000000LL }
+    }.dump();
   }
   static std::string StampOf(const std::string& aReplica, const std::string& aId)
   {
@@ -899,7 +917,8 @@
 };
 
 /** @return whether all daemons are ready within the time. */
-inline bool AwaitReady(std::vector<std::unique_ptr<Daemon>>& aDaemons, long long aMs)
+inline bool
+AwaitReady(std::vector<std::unique_ptr<Daemon>>& aDaemons, long long aMs)
 {
   const auto end = Clock::now() + milliseconds(aMs);
   while (Clock::now() < end) {
@@ -916,17 +935,23 @@
 }
 
 /** A route of one service, as the operator writes it. */
-inline json MakeRoute(const std::string& aHost,
-                      const std::string& aPrefix,
-                      const std::string& aType,
-                      const std::string& aService,
-                      const std::vector<std::string>& aRegions = {})
+inline json
+MakeRoute(const std::string& aHost,
+          const std::string& aPrefix,
+          const std::string& aType,
+          const std::string& aService,
+          const std::vector<std::string>& aRegions = {})
 {
-  return json{ { "name", "r-" + aService + aPrefix }, { "host", aHost },
-               { "prefix", aPrefix },                 { "route_type", aType },
-               { "timeout_ms", 3000 },                { "objective_ms", 300 },
-               { "priority", 2 },                     { "service", aService },
-               { "max_attempts", 2 },                 { "allowed_regions", aRegions } };
+  return json{ { "name", "r-" + aService + aPrefix },
+               { "host", aHost },
+               { "prefix", aPrefix },
+               { "route_type", aType },
+               { "timeout_ms", 3000 },
+               { "objective_ms", 300 },
+               { "priority", 2 },
+               { "service", aService },
+               { "max_attempts", 2 },
+               { "allowed_regions", aRegions } };
 }
 
 /** The store with a configuration and replicas, and three daemons, one in each zone. */
@@ -954,12 +979,11 @@
                        { "max_body_bytes", 262144 },
                        { "header_timeout_ms", 5000 },
                        { "idle_timeout_ms", 30000 } };
-    store.Put("op/config",
-              json{ { "version", 7 },
-                    { "routes", aRoutes },
-                    { "services", services },
-                    { "limits", limits } }
-                .dump());
+    store.Put(
+      "op/config",
+      json{
+        { "version", 7 }, { "routes", aRoutes }, { "services", services }, { "limits", limits } }
+        .dump());
   }
   void Announce(const Replica& aReplica)
   {
--- a/review/standin/spoiled_answer.cpp
+++ b/review/standin/spoiled_answer.cc
@@ -1,7 +1,7 @@
 // Cases: one byte of a replica's success is spoiled.
 // KIND "stamp": in the name of the header Response-Stamp, so that the success bears no stamp.
 // KIND "status": the first digit of the status, so that 200 turns into the interim status 100.
-#include "small_platform.h"
+#include "small_platform.hpp"
 
 using namespace review;
 
@@ -70,8 +70,8 @@
     });
   }
   Deployment deployment(aArguments[1], aArguments[2]);
-  deployment.Configure(
-    json::array({ MakeRoute(kHost, "/orders/", "non_idempotent", "ledger") }), { "ledger" });
+  deployment.Configure(json::array({ MakeRoute(kHost, "/orders/", "non_idempotent", "ledger") }),
+                       { "ledger" });
   for (const auto& replica : replicas) {
     deployment.Announce(*replica);
   }
@@ -122,8 +122,8 @@
         }
         const int status = answer ? answer->Status() : 0;
         const bool hasStamp = answer && answer->Header("response-stamp");
-        record.Line("client gets " + std::to_string(status) +
-                    (hasStamp ? " with" : " without") + " Response-Stamp for " + id);
+        record.Line("client gets " + std::to_string(status) + (hasStamp ? " with" : " without") +
+                    " Response-Stamp for " + id);
         if (status / 100 == 2 && !hasStamp) {
           ++unstamped;
           record.Line("MIXED: " + id + " got a success without the replica's Response-Stamp");
@@ -154,8 +154,8 @@
   }
   text += "answers of the faulty replica " + std::to_string(answers) + ", spoiled " +
           std::to_string(spoiled) + "; MIXED " + std::to_string(unstamped) +
-          ", longer than timeout_ms " + std::to_string(late) + ", of these without a final answer " +
-          std::to_string(unanswered) + deployment.Stop();
+          ", longer than timeout_ms " + std::to_string(late) +
+          ", of these without a final answer " + std::to_string(unanswered) + deployment.Stop();
   record.Line(text);
   record.Flush();
   std::cout << text << std::endl;
