--- a/review/standin/late_duplicate.cc
+++ b/review/standin/late_duplicate.cc
@@ -7,7 +7,7 @@
 
 constexpr const char* kHost = "orders.example";
 constexpr int kReplicas = 3;
-constexpr int kClients = 6;
+constexpr int kClients = 10;
 /** garble "extra late" of the site file: 0.6 of the replicas, 0.03 of their answers, for 5 s. */
 constexpr double kShare = 0.6;
 constexpr double kDose = 0.03;
@@ -53,7 +53,7 @@
     settings.service = "ledger";
     settings.zone = zones[static_cast<std::size_t>(n)];
     settings.slots = 2;
-    settings.queue = 1;
+    settings.queue = 3;
     settings.workMs = 30;
     replicas.push_back(std::make_unique<Replica>(settings, ledger, record));
     const bool isFaulty = n < static_cast<int>(kReplicas * kShare);
@@ -149,7 +149,7 @@
         if (!answer || answer->Header("connection").value_or("") == "close") {
           socket.reset();
         }
-        double pause = 5.0 + static_cast<double>(own() % 20);
+        double pause = 10.0 + static_cast<double>(own() % 40);
         if (answer) {
           if (const auto wait = answer->Header("retry-after")) {
             pause = std::atof(wait->c_str()) * 1000.0;
