--- a/review/standin/spoiled_answer.cc
+++ b/review/standin/spoiled_answer.cc
@@ -9,7 +9,7 @@
 
 constexpr const char* kHost = "orders.example";
 constexpr int kReplicas = 3;
-constexpr int kClients = 6;
+constexpr int kClients = 12;
 /** garble of the site file: 0.35 of the replicas, 0.02 of their answers, for 5.5 s. */
 constexpr double kShare = 0.35;
 constexpr double kDose = 0.02;
