--- a/review/standin/late_duplicate.cc
+++ b/review/standin/late_duplicate.cc
@@ -45,7 +45,6 @@
   std::atomic<bool> isGarbling{ false };
   std::atomic<int> answers{ 0 };
   std::atomic<int> extras{ 0 };
-  std::map<const Socket*, std::string> pending;
   const std::vector<std::string> zones{ "a", "b", "c" };
   for (int n = 0; n < kReplicas; ++n) {
     Replica::Settings settings;
@@ -65,25 +64,17 @@
       ++answers;
       {
         const std::lock_guard<std::mutex> lock(garbleMutex);
-        pending.erase(&aSocket);
+        aSocket.lateCopy.clear();
         const double draw = std::uniform_real_distribution<double>(0.0, 1.0)(random);
         if (hasTrouble && isGarbling && draw < kDose) {
-          pending[&aSocket] = aBytes;
+          aSocket.lateCopy = aBytes;
         }
       }
       return aSocket.Write(aBytes);
     });
     // The second answer arrives where the next one is expected.
     replica.SetOnRead([&](Socket& aSocket, const Message& aRequest) {
-      std::string extra;
-      {
-        const std::lock_guard<std::mutex> lock(garbleMutex);
-        const auto it = pending.find(&aSocket);
-        if (it != pending.end()) {
-          extra = it->second;
-          pending.erase(it);
-        }
-      }
+      const std::string extra = std::exchange(aSocket.lateCopy, {});
       if (!extra.empty()) {
         ++extras;
         record.Line("late second answer '" + extra.substr(9, 3) + "' of " +
--- a/review/standin/small_platform.hpp
+++ b/review/standin/small_platform.hpp
@@ -275,6 +275,9 @@
   void Drop(std::size_t aBytes) { mBuffer.erase(0, aBytes); }
   bool IsTimedOut() const { return mIsTimedOut; }
 
+  /** A second copy of an answer that is to come late on this connection. */
+  std::string lateCopy;
+
 private:
   int mFd;
   std::string mBuffer;
@@ -1001,12 +1004,12 @@
       daemon->WriteSettings(mStorePort, { "127.0.0.1:" + std::to_string(daemons[0]->Peers()) });
       daemon->Start();
     }
-    if (!AwaitReady(daemons, 20000)) {
+    if (!AwaitReady(daemons, 15000)) {
       std::cerr << "the daemons are not ready\n";
       return false;
     }
-    // The daemons read the list of daemons, and clients begin.
-    SleepMs(2000);
+    // Longer than contact_ms (5,000) after their start, so that the daemons are in touch.
+    SleepMs(6000);
     return true;
   }
   /** Ends the daemons. @return those that had ended by themselves. */
