Request terms, customers and optional settings as shared types

Customers, quotas, rollouts and competition need one type for whom a request is served: RequestTerms (customer, priority, regions) goes from RequestPlan down to AttemptRequest, where priority and regions came from the route before. CustomerTable belongs to a routing table; replicas' entries keep their version; load reports have room for the fourth figure.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -192,6 +192,8 @@
     LogRefusal(metadata, "no_route", host + aJob.request.Path());
     return Served{ MakeRefusal(kNotFound, "no_route"), {} };
   }
+  aJob.serviceTerms = std::make_shared<const upstream::RequestTerms>(
+    upstream::RequestTerms{ {}, aJob.route->priority, aJob.route->regions });
   return std::nullopt;
 }
 
@@ -221,8 +223,8 @@
   if (aJob.terms && mReplicas.Partition().IsPartitioned()) {
     return RefuseNotRun(metadata, "partitioned", "forwarded", kNoConfigurationRetryAfter);
   }
-  const auto retryAfter = aJob.terms ? mAdmission.RefuseForwarded(aJob.route->priority, now)
-                                     : mAdmission.Refuse(aJob.route->priority, now);
+  const auto retryAfter = aJob.terms ? mAdmission.RefuseForwarded(aJob.serviceTerms->priority, now)
+                                     : mAdmission.Refuse(aJob.serviceTerms->priority, now);
   if (retryAfter) {
     mOverloads.Increment();
     return RefuseNotRun(
@@ -316,6 +318,7 @@
   plan.route = aJob.route;
   plan.table = aJob.table;
   plan.request = aJob.forwarded;
+  plan.terms = aJob.serviceTerms;
   plan.services = aJob.services;
   plan.arrival = aJob.arrival;
   plan.deadline = aJob.deadline;
@@ -380,7 +383,7 @@
   plan.terms = { mVm, aJob.table->version, {}, aIsRepeat, mReplicas.DomainsOut() };
   plan.arrival = aJob.arrival;
   plan.deadline = aJob.deadline;
-  plan.regions = aJob.route->regions;
+  plan.regions = aJob.serviceTerms->regions;
   plan.mayHaveRun = aMayHaveRun;
   plan.maxRuns = aJob.route->maxAttempts;
   plan.patience = std::max<core::Duration>(aJob.route->objective * kPatienceFactor, kMinPatience);
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -155,6 +155,7 @@
     const declaration::Route* route = nullptr;
     std::vector<std::string> services;
     std::shared_ptr<upstream::ForwardedRequest> forwarded;
+    std::shared_ptr<const upstream::RequestTerms> serviceTerms;
     /** When the request arrived at the first daemon. */
     core::TimePoint arrival;
     core::TimePoint deadline;
--- a/declaration/routing_table.h
+++ b/declaration/routing_table.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "declaration/customer_table.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,6 +48,8 @@
   double leastCoverage = 1.0;
   /** Regions in which the request may be processed; empty means all. */
   std::vector<std::string> regions;
+  /** Whether callers without a key may use it where the configuration names customers. */
+  bool isOpen = false;
 
   /** @return whether the route fans out over shards. */
   bool IsFanOut() const { return !shards.empty(); }
@@ -80,6 +85,8 @@
 public:
   std::uint64_t version = 0;
   CallerLimits limits;
+  /** The customers; nothing when the configuration names none, so that no key is needed. */
+  std::optional<CustomerTable> customers;
 
   /** Adds a route; replaces one with the same host and prefix. */
   void AddRoute(Route aRoute);
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -235,8 +235,7 @@
 {
   upstream::AttemptRequest request;
   request.service = mPlan.service;
-  request.priority = mPlan.route->priority;
-  request.regions = &mPlan.route->regions;
+  request.terms = mPlan.terms.get();
   request.triedReplicas = IsRetryingRefusers() ? nullptr : &mTried;
   request.allowedReplicas = IsRetryingRefusers() ? &mRefusedBy : nullptr;
   request.deadline = mPlan.deadline;
@@ -376,7 +375,7 @@
   EndAwaitedRetry();
   mState = PartState::Waiting;
   mWaiter =
-    mReplicas.WaitForRoom(mPlan.service, mPlan.route->priority, [self = shared_from_this()] {
+    mReplicas.WaitForRoom(mPlan.service, mPlan.terms->priority, [self = shared_from_this()] {
       self->mWaiter = 0;
       if (!self->mIsAbandoned) {
         self->SendOrWait(true);
--- a/query/part_attempts.h
+++ b/query/part_attempts.h
@@ -21,6 +21,7 @@
   const declaration::Route* route = nullptr;
   std::shared_ptr<const declaration::RoutingTable> table;
   std::shared_ptr<const upstream::ForwardedRequest> request;
+  std::shared_ptr<const upstream::RequestTerms> terms;
   core::TimePoint deadline;
   /** Answers after this time still count, up to the deadline. */
   core::TimePoint objective;
--- a/query/request_run.cpp
+++ b/query/request_run.cpp
@@ -30,6 +30,11 @@
   , mPlan(std::move(aPlan))
   , mCallback(std::move(aCallback))
 {
+  if (!mPlan.terms) {
+    const declaration::Route& route = *mPlan.route;
+    mPlan.terms = std::make_shared<const upstream::RequestTerms>(
+      upstream::RequestTerms{ {}, route.priority, route.regions });
+  }
 }
 
 void
@@ -48,9 +53,17 @@
 {
   mParts.reserve(mPlan.services.size());
   for (const std::string& service : mPlan.services) {
-    PartPlan plan{ service,       mPlan.route,    mPlan.table,
-                   mPlan.request, mPlan.deadline, mPlan.arrival + mPlan.route->objective,
-                   mPlan.crashes, mPlan.isRepeat, mPlan.domainsOut };
+    PartPlan plan;
+    plan.service = service;
+    plan.route = mPlan.route;
+    plan.table = mPlan.table;
+    plan.request = mPlan.request;
+    plan.terms = mPlan.terms;
+    plan.deadline = mPlan.deadline;
+    plan.objective = mPlan.arrival + mPlan.route->objective;
+    plan.crashes = mPlan.crashes;
+    plan.isRepeat = mPlan.isRepeat;
+    plan.domainsOut = mPlan.domainsOut;
     mParts.push_back(std::make_shared<PartAttempts>(
       mReplicas, mTimers, std::move(plan), [self = weak_from_this()] {
         if (const auto run = self.lock()) {
--- a/query/request_run.h
+++ b/query/request_run.h
@@ -15,6 +15,8 @@
   const declaration::Route* route = nullptr;
   std::shared_ptr<const declaration::RoutingTable> table;
   std::shared_ptr<const upstream::ForwardedRequest> request;
+  /** Null means that of the route, without a customer. */
+  std::shared_ptr<const upstream::RequestTerms> terms;
   /** The services of all shards, or the one service chosen for the request. */
   std::vector<std::string> services;
   core::TimePoint arrival;
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -422,8 +422,9 @@
   const bool isExcluded =
     (aRequest.triedReplicas != nullptr && Contains(*aRequest.triedReplicas, replica.id)) ||
     (aRequest.allowedReplicas != nullptr && !Contains(*aRequest.allowedReplicas, replica.id));
-  const bool isInRegion = aRequest.regions == nullptr || aRequest.regions->empty() ||
-                          Contains(*aRequest.regions, mLocality.RegionOf(replica.failureDomain));
+  const bool isInRegion =
+    aRequest.terms == nullptr || aRequest.terms->regions.empty() ||
+    Contains(aRequest.terms->regions, mLocality.RegionOf(replica.failureDomain));
   const bool isDomainOut =
     mDomainsOut.count(replica.failureDomain) > 0 ||
     (aRequest.domainsOut != nullptr && Contains(*aRequest.domainsOut, replica.failureDomain));
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -5,6 +5,7 @@
 #include "declaration/routing_table.h"
 #include "upstream/partition_detector.h"
 #include "upstream/replica_client.h"
+#include "upstream/request_terms.h"
 #include "upstream/retry_budget.h"
 #include "upstream/room_wait.h"
 #include "upstream/shared_limits.h"
@@ -94,8 +95,8 @@
 {
   std::string_view service;
   AttemptKind kind = AttemptKind::First;
-  /** Regions whose replicas may be used; null or empty means all. */
-  const std::vector<std::string>* regions = nullptr;
+  /** Null means the highest priority, all regions and no customer. */
+  const RequestTerms* terms = nullptr;
   /** Replicas that were tried before. */
   const std::vector<std::string>* triedReplicas = nullptr;
   /** The only replicas that may be used; null means any. */
@@ -103,12 +104,13 @@
   core::TimePoint deadline;
   /** Failure domains whose replicas must not be used, besides those known here; null means none. */
   const std::vector<std::string>* domainsOut = nullptr;
-  /** 0 is the most important; those that wait and are at least as important go first. */
-  std::uint32_t priority = 0;
   /** Whether it has waited for room; others that wait then have no precedence. */
   bool hasWaited = false;
   /** Only a replica that is expected to answer sooner than this; zero means any. */
   core::Duration maxExpectedTime{};
+
+  /** @return its priority; those that wait and are at least as important go first. */
+  std::uint32_t Priority() const { return terms == nullptr ? 0 : terms->priority; }
 };
 
 /** An attempt that was started, or why it was not. */
--- a/upstream/replica_balancer_limits.cpp
+++ b/upstream/replica_balancer_limits.cpp
@@ -121,7 +121,7 @@
   if (sources.empty()) {
     return std::nullopt;
   }
-  return WaitInQueue(std::move(sources), CountAhead(service, aRequest.priority));
+  return WaitInQueue(std::move(sources), CountAhead(service, aRequest.Priority()));
 }
 
 std::size_t
@@ -138,7 +138,7 @@
 ReplicaBalancer::RoomWaitOf(const AttemptRequest& aRequest)
 {
   const Service& service = ServiceOf(aRequest.service);
-  return service.roomWait.Expected(CountAhead(service, aRequest.priority), mTimers.Now());
+  return service.roomWait.Expected(CountAhead(service, aRequest.Priority()), mTimers.Now());
 }
 
 bool
--- a/upstream/replica_protocol.h
+++ b/upstream/replica_protocol.h
@@ -43,6 +43,8 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /** How long work takes on the replica's machine at this moment, 1 as usual. */
+  std::optional<double> slowdown;
 };
 
 /** A decoded answer. */
--- a/upstream/replica_registry.h
+++ b/upstream/replica_registry.h
@@ -22,6 +22,8 @@
   /** "IP:port". */
   std::string address;
   std::string failureDomain;
+  /** Version of its software; empty when it doesn't say. */
+  std::string version;
   std::uint32_t slots = 1;
   bool isDraining = false;
   /** Time for which it is still slow after its start, counted from the announcement. */
