Messages that HTTP doesn't allow fail alone, and invalid answers don't go out

A second copy of a replica's 503 was taken for the answer to the next attempt of the same request on that connection, so that a request ran twice. The HTTP library throws for a TRACE request with a body, and an exception out of one message ended the process. A request whose last transfer coding isn't chunked was run without its body, and the body was read as a request. A success without a valid signature, and a status outside 200 to 599 (000, 100, 103, 600, 999), went out to the caller as the answer. Answers to HEAD had bodies. A watch at a relay that waited in vain left its callback behind.

Change: a connection remembers the requests that were refused on it and carries no other attempt at them; servers refuse uncertain framing and TRACE bodies with 400 and close; exceptions end one connection, attempt or handler and are logged; clients skip up to 8 interim responses and treat other statuses outside 200 to 599 as malformed; a success needs a signature of letters, digits, dots, dashes and underscores.

Ruled out: that both Content-Length and Transfer-Encoding passed before; the library refuses these by itself.

--- a/main/platform_command.cpp
+++ b/main/platform_command.cpp
@@ -69,6 +69,21 @@
   aLoop.stop();
 }
 
+/** Runs the event loop. An exception ends only the handler that it escapes from. */
+void
+RunLoop(asio::io_context& aLoop)
+{
+  while (true) {
+    try {
+      aLoop.run();
+      return;
+    } catch (const std::exception& error) {
+      core::LogEvent(
+        core::LogLevel::Error, "platform", "handler_failed", { { "error", error.what() } });
+    }
+  }
+}
+
 int
 Serve(platform::BootSettings aSettings, const std::string& aPath)
 {
@@ -83,7 +98,7 @@
   core::Start(loop.get_executor(), StopAtSignal(loop, daemon));
   core::Start(loop.get_executor(), ReloadAtSignal(loop, daemon, aPath));
   daemon.Start();
-  loop.run();
+  RunLoop(loop);
   // Pending tasks refer to the daemon, so the process exits without destroying it.
   std::cout.flush();
   std::_Exit(kExitSuccess);
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -28,6 +28,11 @@
 /** Buffer for received, unparsed data; must hold a header or the framing of a chunk. */
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 128 } * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = std::uint32_t{ 16 } * 1024;
+/** Interim responses that are skipped before a final one. */
+constexpr int kMaxInterimResponses = 8;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastFinalStatus = 599;
+constexpr unsigned kFirstInterimStatus = 100;
 constexpr std::size_t kReadSomeBytes = std::size_t{ 64 } * 1024;
 
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
@@ -94,6 +99,16 @@
   return aWrite.written == 0 ? HttpClientError::NothingSent : HttpClientError::Broken;
 }
 
+/** @return whether the body is sent in a coding that hides its length, or that isn't decoded here.
+ */
+template<typename Message>
+bool
+HasUnknownTransferCoding(const Message& aMessage)
+{
+  return aMessage.count(http::field::transfer_encoding) > 0 &&
+         !IsChunkedOnly(aMessage, http::field::transfer_encoding);
+}
+
 template<typename Message>
 HttpResponse
 ToResponse(const Message& aMessage)
@@ -128,6 +143,8 @@
   beast::flat_buffer buffer{ kMaxUnparsedBytes };
   std::optional<http::response_parser<http::buffer_body>> streamed;
   bool isOpen = false;
+  /** Whether the responses have no body, because the last request was HEAD. */
+  bool isHead = false;
   /** Whether a request was sent whose response has not been read completely. */
   bool isAwaitingResponse = false;
 
@@ -156,6 +173,7 @@
   void StartWrite(const std::shared_ptr<RequestWrite>& aWrite);
   core::Task<HttpResult> ExchangeWithBody(HttpRequest aRequest, core::Duration aTimeout);
   core::Task<HttpResult> ReadResponse();
+  core::Task<HttpResult> ReadOneResponse();
 };
 
 bool
@@ -182,6 +200,7 @@
     co_return HttpClientError::NothingSent;
   }
   isAwaitingResponse = true;
+  isHead = aRequest.method == "HEAD";
   RequestWrite write;
   write.message = ToMessage(std::move(aRequest));
   stream.expires_after(aTimeout);
@@ -223,6 +242,7 @@
     co_return Failure(HttpClientError::NothingSent);
   }
   isAwaitingResponse = true;
+  isHead = aRequest.method == "HEAD";
   const auto write = std::make_shared<RequestWrite>();
   write->message = ToMessage(std::move(aRequest));
   write->head = SerializeHead(write->message);
@@ -245,15 +265,43 @@
 
 core::Task<HttpResult>
 TcpHttpConnection::State::ReadResponse()
+{
+  for (int n = 0; n <= kMaxInterimResponses; ++n) {
+    HttpResult result = co_await ReadOneResponse();
+    const unsigned status = result.response.status;
+    if (result.error != HttpClientError::None ||
+        (status >= kFirstFinalStatus && status <= kLastFinalStatus)) {
+      co_return result;
+    }
+    if (status < kFirstInterimStatus || status >= kFirstFinalStatus) {
+      break;
+    }
+    if (!isOpen) {
+      co_return Failure(HttpClientError::Broken);
+    }
+    isAwaitingResponse = true;
+  }
+  isAwaitingResponse = true;
+  Close();
+  co_return Failure(HttpClientError::Malformed);
+}
+
+core::Task<HttpResult>
+TcpHttpConnection::State::ReadOneResponse()
 {
   http::response_parser<http::string_body> parser;
   parser.header_limit(kMaxHeaderBytes);
   parser.body_limit(kMaxBodyBytes);
+  parser.skip(isHead);
   const auto [ec, n] = co_await http::async_read(stream, buffer, parser, kAsTuple);
   if (ec) {
     Close();
     co_return Failure(ToReadError(ec));
   }
+  if (HasUnknownTransferCoding(parser.get())) {
+    Close();
+    co_return Failure(HttpClientError::Malformed);
+  }
   isAwaitingResponse = false;
   if (!parser.get().keep_alive()) {
     Close();
--- a/net/http_serialization.h
+++ b/net/http_serialization.h
@@ -39,6 +39,23 @@
   return head;
 }
 
+/** @return whether the only transfer coding of a message with such codings is "chunked". */
+template<typename Message>
+bool
+IsChunkedOnly(const Message& aMessage, boost::beast::http::field aField)
+{
+  int codings = 0;
+  bool isChunked = true;
+  const auto [begin, end] = aMessage.equal_range(aField);
+  for (auto it = begin; it != end; ++it) {
+    for (const auto& coding : boost::beast::http::token_list(it->value())) {
+      ++codings;
+      isChunked = isChunked && boost::beast::iequals(coding, "chunked");
+    }
+  }
+  return codings == 1 && isChunked;
+}
+
 /** @return head and body as buffers for a single write; both strings must outlive the write. */
 inline std::array<boost::asio::const_buffer, 2>
 MessageBuffers(const std::string& aHead, const std::string& aBody)
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "core/log.h"
 #include "core/name_table.h"
 #include "net/endpoint.h"
 #include "net/http_serialization.h"
@@ -76,6 +77,37 @@
   return request;
 }
 
+/** @return whether the end of a request isn't certain, so that its body may pass for a request. */
+bool
+HasInvalidFraming(const Parser& aParser)
+{
+  const auto& message = aParser.get();
+  const bool hasCoding = message.count(http::field::transfer_encoding) > 0;
+  if (hasCoding && (message.version() < 11 || message.count(http::field::content_length) > 0 ||
+                    !IsChunkedOnly(message, http::field::transfer_encoding))) {
+    return true;
+  }
+  // A TRACE request has no body, and none can be sent with one.
+  return message.method() == http::verb::trace && !message.body().empty();
+}
+
+/** Counts a request while it is in scope. */
+class ActiveRequest
+{
+public:
+  explicit ActiveRequest(std::size_t& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+  ~ActiveRequest() { --mCount; }
+
+private:
+  std::size_t& mCount;
+};
+
 template<typename Body>
 void
 FillHeader(http::response<Body>& aMessage, const HttpResponse& aResponse, bool aKeepAlive)
@@ -236,6 +268,9 @@
   bool isClosed = false;
 
   core::Task<void> Accept(std::shared_ptr<State> aSelf);
+  core::Task<void> ServeAll(std::uint64_t aId,
+                            std::shared_ptr<beast::tcp_stream> aStream,
+                            std::string aClientAddress);
   core::Task<void> Serve(std::shared_ptr<State> aSelf,
                          std::uint64_t aId,
                          std::shared_ptr<beast::tcp_stream> aStream);
@@ -251,7 +286,10 @@
   core::Task<beast::error_code> AwaitFirstByte(std::shared_ptr<beast::tcp_stream> aStream,
                                                beast::flat_buffer& aBuffer);
   void MarkBusy(std::uint64_t aId, bool aIsBusy);
-  core::Task<bool> Respond(beast::tcp_stream& aStream, HttpResponse aResponse, bool aKeepAlive);
+  core::Task<bool> Respond(beast::tcp_stream& aStream,
+                           HttpResponse aResponse,
+                           bool aKeepAlive,
+                           bool aIsHead = false);
   core::Task<bool> RespondStreamed(beast::tcp_stream& aStream, HttpResponse aResponse);
   core::Task<void> RejectAndLinger(beast::tcp_stream& aStream, HttpRequestError aError);
 };
@@ -286,22 +324,36 @@
 {
   beast::error_code ec;
   const auto remote = aStream->socket().remote_endpoint(ec);
-  const std::string clientAddress = ec ? std::string() : ToString(remote);
-  if (connections.size() > limits.connections) {
-    co_await RejectAndLinger(*aStream, HttpRequestError::TooManyConnections);
-  } else {
-    auto buffer = std::make_shared<beast::flat_buffer>();
-    bool isOpen = true;
-    while (isOpen && !isClosed) {
-      isOpen = co_await ServeOne(aId, aStream, buffer, clientAddress);
-      MarkBusy(aId, false);
-    }
+  std::string clientAddress = ec ? std::string() : ToString(remote);
+  try {
+    co_await ServeAll(aId, aStream, std::move(clientAddress));
+  } catch (const std::exception& error) {
+    // One message that a library rejects must not end the process with all other requests.
+    core::LogEvent(
+      core::LogLevel::Error, "net", "connection_failed", { { "error", error.what() } });
   }
   aStream->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
   aStream->close();
   connections.erase(aId);
 }
 
+core::Task<void>
+HttpServer::State::ServeAll(std::uint64_t aId,
+                            std::shared_ptr<beast::tcp_stream> aStream,
+                            std::string aClientAddress)
+{
+  if (connections.size() > limits.connections) {
+    co_await RejectAndLinger(*aStream, HttpRequestError::TooManyConnections);
+    co_return;
+  }
+  auto buffer = std::make_shared<beast::flat_buffer>();
+  bool isOpen = true;
+  while (isOpen && !isClosed) {
+    isOpen = co_await ServeOne(aId, aStream, buffer, aClientAddress);
+    MarkBusy(aId, false);
+  }
+}
+
 void
 HttpServer::State::MarkBusy(std::uint64_t aId, bool aIsBusy)
 {
@@ -328,32 +380,47 @@
     co_await RejectAndLinger(*aStream, ToRequestError(ec));
     co_return false;
   }
+  if (HasInvalidFraming(parser)) {
+    co_await RejectAndLinger(*aStream, HttpRequestError::Malformed);
+    co_return false;
+  }
   HttpRequest request = ToRequest(parser, aClientAddress);
   const bool isKeepAlive = parser.get().keep_alive();
+  const bool isHead = parser.get().method() == http::verb::head;
   aStream->expires_never();
-  ++active;
+  const ActiveRequest activeRequest(active);
   HttpResponse response = co_await Handle(aStream, std::move(request));
   bool isOpen = false;
   if (response.stream) {
     isOpen = co_await RespondStreamed(*aStream, std::move(response));
   } else {
-    isOpen = co_await Respond(*aStream, std::move(response), isKeepAlive && !isClosing);
+    isOpen = co_await Respond(*aStream, std::move(response), isKeepAlive && !isClosing, isHead);
   }
-  --active;
   co_return isOpen;
 }
 
 core::Task<HttpResponse>
 HttpServer::State::Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest)
 {
-  if (!limits.watchClients) {
-    co_return co_await handler(std::move(aRequest));
+  const auto watch =
+    limits.watchClients ? std::make_shared<SocketWatch>(std::move(aStream)) : nullptr;
+  if (watch) {
+    aRequest.client = watch;
+    watch->Start();
+  }
+  HttpResponse response;
+  try {
+    response = co_await handler(std::move(aRequest));
+  } catch (const std::exception& error) {
+    core::LogEvent(core::LogLevel::Error, "net", "request_failed", { { "error", error.what() } });
+    // The request may have run, so the response must not say that it hasn't.
+    response = {};
+    response.status = static_cast<unsigned>(http::status::bad_gateway);
+    response.body = R"({"error":"failed"})";
+  }
+  if (watch) {
+    watch->Stop();
   }
-  const auto watch = std::make_shared<SocketWatch>(std::move(aStream));
-  aRequest.client = watch;
-  watch->Start();
-  HttpResponse response = co_await handler(std::move(aRequest));
-  watch->Stop();
   co_return response;
 }
 
@@ -402,15 +469,27 @@
 }
 
 core::Task<bool>
-HttpServer::State::Respond(beast::tcp_stream& aStream, HttpResponse aResponse, bool aKeepAlive)
+HttpServer::State::Respond(beast::tcp_stream& aStream,
+                           HttpResponse aResponse,
+                           bool aKeepAlive,
+                           bool aIsHead)
 {
   http::response<http::string_body> message;
   message.result(aResponse.status);
   FillHeader(message, aResponse, aKeepAlive);
   message.body() = std::move(aResponse.body);
   message.prepare_payload();
+  if (aIsHead) {
+    // The length of the body that GET would get is known only for responses made here.
+    if (message.body().empty()) {
+      message.erase(http::field::content_length);
+    }
+  }
   aStream.expires_after(kWriteTimeout);
   const std::string head = SerializeHead(message);
+  if (aIsHead) {
+    message.body().clear();
+  }
   const auto [ec, n] =
     co_await asio::async_write(aStream, MessageBuffers(head, message.body()), kAsTuple);
   co_return !ec && aKeepAlive;
--- a/store/key_mirror.cpp
+++ b/store/key_mirror.cpp
@@ -85,17 +85,18 @@
   return changes;
 }
 
-void
+KeyMirror::WaiterId
 KeyMirror::OnNextChange(std::function<void()> aCallback)
 {
-  mWaiters.push_back(std::move(aCallback));
+  mWaiters.emplace(++mLastWaiter, std::move(aCallback));
+  return mLastWaiter;
 }
 
 void
 KeyMirror::NotifyWaiters()
 {
   const auto waiters = std::exchange(mWaiters, {});
-  for (const std::function<void()>& waiter : waiters) {
+  for (const auto& [id, waiter] : waiters) {
     waiter();
   }
 }
--- a/store/key_mirror.h
+++ b/store/key_mirror.h
@@ -48,8 +48,17 @@
   /** @return the changes after a position, nothing when the log doesn't reach back that far. */
   std::optional<std::vector<KeyItem>> ChangesSince(StorePosition aAfter) const;
 
+  /** Identifies a registered callback. */
+  using WaiterId = std::uint64_t;
+
   /** Registers a callback for the next change or the end of freshness; it is called once. */
-  void OnNextChange(std::function<void()> aCallback);
+  WaiterId OnNextChange(std::function<void()> aCallback);
+
+  /** Removes a callback; one that was called or removed before is ignored. */
+  void CancelWait(WaiterId aWaiter) { mWaiters.erase(aWaiter); }
+
+  /** @return the number of registered callbacks. */
+  std::size_t WaiterCount() const { return mWaiters.size(); }
 
 private:
   std::map<std::string, KeyItem> mItems;
@@ -58,7 +67,8 @@
   std::uint64_t mHistoryStart = 0;
   StorePosition mPosition;
   bool mIsFresh = false;
-  std::vector<std::function<void()>> mWaiters;
+  std::map<WaiterId, std::function<void()>> mWaiters;
+  WaiterId mLastWaiter = 0;
 
   void NotifyWaiters();
 };
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -5,6 +5,7 @@
 #include "core/task.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace skylarkwing::upstream {
@@ -29,6 +30,9 @@
 /** Answers to other requests that are skipped before the connection is abandoned. */
 constexpr int kMaxForeignAnswers = 2;
 
+/** Refusals after which a connection is closed instead of remembering more of them. */
+constexpr std::size_t kMaxRefusedIds = 16;
+
 /** Age at which a replica's load report is outdated. */
 constexpr core::Duration kMaxLoadAge = std::chrono::milliseconds{ 150 };
 
@@ -79,6 +83,7 @@
     case AnswerKind::WrongReplica:
       return AttemptStatus::WrongReplica;
     case AnswerKind::Foreign:
+    case AnswerKind::Invalid:
       break;
   }
   return AttemptStatus::Garbled;
@@ -224,13 +229,24 @@
                    core::TimePoint aDeadline,
                    AttemptCallback aCallback)
 {
-  AttemptResult result = co_await Exchange(aAttempt, std::move(aRequest), aDeadline);
+  AttemptResult result = Result(AttemptStatus::Lost);
+  bool hasFailed = false;
+  try {
+    result = co_await Exchange(aAttempt, std::move(aRequest), aDeadline);
+  } catch (const std::exception& error) {
+    // The cause is the request or the answer, so it says nothing about the replica.
+    hasFailed = true;
+    core::LogEvent(core::LogLevel::Error,
+                   "upstream",
+                   "exchange_failed",
+                   { { "replica", mReplica.id }, { "error", error.what() } });
+  }
   aAttempt->mConnection.reset();
   RemoveStart(aAttempt->mStart);
   if (IsAnswer(result.status)) {
     mHooks.onContact(ReplicaContact::Answered);
   }
-  if (!aAttempt->mIsCancelled) {
+  if (!aAttempt->mIsCancelled && !hasFailed) {
     RecordResult(*aAttempt, result.status);
   }
   aCallback(std::move(result));
@@ -244,8 +260,7 @@
 {
   // An idle connection that the replica has closed in the meantime is replaced by a new one.
   while (true) {
-    aAttempt->mConnection = TakeIdle(aRequest->isIdempotent);
-    const bool isReused = aAttempt->mConnection != nullptr;
+    const bool isReused = TakeIdle(*aRequest, *aAttempt);
     if (!isReused && !co_await Connect(aAttempt, aDeadline)) {
       co_return Result(AttemptStatus::NothingSent);
     }
@@ -260,7 +275,7 @@
     if (reply.error == net::HttpClientError::NothingSent && isReused) {
       continue;
     }
-    co_return co_await ReadOwnAnswer(connection, std::move(reply), aRequest->id, sentAt, aDeadline);
+    co_return co_await ReadOwnAnswer(aAttempt, std::move(reply), aRequest->id, sentAt, aDeadline);
   }
 }
 
@@ -450,12 +465,13 @@
 }
 
 core::Task<AttemptResult>
-ReplicaClient::ReadOwnAnswer(std::shared_ptr<net::HttpConnection> aConnection,
+ReplicaClient::ReadOwnAnswer(std::shared_ptr<Attempt> aAttempt,
                              net::HttpResult aReply,
                              const std::string& aId,
                              core::TimePoint aSentAt,
                              core::TimePoint aDeadline)
 {
+  const std::shared_ptr<net::HttpConnection> connection = aAttempt->mConnection;
   DecodedAnswer answer;
   int foreign = 0;
   while (aReply.error == net::HttpClientError::None) {
@@ -471,7 +487,7 @@
     if (remaining <= core::Duration::zero()) {
       co_return Result(AttemptStatus::TimedOut);
     }
-    aReply = co_await aConnection->ReadNext(remaining + mSettings.answerSlack);
+    aReply = co_await connection->ReadNext(remaining + mSettings.answerSlack);
   }
   if (aReply.error != net::HttpClientError::None) {
     co_return Result(StatusOf(aReply.error));
@@ -481,8 +497,13 @@
     mLoadAt = mTimers.Now();
   }
   mIdleTimeout = answer.idleTimeout.value_or(mIdleTimeout);
-  if (foreign == 0 && aConnection->IsOpen()) {
-    Release(std::move(aConnection));
+  if (IsCertainlyNotRun(StatusOf(answer.kind))) {
+    aAttempt->mRefusedIds.push_back(aId);
+  }
+  const bool isTrusted = foreign == 0 && answer.kind != AnswerKind::Invalid &&
+                         aAttempt->mRefusedIds.size() <= kMaxRefusedIds;
+  if (isTrusted && connection->IsOpen()) {
+    Release(connection, std::move(aAttempt->mRefusedIds));
   }
   AttemptResult result;
   result.status = StatusOf(answer.kind);
@@ -491,24 +512,34 @@
   co_return result;
 }
 
-std::shared_ptr<net::HttpConnection>
-ReplicaClient::TakeIdle(bool aIsIdempotent)
+bool
+ReplicaClient::TakeIdle(const ForwardedRequest& aRequest, Attempt& aAttempt)
 {
+  aAttempt.mConnection = nullptr;
+  aAttempt.mRefusedIds.clear();
   const core::TimePoint now = mTimers.Now();
-  while (!mIdle.empty()) {
-    IdleConnection idle = std::move(mIdle.back());
-    mIdle.pop_back();
+  for (std::size_t n = mIdle.size(); n-- > 0;) {
+    const auto it = mIdle.begin() + static_cast<std::ptrdiff_t>(n);
+    const auto& refused = it->refusedIds;
+    if (std::find(refused.begin(), refused.end(), aRequest.id) != refused.end()) {
+      continue;
+    }
+    IdleConnection idle = std::move(*it);
+    mIdle.erase(it);
     const bool isTrusted =
-      aIsIdempotent || now - idle.idleSince < mSettings.maxIdleForNonIdempotent;
+      aRequest.isIdempotent || now - idle.idleSince < mSettings.maxIdleForNonIdempotent;
     if (isTrusted && now < idle.usableUntil && idle.connection->IsOpen()) {
-      return std::move(idle.connection);
+      aAttempt.mConnection = std::move(idle.connection);
+      aAttempt.mRefusedIds = std::move(idle.refusedIds);
+      return true;
     }
   }
-  return nullptr;
+  return false;
 }
 
 void
-ReplicaClient::Release(std::shared_ptr<net::HttpConnection> aConnection)
+ReplicaClient::Release(std::shared_ptr<net::HttpConnection> aConnection,
+                       std::vector<std::string> aRefusedIds)
 {
   // At least one idle connection is kept whatever the quota, since opening one for each request
   // costs more.
@@ -518,7 +549,7 @@
   const core::TimePoint now = mTimers.Now();
   const auto usable =
     std::chrono::duration_cast<core::Duration>(mIdleTimeout * mSettings.idleShare);
-  mIdle.push_back({ std::move(aConnection), now, now + usable });
+  mIdle.push_back({ std::move(aConnection), now, now + usable, std::move(aRefusedIds) });
 }
 
 void
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -92,6 +92,8 @@
   core::Duration mTypicalTime;
   bool mIsCancelled = false;
   std::shared_ptr<net::HttpConnection> mConnection;
+  /** Ids of the requests that the replica has refused on this connection. */
+  std::vector<std::string> mRefusedIds;
 };
 
 /** Timeouts and limits of the exchanges with replicas. */
@@ -283,6 +285,11 @@
     std::shared_ptr<net::HttpConnection> connection;
     core::TimePoint idleSince;
     core::TimePoint usableUntil;
+    /**
+     * Requests that were refused on it. A second copy of such a refusal may still arrive, and would
+     * be taken for the answer to another attempt at the same request.
+     */
+    std::vector<std::string> refusedIds;
   };
 
   boost::asio::any_io_executor mExecutor;
@@ -328,7 +335,7 @@
                                      std::shared_ptr<const ForwardedRequest> aRequest,
                                      core::TimePoint aDeadline);
   core::Task<bool> Connect(std::shared_ptr<Attempt> aAttempt, core::TimePoint aDeadline);
-  core::Task<AttemptResult> ReadOwnAnswer(std::shared_ptr<net::HttpConnection> aConnection,
+  core::Task<AttemptResult> ReadOwnAnswer(std::shared_ptr<Attempt> aAttempt,
                                           net::HttpResult aReply,
                                           const std::string& aId,
                                           core::TimePoint aSentAt,
@@ -340,8 +347,9 @@
   void RecordConnectFailure();
   void RecordConnected(core::Duration aTook);
   void DropStale();
-  std::shared_ptr<net::HttpConnection> TakeIdle(bool aIsIdempotent);
-  void Release(std::shared_ptr<net::HttpConnection> aConnection);
+  bool TakeIdle(const ForwardedRequest& aRequest, Attempt& aAttempt);
+  void Release(std::shared_ptr<net::HttpConnection> aConnection,
+               std::vector<std::string> aRefusedIds = {});
   void RecordResult(const Attempt& aAttempt, AttemptStatus aStatus);
   void Suspect(std::string_view aReason);
   void MarkAddressReassigned();
--- a/upstream/replica_protocol.h
+++ b/upstream/replica_protocol.h
@@ -35,6 +35,8 @@
   WrongReplica,
   /** The answer belongs to another request. */
   Foreign,
+  /** It claims success but isn't complete and signed; the request may have run. */
+  Invalid,
 };
 
 /** The load that a replica reports with an answer. */
