Customers by API key: terms of a request, 401 and 503, nothing of a key behind the daemon

Change: the configuration's customers are a table found by key; the daemon answers 401 to unknown keys, or 503 while its configuration may be outdated, passes the customer's name on, and removes both headers of callers. Priority and regions of a customer apply to admission, replicas and forwarding to other daemons.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -1,5 +1,6 @@
 #include "caller/entry_frontend.h"
 
+#include "caller/customer_terms.h"
 #include "caller/weighted_choice.h"
 #include "core/hex_text.h"
 #include "core/log.h"
@@ -18,6 +19,7 @@
 using query::RequestOutcome;
 using query::RequestResult;
 
+constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -96,6 +98,8 @@
   , mSuccessLines(kSuccessLinesPerSecond)
   , mUnknownRoutes(aMetrics.Counter("skylarkwing_entry_unknown_routes_total",
                                     "Requests whose host and path match no route."))
+  , mUnknownKeys(aMetrics.Counter("skylarkwing_entry_unknown_keys_total",
+                                  "Requests without a key that the configuration knows."))
   , mOverloads(aMetrics.Counter("skylarkwing_entry_overload_refusals_total",
                                 "Requests refused because the daemon had too much work."))
   , mQuarantineRefusals(
@@ -192,8 +196,32 @@
     LogRefusal(metadata, "no_route", host + aJob.request.Path());
     return Served{ MakeRefusal(kNotFound, "no_route"), {} };
   }
-  aJob.serviceTerms = std::make_shared<const upstream::RequestTerms>(
-    upstream::RequestTerms{ {}, aJob.route->priority, aJob.route->regions });
+  return Authenticate(aJob);
+}
+
+std::optional<EntryFrontend::Served>
+EntryFrontend::Authenticate(Job& aJob)
+{
+  const auto& customers = aJob.table->customers;
+  const declaration::Customer* customer =
+    customers ? customers->FindByKey(aJob.metadata.apiKey) : nullptr;
+  if (customers && customer == nullptr && !aJob.route->isOpen) {
+    mUnknownKeys.Increment();
+    const std::string version = std::to_string(aJob.table->version);
+    if (!mIsTableCurrent()) {
+      // A newer configuration may have the key, and callers don't come back after 401.
+      return RefuseNotRun(
+        aJob.metadata, "configuration_outdated", version, kNoConfigurationRetryAfter);
+    }
+    LogRefusal(aJob.metadata, "unknown_key", version);
+    return Served{ MakeRefusal(kUnauthorized, "unknown_key"), {} };
+  }
+  const auto terms = MakeRequestTerms(*aJob.route, customer);
+  if (!terms) {
+    return RefuseNotRun(
+      aJob.metadata, "no_common_region", customer->name, kNoConfigurationRetryAfter);
+  }
+  aJob.serviceTerms = std::make_shared<const upstream::RequestTerms>(*terms);
   return std::nullopt;
 }
 
@@ -240,6 +268,7 @@
   aJob.forwarded = std::make_shared<upstream::ForwardedRequest>();
   aJob.forwarded->id = aJob.metadata.id;
   aJob.forwarded->isIdempotent = aJob.route->isIdempotent;
+  aJob.forwarded->customer = aJob.serviceTerms->customer;
   aJob.forwarded->message.headers = mProtocol.forwardHeaders(request);
   aJob.forwarded->message.method = std::move(request.method);
   aJob.forwarded->message.target = std::move(request.target);
@@ -380,6 +409,7 @@
   constexpr int kPatienceFactor = 2;
   ForwardPlan plan;
   plan.request = aJob.forwarded;
+  plan.apiKey = aJob.metadata.apiKey;
   plan.terms = { mVm, aJob.table->version, {}, aIsRepeat, mReplicas.DomainsOut() };
   plan.arrival = aJob.arrival;
   plan.deadline = aJob.deadline;
@@ -478,6 +508,7 @@
     "request_ended",
     { { "request", aJob.metadata.id },
       { "route", aJob.route->name },
+      { "customer", aJob.serviceTerms->customer },
       { "version", std::to_string(aJob.table->version) },
       { "outcome", std::string(query::NameOf(aResult.outcome)) },
       { "took_ms", FormatMilliseconds(aDuration) },
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -32,6 +32,8 @@
   std::string id;
   /** Time that the caller waits, if given. */
   std::optional<core::Duration> deadline;
+  /** The caller's API key, empty when it sent none. Must not be logged or sent to replicas. */
+  std::string apiKey;
   /** Hash of the content and the caller, the same for each attempt at one request. */
   std::uint64_t fingerprint = 0;
 };
@@ -47,6 +49,9 @@
   /** Sets how long the caller still waits, for a daemon that gets the request from this one. */
   std::function<void(net::HttpRequest&, core::Duration)> setDeadline;
 
+  /** Sets the caller's API key, for a daemon that gets the request from this one. */
+  std::function<void(net::HttpRequest&, const std::string&)> setApiKey;
+
   /** Creates the response to a query over shards. */
   std::function<net::HttpResponse(query::RequestResult)> makeGatherAnswer;
 
@@ -82,6 +87,15 @@
     mVm = std::move(aVm);
   }
 
+  /**
+   * Sets how it is found out whether the active table is up to date. An unknown API key may have
+   * been added by a newer one.
+   */
+  void SetIsTableCurrent(std::function<bool()> aIsCurrent)
+  {
+    mIsTableCurrent = std::move(aIsCurrent);
+  }
+
   /** Handles one request of a caller. */
   core::Task<net::HttpResponse> Handle(net::HttpRequest aRequest);
 
@@ -128,10 +142,12 @@
   std::set<std::shared_ptr<ForwardRun>> mForwarding;
   double mForwardedShare = 0.0;
   std::shared_ptr<const declaration::RoutingTable> mTable;
+  std::function<bool()> mIsTableCurrent = [] { return true; };
   core::LogRateLimiter mFailureLines;
   core::LogRateLimiter mSuccessLines;
   std::array<prometheus::Counter*, 8> mOutcomes{};
   prometheus::Counter& mUnknownRoutes;
+  prometheus::Counter& mUnknownKeys;
   prometheus::Counter& mOverloads;
   prometheus::Counter& mQuarantineRefusals;
   prometheus::Histogram& mLatency;
@@ -163,6 +179,7 @@
 
   core::Task<Served> Serve(net::HttpRequest aRequest, std::optional<ForwardTerms> aTerms);
   std::optional<Served> FindRoute(Job& aJob);
+  std::optional<Served> Authenticate(Job& aJob);
   std::optional<Served> Refuse(const Job& aJob);
   void Prepare(Job& aJob);
   core::Task<query::RequestResult> Run(Job& aJob);
--- a/caller/peer_forwarder.cpp
+++ b/caller/peer_forwarder.cpp
@@ -190,6 +190,9 @@
   terms.age = now - aPlan.arrival +
               (roundTrip == mRoundTrips.end() ? core::Duration::zero() : roundTrip->second);
   mHooks.setDeadline(request, aPlan.deadline - now);
+  if (!aPlan.apiKey.empty()) {
+    mHooks.setApiKey(request, aPlan.apiKey);
+  }
   AddForwardTerms(request, terms);
   return request;
 }
--- a/caller/peer_forwarder.h
+++ b/caller/peer_forwarder.h
@@ -22,6 +22,8 @@
 {
   std::shared_ptr<const upstream::ForwardedRequest> request;
   ForwardTerms terms;
+  /** The caller's API key; the other daemon decides on it by its own table. */
+  std::string apiKey;
   core::TimePoint arrival;
   core::TimePoint deadline;
   /** Regions to which the request may be sent; empty means all. */
@@ -55,6 +57,8 @@
   std::function<std::vector<ForwardPeer>()> listPeers;
   /** Tells the other daemon how long the caller still waits. */
   std::function<void(net::HttpRequest&, core::Duration)> setDeadline;
+  /** Passes the caller's API key on to the other daemon. */
+  std::function<void(net::HttpRequest&, const std::string&)> setApiKey;
 };
 
 /**
--- a/caller/tests/peer_forwarding_test.cpp
+++ b/caller/tests/peer_forwarding_test.cpp
@@ -87,6 +87,7 @@
     PeerForwarderHooks hooks;
     hooks.listPeers = [this] { return peers; };
     hooks.setDeadline = [](net::HttpRequest&, core::Duration) {};
+    hooks.setApiKey = [](net::HttpRequest&, const std::string&) {};
     const net::HttpConnectionFactory factory = [this] {
       return std::make_shared<ScriptedConnection>(script);
     };
--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -267,6 +267,7 @@
 KeyFeed::RecordAnswer(const FeedSource& aSource)
 {
   mMirror.SetFresh(aSource.isDirect);
+  mAnsweredAt = mTimers.Now();
   if (!mIsAnswering) {
     mIsAnswering = true;
     mIsLost = false;
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -126,6 +126,9 @@
   /** Puts a key in force that another daemon has and a restore of the store has lost. */
   void Adopt(KeyItem aItem);
 
+  /** @return when the store or a relay answered last, nothing before the first answer. */
+  std::optional<core::TimePoint> LastAnswerAt() const { return mAnsweredAt; }
+
   /** @return the copy of the keys that other daemons may follow. */
   KeyMirror& Mirror() { return mMirror; }
 
@@ -150,6 +153,7 @@
   LostKeys mLostKeys;
   bool mHasRead = false;
   bool mIsAnswering = false;
+  std::optional<core::TimePoint> mAnsweredAt;
   bool mIsLost = false;
   bool mIsStopped = false;
   bool mMayTryStaleCopy = false;
--- a/upstream/replica_protocol.h
+++ b/upstream/replica_protocol.h
@@ -16,6 +16,8 @@
 {
   /** Identifies one attempt of a caller. */
   std::string id;
+  /** Name of the customer, as replicas get it; empty for callers without a key. */
+  std::string customer;
   /** Whether it may run more than once. */
   bool isIdempotent = false;
   /** Method, target, forwardable headers and body. */
