Quotas over all daemons: one daemon keeps the buckets, the others report and ask

Change: the listed daemon with the largest VM keeps the token buckets (caller/quota_coordinator). The others admit requests of customers that aren't short at once, report them within 50 ms, and ask for a token for customers that are (caller/customer_quota, caller/quota_client). A daemon that reaches no coordinator uses a static share, which the coordinator holds back. 429 says when a token is expected. Requests that another daemon forwards use no second token.

Evidence: suite customer_quota plays 7, 60 and 300 daemons: usual demand, 7.5 times as much, demand that moves, all killed three times, a coordinator lost, daemons cut off, a lowered limit.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -21,6 +21,7 @@
 
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
@@ -167,10 +168,17 @@
   if (auto refusal = Refuse(job)) {
     co_return std::move(*refusal);
   }
+  if (auto refusal = co_await TakeQuota(job)) {
+    co_return std::move(*refusal);
+  }
   Prepare(job);
   mAdmission.Begin();
   RequestResult result = co_await Run(job);
   mAdmission.End();
+  if (job.customer != nullptr && !job.terms && mQuotas != nullptr &&
+      result.outcome == RequestOutcome::NotRun) {
+    mQuotas->Refund(*job.customer);
+  }
   RecordResult(job, result, mTimers.Now() - now);
   Served served;
   served.outcome = OutcomeFor(result);
@@ -221,6 +229,7 @@
     return RefuseNotRun(
       aJob.metadata, "no_common_region", customer->name, kNoConfigurationRetryAfter);
   }
+  aJob.customer = customer;
   aJob.serviceTerms = std::make_shared<const upstream::RequestTerms>(*terms);
   return std::nullopt;
 }
@@ -261,6 +270,23 @@
   return std::nullopt;
 }
 
+core::Task<std::optional<EntryFrontend::Served>>
+EntryFrontend::TakeQuota(const Job& aJob)
+{
+  // A request that another daemon forwards has used its customer's quota there.
+  if (aJob.customer == nullptr || aJob.terms || mQuotas == nullptr) {
+    co_return std::nullopt;
+  }
+  const auto retryAfter = co_await mQuotas->Take(*aJob.customer);
+  if (!retryAfter) {
+    co_return std::nullopt;
+  }
+  LogRefusal(aJob.metadata, "quota_exceeded", aJob.customer->name);
+  Served refusal{ MakeRefusal(kTooManyRequests, "quota_exceeded"), {} };
+  refusal.response.headers.push_back({ "Retry-After", FormatSeconds(*retryAfter) });
+  co_return refusal;
+}
+
 void
 EntryFrontend::Prepare(Job& aJob)
 {
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -3,6 +3,7 @@
 #include "caller/entry_admission.h"
 #include "caller/forward_terms.h"
 #include "caller/peer_forwarder.h"
+#include "caller/quota_client.h"
 #include "caller/stop_admission.h"
 #include "core/log_rate_limiter.h"
 #include "core/metrics.h"
@@ -87,6 +88,9 @@
     mVm = std::move(aVm);
   }
 
+  /** Sets what keeps the customers' quotas; it must outlive this object. */
+  void SetQuotas(QuotaClient* aQuotas) { mQuotas = aQuotas; }
+
   /**
    * Sets how it is found out whether the active table is up to date. An unknown API key may have
    * been added by a newer one.
@@ -142,6 +146,7 @@
   std::set<std::shared_ptr<ForwardRun>> mForwarding;
   double mForwardedShare = 0.0;
   std::shared_ptr<const declaration::RoutingTable> mTable;
+  QuotaClient* mQuotas = nullptr;
   std::function<bool()> mIsTableCurrent = [] { return true; };
   core::LogRateLimiter mFailureLines;
   core::LogRateLimiter mSuccessLines;
@@ -172,6 +177,8 @@
     std::vector<std::string> services;
     std::shared_ptr<upstream::ForwardedRequest> forwarded;
     std::shared_ptr<const upstream::RequestTerms> serviceTerms;
+    /** Owned by the table; null for callers without a key. */
+    const declaration::Customer* customer = nullptr;
     /** When the request arrived at the first daemon. */
     core::TimePoint arrival;
     core::TimePoint deadline;
@@ -181,6 +188,7 @@
   std::optional<Served> FindRoute(Job& aJob);
   std::optional<Served> Authenticate(Job& aJob);
   std::optional<Served> Refuse(const Job& aJob);
+  core::Task<std::optional<Served>> TakeQuota(const Job& aJob);
   void Prepare(Job& aJob);
   core::Task<query::RequestResult> Run(Job& aJob);
   core::Task<query::RequestResult> RunHere(Job& aJob);
--- a/membership/entry_directory.h
+++ b/membership/entry_directory.h
@@ -27,6 +27,8 @@
   bool isPartitioned = false;
   /** Whether it serves requests that other daemons forward; earlier builds don't. */
   bool servesOthers = false;
+  /** Whether it can coordinate the customers' quotas; earlier builds can't. */
+  bool keepsQuotas = false;
 };
 
 /** The location of a caller; empty fields are unknown. */
--- a/upstream/token_bucket.cpp
+++ b/upstream/token_bucket.cpp
@@ -16,6 +16,13 @@
   return true;
 }
 
+void
+TokenBucket::Charge(double aTokens, double aRate, double aSize, core::TimePoint aNow)
+{
+  mTokens = std::min(aSize, Tokens(aRate, aSize, aNow) - aTokens);
+  mRefilledAt = aNow;
+}
+
 double
 TokenBucket::Tokens(double aRate, double aSize, core::TimePoint aNow) const
 {
--- a/upstream/token_bucket.h
+++ b/upstream/token_bucket.h
@@ -26,6 +26,12 @@
    */
   bool TryTake(double aRate, double aSize, core::TimePoint aNow);
 
+  /**
+   * Takes a number of tokens, whether they are there or not, so that the bucket may hold less than
+   * none afterwards. A negative number gives tokens back.
+   */
+  void Charge(double aTokens, double aRate, double aSize, core::TimePoint aNow);
+
   /** @return the tokens that it holds at a time, also a part of one. */
   double Tokens(double aRate, double aSize, core::TimePoint aNow) const;
 
