--- a/caller/quota_client.cpp
+++ b/caller/quota_client.cpp
@@ -101,6 +101,7 @@
 QuotaClient::ReportOnce()
 {
   QuotaReport report = mQuota.TakeReport();
+  co_await LeaveCoordinator(report);
   std::deque<Waiter> waiters = std::exchange(mWaiters, {});
   for (const Waiter& waiter : waiters) {
     ++report.asked[waiter.customer.name];
@@ -119,6 +120,25 @@
   }
 }
 
+core::Task<void>
+QuotaClient::LeaveCoordinator(QuotaReport& aReport)
+{
+  // While both coordinators counted on this daemon, they would grant its share of the rates twice.
+  const std::vector<std::string> listed = mHooks.listCoordinators();
+  const std::optional<std::string> next = ChooseCoordinator({});
+  const bool isListed = std::find(listed.begin(), listed.end(), mCoordinator) != listed.end();
+  if (!next || *next == mCoordinator || !isListed || mAvoidedUntil.count(mCoordinator) > 0) {
+    co_return;
+  }
+  QuotaReport last = aReport;
+  last.isLast = true;
+  std::string target = mCoordinator;
+  const auto reply = co_await mHooks.report(std::move(target), std::move(last));
+  if (reply) {
+    aReport.used.clear();
+  }
+}
+
 core::Task<std::optional<QuotaReply>>
 QuotaClient::Ask(QuotaReport aReport)
 {
--- a/caller/quota_client.h
+++ b/caller/quota_client.h
@@ -82,6 +82,7 @@
 
   core::Task<void> ReportOnce();
   core::Task<std::optional<QuotaReply>> Ask(QuotaReport aReport);
+  core::Task<void> LeaveCoordinator(QuotaReport& aReport);
   std::optional<std::string> ChooseCoordinator(const std::vector<std::string>& aTried);
   void AnswerWaiters(std::deque<Waiter> aWaiters, const std::optional<QuotaReply>& aReply);
 };
--- a/caller/quota_coordinator.cpp
+++ b/caller/quota_coordinator.cpp
@@ -19,13 +19,13 @@
  * demand that has risen before all daemons know; without a waiver it would be paid by requests that
  * the quota allows. The refill within the window doubles it.
  */
-constexpr double kWaiverShare = 0.35;
+constexpr double kWaiverShare = 0.2;
 
 /** A new coordinator has all requests ask for tokens until it knows the demand. */
 constexpr core::Duration kLearningTime = std::chrono::milliseconds{ 1200 };
 
 /** A daemon that hasn't reported for this long may use its own share of the rates. */
-constexpr core::Duration kSilence = std::chrono::milliseconds{ 2500 };
+constexpr core::Duration kSilence = std::chrono::milliseconds{ 1500 };
 
 /** Without a report for this long another daemon has coordinated, so that all buckets start anew.
  */
@@ -37,6 +37,10 @@
  */
 constexpr double kMinFirstShare = 0.65;
 
+/** Time after its first report in which that least share doesn't apply: another one may grant
+ * still. */
+constexpr core::Duration kHandoverTime = std::chrono::seconds{ 2 };
+
 /** Time over which the demand is measured. */
 constexpr double kDemandSeconds = 1.0;
 
@@ -128,7 +132,8 @@
   if (total <= 0.0) {
     return 1.0;
   }
-  return std::max(mIsFirst ? kMinFirstShare : 0.0, reporting / total);
+  const bool isSettled = mIsFirst && aNow - mBeganAt > kHandoverTime;
+  return std::max(isSettled ? kMinFirstShare : 0.0, reporting / total);
 }
 
 void
@@ -223,7 +228,11 @@
 QuotaCoordinator::Handle(const QuotaReport& aReport, core::TimePoint aNow)
 {
   RestartIfUnused(aNow);
-  mReportedAt[aReport.vm] = aNow;
+  if (aReport.isLast) {
+    mReportedAt.erase(aReport.vm);
+  } else {
+    mReportedAt[aReport.vm] = aNow;
+  }
   const double share = GrantedShare(aNow);
   QuotaReply reply;
   for (const auto& [name, count] : aReport.used) {
--- a/caller/quota_messages.h
+++ b/caller/quota_messages.h
@@ -14,6 +14,8 @@
 {
   /** VM of the daemon. */
   std::string vm;
+  /** Whether the daemon reports to another coordinator from now on. */
+  bool isLast = false;
   /** Requests by customer that were admitted without a token since the last report; negative when
    * more of them turned out not to run than were admitted. */
   std::map<std::string, std::int64_t> used;
--- a/caller/tests/customer_quota_test.cpp
+++ b/caller/tests/customer_quota_test.cpp
@@ -98,6 +98,16 @@
     ListAll();
   }
 
+  /** Starts a daemon again that was killed and unlisted. */
+  void Revive(std::size_t aIndex)
+  {
+    const double weight = mDaemons[aIndex]->weight;
+    mDaemons[aIndex] = std::make_unique<Daemon>(mDaemons[aIndex]->vm);
+    mDaemons[aIndex]->weight = weight;
+    mUnlisted.reset();
+    ListAll();
+  }
+
   /** Cuts the last daemons off from all others, or reconnects them. */
   void CutOff(std::size_t aCount, bool aIsCut)
   {
@@ -187,6 +197,7 @@
     std::optional<Message> pending;
     core::TimePoint lastReport{};
     core::TimePoint firstAvoidedUntil{};
+    std::size_t lastTarget = 0;
   };
 
   core::TimePoint mNow = kStart;
@@ -256,6 +267,14 @@
       message.report.asked[mCustomer.name] = static_cast<std::uint32_t>(message.waiters);
     }
     message.target = mUnlisted == std::size_t{ 0 } || mNow < aDaemon.firstAvoidedUntil ? 1 : 0;
+    if (message.target == 0 && std::exchange(aDaemon.lastTarget, 0) == 1) {
+      QuotaReport last = message.report;
+      last.asked.clear();
+      last.isLast = true;
+      mDaemons[1]->coordinator.Handle(last, mNow + kDelay);
+      message.report.used.clear();
+    }
+    aDaemon.lastTarget = message.target;
     Daemon& target = *mDaemons[message.target];
     const bool isOwn = &target == &aDaemon;
     if (target.isDead || ((target.isCut || aDaemon.isCut) && !isOwn)) {
@@ -376,6 +395,12 @@
   const core::TimePoint steady = fleet.Now();
   fleet.Run(seconds{ 6 });
   BOOST_TEST(UseOf(fleet, steady, 20.0) >= kLeastUse);
+  // Both coordinators must not count on the same daemons when the first one returns.
+  fleet.Revive(0);
+  fleet.Run(seconds{ 2 });
+  const core::TimePoint returned = fleet.Now();
+  fleet.Run(seconds{ 6 });
+  BOOST_TEST(UseOf(fleet, returned, 20.0) >= kLeastUse);
   BOOST_TEST(static_cast<double>(fleet.MostInWindow(kStart)) <= fleet.Allowed());
 }
 
@@ -413,7 +438,9 @@
   table.Add(customer, {});
   QuotaCoordinator coordinator({ kWindow, 0.0, 0.0 });
   coordinator.SetCustomers(table, kStart);
-  QuotaReport report{ "vm-0", {}, { { "farm", 1 } } };
+  QuotaReport report;
+  report.vm = "vm-0";
+  report.asked["farm"] = 1;
   // The bucket begins empty.
   const core::TimePoint later = kStart + milliseconds{ 100 };
   QuotaReply reply = coordinator.Handle(report, later);
