Quotas: a coordinator that was left grants its own share only, also while its list is outdated

Change: the least share needs reports of half of the fleet; buckets shrink with the granted share; daemons count for 10 s after they were last listed. Customers that run short are logged.

What a lost daemon had is held back for 10 s: with 7 daemons 0.86 of the quota is used meanwhile.

--- a/caller/quota_coordinator.cpp
+++ b/caller/quota_coordinator.cpp
@@ -27,15 +27,23 @@
 /** A daemon that hasn't reported for this long may use its own share of the rates. */
 constexpr core::Duration kSilence = std::chrono::milliseconds{ 1500 };
 
+/**
+ * Time for which a daemon counts after it was last listed. The entry of one that is cut off from
+ * the store expires, but callers go on using it for as long as they keep their lists.
+ */
+constexpr core::Duration kHoldTime = std::chrono::seconds{ 10 };
+
 /** Without a report for this long another daemon has coordinated, so that all buckets start anew.
  */
 constexpr core::Duration kUnusedTime = std::chrono::seconds{ 2 };
 
 /**
- * Least share of the rates that the first coordinator grants. Daemons that were killed are listed
- * until their leases end, and what they no longer use must not be missing for long.
+ * Least share of the rates that the first coordinator grants while half of the fleet reports to it.
+ * Daemons that were killed are listed until their leases end, and what they no longer use must not
+ * be missing for long. A coordinator that the others have left grants its own share only.
  */
 constexpr double kMinFirstShare = 0.65;
+constexpr double kMinReporting = 0.5;
 
 /** Time after its first report in which that least share doesn't apply: another one may grant
  * still. */
@@ -75,9 +83,9 @@
 } // namespace
 
 double
-QuotaCoordinator::SizeOf(const Account& aAccount) const
+QuotaCoordinator::SizeOf(const Account& aAccount, double aShare) const
 {
-  return std::max(1.0, aAccount.burst) + kSlackShare * mTolerance.slack;
+  return std::max(1.0, (aAccount.burst + kSlackShare * mTolerance.slack) * aShare);
 }
 
 void
@@ -113,7 +121,17 @@
   for (auto& [name, account] : mAccounts) {
     Charge(account, 0.0, share, aNow);
   }
-  mWeights = std::move(aWeights);
+  for (auto& [vm, member] : mMembers) {
+    if (aWeights.count(vm) == 0 && !member.missingSince) {
+      member.missingSince = aNow;
+    }
+  }
+  for (const auto& [vm, weight] : aWeights) {
+    mMembers[vm] = { weight, std::nullopt };
+  }
+  std::erase_if(mMembers, [aNow](const auto& aEntry) {
+    return aEntry.second.missingSince && aNow - *aEntry.second.missingSince > kHoldTime;
+  });
   mIsFirst = aIsFirst;
 }
 
@@ -122,18 +140,22 @@
 {
   double total = 0.0;
   double reporting = 0.0;
-  for (const auto& [vm, weight] : mWeights) {
-    total += weight;
+  for (const auto& [vm, member] : mMembers) {
+    if (member.missingSince && aNow - *member.missingSince > kHoldTime) {
+      continue;
+    }
+    total += member.weight;
     const auto it = mReportedAt.find(vm);
     if (it != mReportedAt.end() && aNow - it->second <= kSilence) {
-      reporting += weight;
+      reporting += member.weight;
     }
   }
   if (total <= 0.0) {
     return 1.0;
   }
   const bool isSettled = mIsFirst && aNow - mBeganAt > kHandoverTime;
-  return std::max(isSettled ? kMinFirstShare : 0.0, reporting / total);
+  const double share = reporting / total;
+  return isSettled && share >= kMinReporting ? std::max(kMinFirstShare, share) : share;
 }
 
 void
@@ -170,7 +192,7 @@
   }
   const double window = ToSeconds(mTolerance.window);
   const double allowed = (aAccount.rate * window + aAccount.burst) * mTolerance.overrun;
-  const double size = kWaiverShare * (allowed + mTolerance.slack);
+  const double size = kWaiverShare * (allowed + mTolerance.slack) * aShare;
   const double rate = size / window;
   const double waived = std::min(debt, aAccount.waiver.Tokens(rate, size, aNow));
   aAccount.waiver.Charge(waived, rate, size, aNow);
@@ -183,13 +205,13 @@
                          double aShare,
                          core::TimePoint aNow) const
 {
-  aAccount.bucket.Charge(aTokens, aAccount.rate * aShare, SizeOf(aAccount), aNow);
+  aAccount.bucket.Charge(aTokens, aAccount.rate * aShare, SizeOf(aAccount, aShare), aNow);
 }
 
 double
 QuotaCoordinator::TokensOf(const Account& aAccount, double aShare, core::TimePoint aNow) const
 {
-  return aAccount.bucket.Tokens(aAccount.rate * aShare, SizeOf(aAccount), aNow);
+  return aAccount.bucket.Tokens(aAccount.rate * aShare, SizeOf(aAccount, aShare), aNow);
 }
 
 void
@@ -204,7 +226,7 @@
 void
 QuotaCoordinator::ReviewShortage(Account& aAccount, double aShare, core::TimePoint aNow) const
 {
-  const double size = SizeOf(aAccount);
+  const double size = SizeOf(aAccount, aShare);
   const double reserve =
     std::clamp(aAccount.demand * kReserveSeconds, kMinReserveShare * size, kMaxReserveShare * size);
   aAccount.isShort =
@@ -218,7 +240,8 @@
 {
   // Each refused caller is promised a later token, so that they don't all return for the same one.
   const double rate = std::max(aAccount.rate * aShare, kMinRate);
-  const core::TimePoint first = aNow + aAccount.bucket.TimeUntil(1.0, rate, SizeOf(aAccount), aNow);
+  const core::TimePoint first =
+    aNow + aAccount.bucket.TimeUntil(1.0, rate, SizeOf(aAccount, aShare), aNow);
   const core::TimePoint next = aAccount.promisedUntil + FromSeconds(1.0 / rate);
   aAccount.promisedUntil = std::min(std::max(first, next), aNow + kMaxPromise);
   return aAccount.promisedUntil - aNow;
@@ -261,7 +284,12 @@
     }
   }
   for (auto& [name, account] : mAccounts) {
+    const bool wasShort = account.isShort;
     ReviewShortage(account, share, aNow);
+    // At first all customers count as short, which says nothing about them.
+    if (account.isShort != wasShort && aNow - mBeganAt >= 2 * kLearningTime) {
+      mOnShortageChange({ name, account.isShort, TokensOf(account, share, aNow), account.demand });
+    }
     if (account.isShort) {
       reply.shortCustomers.insert(name);
     }
--- a/caller/quota_coordinator.h
+++ b/caller/quota_coordinator.h
@@ -5,8 +5,11 @@
 #include "upstream/token_bucket.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace skylarkwing::caller {
 
@@ -20,6 +23,17 @@
   double slack = 20.0;
 };
 
+/** A customer that has run short of tokens, or is no longer short. */
+struct QuotaShortage
+{
+  std::string customer;
+  bool isShort = false;
+  /** Negative when more requests were admitted than there were tokens. */
+  double tokens = 0.0;
+  /** Requests per second. */
+  double demand = 0.0;
+};
+
 /**
  * The token buckets of all customers, kept by one daemon for the fleet.
  *
@@ -39,6 +53,12 @@
   {
   }
 
+  /** Sets what is called when a customer runs short or is no longer short. */
+  void OnShortageChange(std::function<void(const QuotaShortage&)> aHook)
+  {
+    mOnShortageChange = std::move(aHook);
+  }
+
   /** Sets the customers; their tokens are kept, up to the new limits. */
   void SetCustomers(const declaration::CustomerTable& aCustomers, core::TimePoint aNow);
 
@@ -74,8 +94,17 @@
   };
 
   QuotaTolerance mTolerance;
+  std::function<void(const QuotaShortage&)> mOnShortageChange = [](const QuotaShortage&) {};
   std::map<std::string, Account, std::less<>> mAccounts;
-  std::map<std::string, double> mWeights;
+  /** A daemon that is listed, or was a short time ago. */
+  struct Member
+  {
+    double weight = 0.0;
+    /** Since when it isn't listed; nothing while it is. */
+    std::optional<core::TimePoint> missingSince;
+  };
+
+  std::map<std::string, Member> mMembers;
   bool mIsFirst = false;
   /** When each daemon reported last. */
   std::map<std::string, core::TimePoint> mReportedAt;
@@ -83,7 +112,8 @@
   /** When this daemon began to coordinate. */
   core::TimePoint mBeganAt{};
 
-  double SizeOf(const Account& aAccount) const;
+  /** @return what the bucket holds at most for the granted share of the quota. */
+  double SizeOf(const Account& aAccount, double aShare) const;
   void RestartIfUnused(core::TimePoint aNow);
   void Charge(Account& aAccount, double aTokens, double aShare, core::TimePoint aNow) const;
   void WaiveDebt(Account& aAccount, double aShare, core::TimePoint aNow) const;
