Quotas: locally refused callers are told when a token is expected

Change: they get the time of the next token that isn't promised yet. Test seen failing before (50 ms instead of 2,950).

--- a/caller/customer_quota.cpp
+++ b/caller/customer_quota.cpp
@@ -37,9 +37,9 @@
   if (aCustomer.ratePerSecond <= 0.0) {
     return {};
   }
-  const auto refused = mRefusedUntil.find(aCustomer.name);
-  if (refused != mRefusedUntil.end() && aNow < refused->second) {
-    return { QuotaStep::Refuse, refused->second - aNow };
+  const auto refused = mRefusals.find(aCustomer.name);
+  if (refused != mRefusals.end() && aNow < refused->second.askAgainAt) {
+    return { QuotaStep::Refuse, refused->second.nextTokenAt - aNow };
   }
   const bool isInContact = mAnsweredAt && aNow - *mAnsweredAt <= kContactTime;
   if (!isInContact || mShort.count(aCustomer.name) > 0) {
@@ -97,9 +97,9 @@
   mAnsweredAt = aNow;
   mShort = aReply.shortCustomers;
   mOwnBuckets.clear();
-  std::erase_if(mRefusedUntil, [aNow](const auto& aEntry) { return aEntry.second <= aNow; });
+  std::erase_if(mRefusals, [aNow](const auto& aEntry) { return aEntry.second.askAgainAt <= aNow; });
   for (const auto& [name, wait] : aReply.nextToken) {
-    mRefusedUntil[name] = aNow + std::min(wait, kMaxLocalRefusal);
+    mRefusals[name] = { aNow + std::min(wait, kMaxLocalRefusal), aNow + wait };
   }
 }
 
--- a/caller/customer_quota.h
+++ b/caller/customer_quota.h
@@ -80,8 +80,15 @@
   double mOwnShare = 1.0;
   std::map<std::string, std::int64_t> mUsed;
   std::set<std::string, std::less<>> mShort;
-  /** Until when further requests of a customer are refused without asking. */
-  std::map<std::string, core::TimePoint, std::less<>> mRefusedUntil;
+  /** A customer whose requests are refused without asking. */
+  struct Refusal
+  {
+    core::TimePoint askAgainAt;
+    /** When the next token is expected that isn't promised to another caller. */
+    core::TimePoint nextTokenAt;
+  };
+
+  std::map<std::string, Refusal, std::less<>> mRefusals;
   std::optional<core::TimePoint> mAnsweredAt;
   /** Buckets for this daemon's own shares, by customer. */
   std::map<std::string, upstream::TokenBucket, std::less<>> mOwnBuckets;
--- a/caller/tests/customer_quota_test.cpp
+++ b/caller/tests/customer_quota_test.cpp
@@ -480,6 +480,23 @@
   BOOST_TEST(coordinator.Handle(report, later + first).granted["farm"] == 1U);
 }
 
+// A caller that was told the end of the local refusal came back at once and took tokens of others.
+BOOST_AUTO_TEST_CASE(a_caller_that_is_refused_locally_is_told_when_a_token_will_be_there)
+{
+  declaration::Customer customer;
+  customer.name = "farm";
+  customer.ratePerSecond = 2.0;
+  CustomerQuota quota("vm-0");
+  QuotaReply reply;
+  reply.shortCustomers = { "farm" };
+  reply.nextToken["farm"] = seconds{ 3 };
+  quota.Apply(reply, kStart);
+  const QuotaVerdict verdict = quota.Decide(customer, kStart + milliseconds{ 50 });
+  BOOST_TEST((verdict.step == QuotaStep::Refuse));
+  BOOST_TEST((verdict.retryAfter == milliseconds{ 2950 }));
+  BOOST_TEST((quota.Decide(customer, kStart + milliseconds{ 150 }).step == QuotaStep::Ask));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::caller
