--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -521,7 +521,9 @@
   for (std::size_t n = mIdle.size(); n-- > 0;) {
     const auto it = mIdle.begin() + static_cast<std::ptrdiff_t>(n);
     const auto& refused = it->refusedIds;
-    if (std::find(refused.begin(), refused.end(), aRequest.id) != refused.end()) {
+    // A copy of the refusal only costs an idempotent request another attempt.
+    if (!aRequest.isIdempotent &&
+        std::find(refused.begin(), refused.end(), aRequest.id) != refused.end()) {
       continue;
     }
     IdleConnection idle = std::move(*it);
