Replicas that report their speed: times at usual speed, choice spread over the best few

Cause: for some services Server-Load has a fourth figure, how long work takes on the replica's machine at present. It was not read, so that the average of exchange times mixed all speeds, and all requests went to the replica with the least expected time.

Change: upstream/ReplicaSpeed keeps the last figure, which decays with age. Samples are divided by it, expected times multiplied. First attempts go to one of the replicas that cost at most 2.5 times as much as the best one, by weights of the inverse squared cost, and never to a more distant one. Replicas without the figure are chosen as before.

No replica gets more than two thirds of the requests in 200 ms.

--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 namespace skylarkwing::query::tests {
 
 namespace {
@@ -32,10 +34,66 @@
   return replica;
 }
 
+/**
+ * Adds a service of six near replicas whose work takes 0.6 to 3 times as long as usual, changing
+ * every 250 ms at different times.
+ */
+void
+AddUnevenReplicas(ReplicaSimulation& aSimulation, bool aReportsSlowdown)
+{
+  aSimulation.table->AddService({ "s0", 600, {}, 0.0 });
+  for (std::size_t n = 0; n < 6; ++n) {
+    SimulatedReplica model;
+    model.roundTrip = milliseconds{ 1 };
+    model.work = milliseconds{ 20 };
+    model.slots = 4;
+    model.reportsSlowdown = aReportsSlowdown;
+    model.slowdown = [n](core::TimePoint aNow) {
+      constexpr std::array<double, 5> kFactors{ 0.6, 1.0, 3.0, 0.8, 1.4 };
+      const auto step = (aNow.time_since_epoch() + n * milliseconds{ 41 }) / milliseconds{ 250 };
+      return kFactors.at((static_cast<std::size_t>(step) * (n + 1) + n) % kFactors.size());
+    };
+    upstream::AnnouncedReplica replica;
+    replica.id = "s0-" + std::to_string(n);
+    replica.service = "s0";
+    replica.address = replica.id;
+    replica.failureDomain = "near";
+    replica.slots = 4;
+    aSimulation.replicas.emplace(replica.id, model);
+    for (std::size_t daemon = 0; daemon <= aSimulation.others.size(); ++daemon) {
+      aSimulation.Daemon(daemon).AddOrUpdate(replica);
+    }
+  }
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(forwarding_load, ReplicaSimulation)
 
+// Guards against figures that are ignored, and against daemons that all send to the replica that
+// looked fast a moment ago.
+BOOST_AUTO_TEST_CASE(replicas_that_report_their_speed_answer_sooner_and_no_one_gets_all_requests)
+{
+  constexpr double kPerSecond = 360.0;
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 50 });
+  std::array<std::size_t, 2> late{};
+  for (const bool reports : { false, true }) {
+    ReplicaSimulation simulation;
+    simulation.AddDaemons(12);
+    AddUnevenReplicas(simulation, reports);
+    const LoadOutcome outcome = simulation.RunLoad(route, kPerSecond, seconds{ 20 });
+    late.at(reports ? 1 : 0) = outcome.requests - outcome.inTime;
+    for (const auto& [id, replica] : simulation.replicas) {
+      // Of 72 requests in this time.
+      const std::size_t most =
+        MostInSpan(replica.arrivalTimes, core::TimePoint{}, milliseconds{ 200 });
+      BOOST_TEST((!reports || most <= 48U));
+    }
+  }
+  BOOST_TEST_MESSAGE("late without the figure " << late[0] << ", with it " << late[1]);
+  BOOST_TEST(late[1] <= late[0] * 4 / 5);
+}
+
 BOOST_AUTO_TEST_CASE(answers_meet_the_objective_despite_replica_pauses)
 {
   for (std::size_t n = 0; n < 10; ++n) {
--- a/query/tests/replica_simulation.cpp
+++ b/query/tests/replica_simulation.cpp
@@ -4,6 +4,7 @@
 #include "query/gather_policy.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace skylarkwing::query::tests {
@@ -21,6 +22,7 @@
 constexpr const char* kLeavingHeader = "X-Leaving";
 constexpr const char* kMaxRateHeader = "X-Max-Rate";
 constexpr const char* kBackoffHeader = "X-Rest-Ms";
+constexpr const char* kLoadHeader = "X-Load";
 
 /** A connection to a simulated replica. */
 class SimulatedLink : public net::HttpConnection
@@ -63,7 +65,9 @@
       co_return reply;
     }
     // Most requests take about the typical time, 1 % take five times as long.
-    const double factor = mRandom.Fraction() < 0.01 ? 5.0 : 0.6 + 0.9 * mRandom.Fraction();
+    const double slowdown = mReplica->slowdown ? mReplica->slowdown(mLoop.timers.Now()) : 1.0;
+    const double factor =
+      slowdown * (mRandom.Fraction() < 0.01 ? 5.0 : 0.6 + 0.9 * mRandom.Fraction());
     const auto work = std::chrono::duration_cast<core::Duration>(mReplica->work * factor);
     const bool isBackingOff = mReplica->backoff > core::Duration::zero();
     const bool isShed = isBackingOff || mRandom.Fraction() < mReplica->shedShare;
@@ -94,6 +98,13 @@
     if (!done) {
       reply.response.headers.push_back({ kShedHeader, "1" });
     }
+    if (mReplica->slowdown) {
+      const upstream::LoadReport load = mReplica->LoadAt(back - mReplica->roundTrip / 2);
+      reply.response.headers.push_back(
+        { kLoadHeader,
+          std::to_string(load.running) + " " + std::to_string(load.waiting) + " " +
+            std::to_string(load.slots) + " " + std::to_string(load.slowdown.value_or(0.0)) });
+    }
     co_return reply;
   }
 
@@ -177,6 +188,13 @@
     if (const auto backoff = aResponse.Header(kBackoffHeader)) {
       answer.notice.backoff = milliseconds(std::stoll(*backoff));
     }
+    if (const auto load = aResponse.Header(kLoadHeader)) {
+      upstream::LoadReport report;
+      double slowdown = 0.0;
+      std::istringstream(*load) >> report.running >> report.waiting >> report.slots >> slowdown;
+      report.slowdown = slowdown > 0.0 ? std::optional<double>(slowdown) : std::nullopt;
+      answer.load = report;
+    }
     if (aResponse.Header(kWrongReplicaHeader)) {
       answer.kind = upstream::AnswerKind::WrongReplica;
       return answer;
@@ -212,6 +230,21 @@
   return end;
 }
 
+upstream::LoadReport
+SimulatedReplica::LoadAt(core::TimePoint aNow) const
+{
+  const auto unfinished = static_cast<std::size_t>(
+    std::count_if(ends.begin(), ends.end(), [aNow](core::TimePoint aEnd) { return aEnd > aNow; }));
+  upstream::LoadReport load;
+  load.running = static_cast<std::uint32_t>(std::min(unfinished, slots));
+  load.waiting = static_cast<std::uint32_t>(unfinished) - load.running;
+  load.slots = static_cast<std::uint32_t>(slots);
+  if (reportsSlowdown && slowdown) {
+    load.slowdown = slowdown(aNow);
+  }
+  return load;
+}
+
 void
 SimulatedReplica::End()
 {
--- a/query/tests/replica_simulation.h
+++ b/query/tests/replica_simulation.h
@@ -5,6 +5,7 @@
 #include "store/tests/virtual_loop.h"
 #include "upstream/replica_balancer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,6 +46,10 @@
   bool isLeaving = false;
   /** It names this limit on its requests per second in every answer. */
   std::optional<double> maxRate;
+  /** How long its work takes at a time, 1 as usual; null means as usual. */
+  std::function<double(core::TimePoint)> slowdown;
+  /** Whether its answers report that. */
+  bool reportsSlowdown = true;
   /** It refuses every request and requests this backoff; zero means it does not. */
   core::Duration backoff{};
   std::vector<core::TimePoint> slotFreeAt;
@@ -65,6 +70,9 @@
   /** Records an arrival from a daemon. */
   void RecordArrival(const std::string& aVm, core::TimePoint aNow);
 
+  /** @return the load that an answer sent at a time reports. */
+  upstream::LoadReport LoadAt(core::TimePoint aNow) const;
+
   /** @return the time at which an arriving request ends, nothing when it is shed. */
   std::optional<core::TimePoint> Accept(core::TimePoint aNow, core::Duration aWork);
 };
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -61,13 +61,27 @@
   return it == regions.end() ? unknown : it->second;
 }
 
+Proximity
+Locality::ProximityOf(const std::string& aFailureDomain) const
+{
+  if (aFailureDomain == failureDomain) {
+    return Proximity::OwnDomain;
+  }
+  return RegionOf(aFailureDomain) == region ? Proximity::OwnRegion : Proximity::OtherRegion;
+}
+
 core::Duration
 Locality::AssumedRoundTrip(const std::string& aFailureDomain) const
 {
-  if (aFailureDomain == failureDomain) {
-    return kRoundTripInDomain;
+  switch (ProximityOf(aFailureDomain)) {
+    case Proximity::OwnDomain:
+      return kRoundTripInDomain;
+    case Proximity::OwnRegion:
+      return kRoundTripInRegion;
+    case Proximity::OtherRegion:
+      break;
   }
-  return RegionOf(aFailureDomain) == region ? kRoundTripInRegion : kRoundTripToOtherRegion;
+  return kRoundTripToOtherRegion;
 }
 
 ReplicaBalancer::ReplicaBalancer(boost::asio::any_io_executor aExecutor,
@@ -490,6 +504,7 @@
   candidates.reserve(aClients.size());
   for (const std::shared_ptr<ReplicaClient>& client : aClients) {
     candidates.push_back(client->Candidate());
+    candidates.back().proximity = mLocality.ProximityOf(client->Replica().failureDomain);
     const bool isTooSlow = aRequest.maxExpectedTime > core::Duration::zero() &&
                            ExpectedTime(candidates.back()) >= aRequest.maxExpectedTime;
     const bool isUnreachable = mPartition.IsPartitioned() && !client->HasIdleConnection();
@@ -508,15 +523,30 @@
     }
   }
   const std::uint64_t tieBreak = mRandom.Below(aClients.size());
-  while (const auto index = ChooseReplica(candidates, tieBreak)) {
-    if (TryAcquireSend(*aClients[*index])) {
-      return aClients[*index];
+  while (const auto best = ChooseReplica(candidates, tieBreak)) {
+    // Hedges and retries are short of time, and too few to overload the best replica.
+    const std::size_t index =
+      aRequest.kind == AttemptKind::First ? SpreadOverBest(candidates, *best) : *best;
+    if (TryAcquireSend(*aClients[index])) {
+      return aClients[index];
     }
-    candidates[*index].hasRoom = false;
+    candidates[index].hasRoom = false;
   }
   return nullptr;
 }
 
+std::size_t
+ReplicaBalancer::SpreadOverBest(const std::vector<ReplicaCandidate>& aCandidates, std::size_t aBest)
+{
+  const std::vector<double> weights = ShareAmongBest(aCandidates, aBest);
+  // Nothing is drawn for replicas that don't report their speed: their choice stays the same.
+  const std::size_t index = weights.empty() ? aBest : DrawByWeight(weights, mRandom.Fraction());
+  if (aCandidates[index].reportsSpeed) {
+    ++(index == aBest ? mSpeedChoices.best : mSpeedChoices.shared);
+  }
+  return index;
+}
+
 void
 ReplicaBalancer::WakeWaiter(std::string_view aService)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -37,6 +37,9 @@
   /** @return the region of a failure domain, empty when it isn't known. */
   const std::string& RegionOf(const std::string& aFailureDomain) const;
 
+  /** @return where a failure domain is, seen from this daemon. */
+  Proximity ProximityOf(const std::string& aFailureDomain) const;
+
   /** @return the assumed round trip to a failure domain. */
   core::Duration AssumedRoundTrip(const std::string& aFailureDomain) const;
 };
@@ -113,6 +116,15 @@
   std::uint32_t Priority() const { return terms == nullptr ? 0 : terms->priority; }
 };
 
+/** How first attempts were given to replicas that report their speed. */
+struct SpeedChoices
+{
+  /** The best replica got it. */
+  std::uint32_t best = 0;
+  /** Another one that is nearly as good got it. */
+  std::uint32_t shared = 0;
+};
+
 /** An attempt that was started, or why it was not. */
 struct SendResult
 {
@@ -152,6 +164,9 @@
   /** @return the use of each rate-limited replica since the last call, without unused ones. */
   std::vector<LimitedUseReport> TakeLimitedUse();
 
+  /** @return the choices among replicas that report their speed, since the last call. */
+  SpeedChoices TakeSpeedChoices() { return std::exchange(mSpeedChoices, {}); }
+
   /** @return the rate limits that have ended a short time ago. */
   std::vector<EndedRateLimit> EndedRateLimits() const;
 
@@ -317,6 +332,7 @@
   std::map<std::string, std::shared_ptr<ReplicaClient>> mClients;
   RemovedReplicas mRemoved;
   std::map<std::string, Service, std::less<>> mServices;
+  SpeedChoices mSpeedChoices;
   WaiterId mLastWaiter = 0;
   PartitionDetector mPartition;
   /** The callbacks of the next probe; the running one was started before. */
@@ -354,6 +370,7 @@
   void WakeAll(std::string_view aService);
   std::shared_ptr<ReplicaClient> Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
                                         const AttemptRequest& aRequest);
+  std::size_t SpreadOverBest(const std::vector<ReplicaCandidate>& aCandidates, std::size_t aBest);
   void WakeWaiter(std::string_view aService);
   void WakeAllIfUnusable(std::string_view aService);
   void RemoveFromService(const std::shared_ptr<ReplicaClient>& aClient);
--- a/upstream/replica_choice.cpp
+++ b/upstream/replica_choice.cpp
@@ -1,11 +1,19 @@
 #include "upstream/replica_choice.h"
 
+#include "core/name_table.h"
+
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace skylarkwing::upstream {
 
 namespace {
 
+constexpr core::NameTable<Proximity, 3> kProximityNames{
+  { "own_domain", "own_region", "other_region" }
+};
+
 core::Duration
 Scale(core::Duration aSpan, double aFactor)
 {
@@ -14,6 +22,12 @@
 
 } // namespace
 
+std::string_view
+NameOf(Proximity aProximity)
+{
+  return kProximityNames.NameOf(aProximity);
+}
+
 core::Duration
 ExpectedTime(const ReplicaCandidate& aReplica)
 {
@@ -26,7 +40,7 @@
   if (aReplica.isCold) {
     expected = Scale(expected, kColdFactor);
   }
-  if (aReplica.stalledFor > Scale(aReplica.typicalTime, kStallFactor)) {
+  if (IsStalled(aReplica)) {
     expected += std::max(kMinStallRemaining, aReplica.stalledFor / 2);
   }
   if (aReplica.isSuspect) {
@@ -35,6 +49,57 @@
   return expected;
 }
 
+bool
+IsStalled(const ReplicaCandidate& aReplica)
+{
+  return aReplica.stalledFor > Scale(aReplica.typicalTime, kStallFactor);
+}
+
+core::Duration
+ExpectedCost(const ReplicaCandidate& aReplica)
+{
+  return ExpectedTime(aReplica) + Scale(kFailureCost, aReplica.failureRate) + aReplica.price;
+}
+
+std::vector<double>
+ShareAmongBest(const std::vector<ReplicaCandidate>& aReplicas, std::size_t aBest)
+{
+  const ReplicaCandidate& best = aReplicas[aBest];
+  if (!best.reportsSpeed) {
+    return {};
+  }
+  const core::Duration maxCost = Scale(ExpectedCost(best), kMaxSharedCost);
+  std::vector<double> weights;
+  std::size_t sharing = 0;
+  for (const ReplicaCandidate& replica : aReplicas) {
+    const core::Duration cost = ExpectedCost(replica);
+    const bool shares = replica.hasRoom && replica.reportsSpeed &&
+                        replica.proximity <= best.proximity && cost <= maxCost;
+    sharing += shares ? 1 : 0;
+    const double ratio = std::chrono::duration<double>(cost) / ExpectedCost(best);
+    weights.push_back(shares ? std::pow(ratio, -kCostExponent) : 0.0);
+  }
+  return sharing > 1 ? weights : std::vector<double>();
+}
+
+std::size_t
+DrawByWeight(const std::vector<double>& aWeights, double aFraction)
+{
+  double left = aFraction * std::accumulate(aWeights.begin(), aWeights.end(), 0.0);
+  std::size_t last = 0;
+  for (std::size_t n = 0; n < aWeights.size(); ++n) {
+    if (aWeights[n] <= 0.0) {
+      continue;
+    }
+    last = n;
+    left -= aWeights[n];
+    if (left < 0.0) {
+      break;
+    }
+  }
+  return last;
+}
+
 std::optional<std::size_t>
 ChooseReplica(const std::vector<ReplicaCandidate>& aReplicas, std::uint64_t aTieBreak)
 {
@@ -46,8 +111,7 @@
     if (!aReplicas[index].hasRoom) {
       continue;
     }
-    const core::Duration time =
-      ExpectedTime(aReplicas[index]) + Scale(kFailureCost, aReplicas[index].failureRate);
+    const core::Duration time = ExpectedCost(aReplicas[index]);
     if (!best || time < bestTime) {
       best = index;
       bestTime = time;
--- a/upstream/replica_choice.h
+++ b/upstream/replica_choice.h
@@ -5,10 +5,23 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace skylarkwing::upstream {
 
+/** Where a replica is, seen from this daemon; in ascending order of distance. */
+enum class Proximity
+{
+  OwnDomain,
+  OwnRegion,
+  OtherRegion,
+};
+
+/** @return the name of a proximity, for logs and metric labels. */
+std::string_view
+NameOf(Proximity aProximity);
+
 /** A replica's figures at the moment of a choice. */
 struct ReplicaCandidate
 {
@@ -31,6 +44,15 @@
   bool isCold = false;
   /** Share of its recent requests that failed. */
   double failureRate = 0.0;
+  /** Whether it reports its speed; the times above are then those at its present speed. */
+  bool reportsSpeed = false;
+  /** Whether the times are measured, and not long ago. */
+  bool isMeasured = false;
+  /** Share of its slots that requests take, by its reports; nothing when it isn't known. */
+  std::optional<double> use;
+  Proximity proximity = Proximity::OwnDomain;
+  /** Added to the expected time in a choice, for traffic that costs money. */
+  core::Duration price{};
 };
 
 /** Multiplies the estimate for a cold replica, which works at about half speed. */
@@ -52,12 +74,33 @@
  */
 constexpr core::Duration kFailureCost = std::chrono::milliseconds{ 250 };
 
+/**
+ * Replicas that report their speed share the requests if their cost is at most this many times the
+ * best one's: at the usual range of 60 to 140, the replica with the best figure gets company.
+ */
+constexpr double kMaxSharedCost = 2.5;
+
+/**
+ * Exponent of the inverse cost in the weights of replicas that share requests. With 1, all would be
+ * equally busy, and many requests would go to slow ones; with 2, a replica whose work takes 0.6 of
+ * the usual time gets 58 % beside two usual ones.
+ */
+constexpr double kCostExponent = 2.0;
+
 /** @return the expected time of one more exchange with a replica, without the cost of failures. */
 core::Duration
 ExpectedTime(const ReplicaCandidate& aReplica);
 
+/** @return whether it has left a request unanswered for too long. */
+bool
+IsStalled(const ReplicaCandidate& aReplica);
+
+/** @return the expected time with the expected cost of failures and the price. */
+core::Duration
+ExpectedCost(const ReplicaCandidate& aReplica);
+
 /**
- * Chooses the replica with the shortest expected time plus the expected cost of its failures.
+ * Chooses the replica with the least expected cost.
  *
  * Handles replicas that stall now and then, are slow for a while, or fail: requests go to the
  * nearest replica, and move to farther ones as soon as it leaves requests unanswered for too long
@@ -70,4 +113,23 @@
 std::optional<std::size_t>
 ChooseReplica(const std::vector<ReplicaCandidate>& aReplicas, std::uint64_t aTieBreak);
 
+/**
+ * Spreads requests over the replicas that are nearly as good as the best one, so that daemons that
+ * have seen the same figure don't all send to the same replica.
+ *
+ * Only replicas that report their speed share, and none that is farther away than the best one.
+ *
+ * @param aBest what ChooseReplica() has returned.
+ * @return the weight of each candidate; empty when the best one has no other beside it.
+ */
+std::vector<double>
+ShareAmongBest(const std::vector<ReplicaCandidate>& aReplicas, std::size_t aBest);
+
+/**
+ * @param aFraction a random number in [0, 1).
+ * @return an index, drawn by the weights.
+ */
+std::size_t
+DrawByWeight(const std::vector<double>& aWeights, double aFraction);
+
 } // namespace skylarkwing::upstream
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -36,6 +36,12 @@
 /** Age at which a replica's load report is outdated. */
 constexpr core::Duration kMaxLoadAge = std::chrono::milliseconds{ 150 };
 
+/** Age of the last load report at which the use of the slots is unknown. */
+constexpr core::Duration kMaxUseAge = std::chrono::seconds{ 1 };
+
+/** Weight of the newest report in the average use of the slots. */
+constexpr double kUseWeight = 0.3;
+
 AttemptResult
 Result(AttemptStatus aStatus)
 {
@@ -161,10 +167,13 @@
   if (isNewProcess) {
     mIdle.clear();
     mTypicalTime = mRoundTrip + mSettings.assumedServiceTime;
+    mHasAnswered = false;
     mFailures = 0;
     mFailureRate = {};
     mSuspectUntil = {};
     mLoad = {};
+    mLoadAt = {};
+    mSpeed = {};
     mAvailability = {};
   }
 }
@@ -185,6 +194,17 @@
   if (const auto oldest = OldestAttempt()) {
     candidate.stalledFor = now - std::max(*oldest, mLastAnswerAt);
   }
+  candidate.isMeasured = isFresh && mHasAnswered;
+  if (now - mLoadAt < kMaxUseAge) {
+    candidate.use = mUse;
+  }
+  candidate.reportsSpeed = mSpeed.IsReported();
+  if (candidate.reportsSpeed) {
+    const core::Duration usual = candidate.serviceTime;
+    candidate.serviceTime =
+      std::chrono::duration_cast<core::Duration>(usual * mSpeed.FactorAt(now));
+    candidate.typicalTime += candidate.serviceTime - usual;
+  }
   // A new connection costs another round trip, and the replica a handshake.
   candidate.typicalTime +=
     mIdle.empty() ? mRoundTrip + mSettings.handshakeTime : core::Duration::zero();
@@ -207,7 +227,8 @@
   if (RateLimit().MaxRate()) {
     ++(aKind == AttemptKind::First ? mLimitedUse.first : mLimitedUse.extra);
   }
-  auto attempt = std::make_shared<Attempt>(mReplica, now, mTypicalTime);
+  const core::Duration typicalTime = mSpeed.IsReported() ? Candidate().typicalTime : mTypicalTime;
+  auto attempt = std::make_shared<Attempt>(mReplica, now, typicalTime);
   mAttemptStarts.push_back(now);
   core::Start(
     mExecutor,
@@ -493,8 +514,7 @@
     co_return Result(StatusOf(aReply.error));
   }
   if (answer.load) {
-    mLoad = *answer.load;
-    mLoadAt = mTimers.Now();
+    RecordLoad(*answer.load);
   }
   mIdleTimeout = answer.idleTimeout.value_or(mIdleTimeout);
   if (IsCertainlyNotRun(StatusOf(answer.kind))) {
@@ -552,6 +572,18 @@
   mIdle.push_back({ std::move(aConnection), now, now + usable, std::move(aRefusedIds) });
 }
 
+void
+ReplicaClient::RecordLoad(const LoadReport& aLoad)
+{
+  const core::TimePoint now = mTimers.Now();
+  const double slots = std::max<std::uint32_t>(1, aLoad.slots > 0 ? aLoad.slots : mReplica.slots);
+  const double use = (static_cast<double>(aLoad.running) + aLoad.waiting) / slots;
+  mUse = now - mLoadAt < kMaxUseAge ? mUse + (use - mUse) * kUseWeight : use;
+  mLoad = aLoad;
+  mLoadAt = now;
+  mSpeed.Record(aLoad.slowdown, now);
+}
+
 void
 ReplicaClient::RecordResult(const Attempt& aAttempt, AttemptStatus aStatus)
 {
@@ -563,9 +595,11 @@
       mFailures = 0;
       mSuspectUntil = {};
       mLastAnswerAt = now;
+      mHasAnswered = true;
       const core::Duration maxSample =
         std::chrono::duration_cast<core::Duration>(mTypicalTime * kMaxSampleFactor);
-      const core::Duration sample = std::min(now - aAttempt.mStart, maxSample);
+      const core::Duration sample =
+        std::min(mSpeed.AtUsualSpeed(now - aAttempt.mStart, mRoundTrip, now), maxSample);
       mTypicalTime +=
         std::chrono::duration_cast<core::Duration>((sample - mTypicalTime) * kSampleWeight);
       break;
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -8,6 +8,7 @@
 #include "upstream/replica_choice.h"
 #include "upstream/replica_protocol.h"
 #include "upstream/replica_registry.h"
+#include "upstream/replica_speed.h"
 #include "upstream/token_bucket.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -312,13 +313,19 @@
   bool mHasConnectFailed = false;
   std::vector<IdleConnection> mIdle;
   std::vector<core::TimePoint> mAttemptStarts;
+  /** Average time of an exchange at usual speed. */
   core::Duration mTypicalTime;
   core::TimePoint mLastAnswerAt;
+  /** Whether mTypicalTime has been measured. */
+  bool mHasAnswered = false;
   core::TimePoint mColdUntil{};
   TokenBucket mColdRate{ 1.0, {} };
   LimitedUse mLimitedUse;
   LoadReport mLoad;
   core::TimePoint mLoadAt{};
+  /** Share of the slots that the reported requests take, averaged over the reports. */
+  double mUse = 0.0;
+  ReplicaSpeed mSpeed;
   /** Consecutive failures. */
   std::uint32_t mFailures = 0;
   FailureRate mFailureRate;
@@ -350,6 +357,7 @@
   bool TakeIdle(const ForwardedRequest& aRequest, Attempt& aAttempt);
   void Release(std::shared_ptr<net::HttpConnection> aConnection,
                std::vector<std::string> aRefusedIds = {});
+  void RecordLoad(const LoadReport& aLoad);
   void RecordResult(const Attempt& aAttempt, AttemptStatus aStatus);
   void Suspect(std::string_view aReason);
   void MarkAddressReassigned();
--- /dev/null
+++ b/upstream/replica_speed.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/timer_service.h"
+
+#include <optional>
+
+namespace skylarkwing::upstream {
+
+/**
+ * The speed of one replica's machine, by the figures in its answers.
+ *
+ * The figure changes several times per second, so that its weight decays with its age: the factor
+ * goes back to 1, which is the usual speed. Without a figure the factor is 1 at any time.
+ */
+class ReplicaSpeed
+{
+public:
+  /**
+   * Age at which the logarithm of the figure counts for 1/e. The figure changes every 100 to 300
+   * ms; a figure of 300 counts as 150 after this time.
+   */
+  static constexpr core::Duration kDecayTime = std::chrono::milliseconds{ 200 };
+
+  /** Bounds of a figure that is taken; those of the header divided by 100. */
+  static constexpr double kMinFactor = 0.1;
+  static constexpr double kMaxFactor = 100.0;
+
+  /**
+   * Records the figure of an answer.
+   *
+   * @param aFactor how long work takes, 1 as usual; nothing or a value out of bounds changes
+   *        nothing.
+   */
+  void Record(std::optional<double> aFactor, core::TimePoint aNow);
+
+  /** @return whether the replica has reported a figure. */
+  bool IsReported() const { return mFactor.has_value(); }
+
+  /** @return how long work takes now, 1 as usual or when it isn't known. */
+  double FactorAt(core::TimePoint aNow) const;
+
+  /**
+   * @param aTime a measured exchange that has ended now.
+   * @param aRoundTrip the part of it that doesn't depend on the replica's speed.
+   * @return the time that it would have taken at usual speed.
+   */
+  core::Duration AtUsualSpeed(core::Duration aTime,
+                              core::Duration aRoundTrip,
+                              core::TimePoint aNow) const;
+
+private:
+  std::optional<double> mFactor;
+  core::TimePoint mReportedAt{};
+};
+
+} // namespace skylarkwing::upstream
--- /dev/null
+++ b/upstream/tests/replica_speed_test.cpp
@@ -0,0 +1,136 @@
+#include "core/random_source.h"
+#include "upstream/replica_choice.h"
+#include "upstream/replica_speed.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace skylarkwing::upstream::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::TimePoint kStart{ std::chrono::seconds{ 1000 } };
+constexpr core::Duration kRoundTrip = milliseconds{ 2 };
+constexpr core::Duration kWork = milliseconds{ 20 };
+
+ReplicaCandidate
+MakeCandidate(double aFactor, Proximity aProximity = Proximity::OwnDomain)
+{
+  ReplicaCandidate candidate;
+  candidate.serviceTime = std::chrono::duration_cast<core::Duration>(kWork * aFactor);
+  candidate.typicalTime = kRoundTrip + candidate.serviceTime;
+  candidate.slots = 4;
+  candidate.hasRoom = true;
+  candidate.reportsSpeed = true;
+  candidate.proximity = aProximity;
+  return candidate;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replica_speed)
+
+// Guards against a figure that is trusted long after the speed has changed.
+BOOST_AUTO_TEST_CASE(a_figure_counts_less_with_age)
+{
+  ReplicaSpeed speed;
+  BOOST_TEST(speed.FactorAt(kStart) == 1.0);
+  speed.Record(3.0, kStart);
+  BOOST_TEST(speed.FactorAt(kStart) == 3.0);
+  BOOST_TEST(speed.FactorAt(kStart + milliseconds{ 200 }) < 1.6);
+  BOOST_TEST(speed.FactorAt(kStart + milliseconds{ 200 }) > 1.4);
+  BOOST_TEST(speed.FactorAt(kStart + std::chrono::seconds{ 2 }) < 1.001);
+  speed.Record(0.6, kStart + std::chrono::seconds{ 2 });
+  BOOST_TEST(speed.FactorAt(kStart + milliseconds{ 2200 }) > 0.8);
+  BOOST_TEST(speed.FactorAt(kStart + milliseconds{ 2200 }) < 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(absurd_figures_change_nothing)
+{
+  ReplicaSpeed speed;
+  const double infinity = std::numeric_limits<double>::infinity();
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  for (const double factor : { 0.0, -1.0, 0.09, 100.1, infinity, nan }) {
+    speed.Record(factor, kStart);
+    BOOST_TEST(!speed.IsReported());
+  }
+  speed.Record(2.0, kStart);
+  speed.Record(nan, kStart);
+  speed.Record(std::nullopt, kStart);
+  BOOST_TEST(speed.FactorAt(kStart) == 2.0);
+}
+
+// Guards against an average that contains the speed, which would then count twice.
+BOOST_AUTO_TEST_CASE(times_are_kept_at_usual_speed_without_the_round_trip)
+{
+  ReplicaSpeed speed;
+  BOOST_TEST((speed.AtUsualSpeed(milliseconds{ 62 }, kRoundTrip, kStart) == milliseconds{ 62 }));
+  speed.Record(3.0, kStart);
+  const core::Duration usual = speed.AtUsualSpeed(milliseconds{ 62 }, kRoundTrip, kStart);
+  BOOST_TEST((usual > milliseconds{ 21 } && usual < milliseconds{ 23 }));
+  BOOST_TEST((speed.AtUsualSpeed(milliseconds{ 1 }, kRoundTrip, kStart) == milliseconds{ 1 }));
+}
+
+// Guards against a herd: 60 daemons that have all just seen the same fast replica.
+BOOST_AUTO_TEST_CASE(daemons_that_see_the_same_fast_replica_spread_their_requests)
+{
+  constexpr int kDaemons = 60;
+  constexpr int kRequests = 20;
+  for (const double usual : { 1.0, 1.3 }) {
+    const std::vector<ReplicaCandidate> replicas{ MakeCandidate(usual),
+                                                  MakeCandidate(0.6),
+                                                  MakeCandidate(usual) };
+    std::vector<int> received(replicas.size());
+    for (int daemon = 0; daemon < kDaemons; ++daemon) {
+      core::RandomSource random(static_cast<std::uint64_t>(daemon));
+      for (int n = 0; n < kRequests; ++n) {
+        const auto best = ChooseReplica(replicas, random.Below(3));
+        BOOST_TEST_REQUIRE(best.value() == 1U);
+        ++received.at(DrawByWeight(ShareAmongBest(replicas, *best), random.Fraction()));
+      }
+    }
+    // The fast replica can do 1.7 to 2.2 times as much as each other one, so at most 0.52 of all.
+    BOOST_TEST(received[1] < kDaemons * kRequests * 7 / 10);
+    BOOST_TEST(received[1] > kDaemons * kRequests * 5 / 10);
+    BOOST_TEST(std::min(received[0], received[2]) > kDaemons * kRequests / 10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(slow_busy_failing_and_distant_replicas_do_not_share)
+{
+  std::vector<ReplicaCandidate> replicas(6, MakeCandidate(1.0));
+  replicas[1] = MakeCandidate(3.0);
+  replicas[2].waiting = 12;
+  replicas[3].failureRate = 0.2;
+  replicas[4].hasRoom = false;
+  replicas[5].proximity = Proximity::OwnRegion;
+  BOOST_TEST(ShareAmongBest(replicas, 0).empty());
+  // From a farther replica, nearer ones may share.
+  replicas[0].proximity = Proximity::OtherRegion;
+  const std::vector<double> weights = ShareAmongBest(replicas, 0);
+  BOOST_TEST_REQUIRE(weights.size() == replicas.size());
+  BOOST_TEST(weights[5] > 0.0);
+  BOOST_TEST(weights[1] + weights[2] + weights[3] + weights[4] == 0.0);
+}
+
+// Guards against another choice for services whose replicas report no figure.
+BOOST_AUTO_TEST_CASE(replicas_without_a_figure_do_not_share)
+{
+  std::vector<ReplicaCandidate> replicas(3, MakeCandidate(1.0));
+  for (ReplicaCandidate& replica : replicas) {
+    replica.reportsSpeed = false;
+  }
+  BOOST_TEST(ShareAmongBest(replicas, 0).empty());
+  replicas[1].reportsSpeed = true;
+  BOOST_TEST(ShareAmongBest(replicas, 0).empty());
+  BOOST_TEST(ShareAmongBest(replicas, 1).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::upstream::test
