Spillover between failure domains: a slow share, a price, room kept for others

Cause: the shortest expected time alone decided whether a request leaves its failure domain, so that all daemons left and returned together, at any cost of the traffic, and took the slots of the other domain's own callers.

Change: where the settings name `spillover` and replicas report their speed, upstream/DomainSpillover decides for each service which share of the first attempts may leave. It rises while the own domain takes longer than elsewhere with the price, and falls slowly. Replicas elsewhere that use more than maxUse of their slots are used only when no other has room. Without both, choices are as before.

Not measured on the deployments.

--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <tuple>
 
 namespace skylarkwing::query::tests {
 
@@ -94,6 +95,41 @@
   BOOST_TEST(late[1] <= late[0] * 4 / 5);
 }
 
+// Guards against requests that leave the domain in calm times, and that queue there under load.
+BOOST_AUTO_TEST_CASE(requests_leave_the_domain_under_load_only_and_not_without_the_figure)
+{
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 150 });
+  const upstream::SpilloverSettings spillover{ milliseconds{ 3 }, milliseconds{ 15 }, 0.7 };
+  const auto run = [&route, &spillover](double aPerSecond, bool aReports, bool aHasSpillover) {
+    ReplicaSimulation simulation;
+    simulation.AddDaemons(12);
+    SimulatedReplica model;
+    model.work = milliseconds{ 20 };
+    model.slots = 4;
+    model.slowdown = [](core::TimePoint) { return 1.0; };
+    model.reportsSlowdown = aReports;
+    simulation.AddService(0, model);
+    simulation.table->AddService({ "s0", 600, {}, 0.0 });
+    for (std::size_t n = 0; aHasSpillover && n < 12; ++n) {
+      simulation.Daemon(n).SetSpillover(spillover);
+    }
+    const LoadOutcome outcome = simulation.RunLoad(route, aPerSecond, seconds{ 20 });
+    const std::uint32_t near = simulation.replicas.at("s0-near").arrivals;
+    BOOST_TEST_MESSAGE(aPerSecond << "/s, figure " << aReports << ", spillover " << aHasSpillover
+                                  << ": in time " << outcome.inTime << " of " << outcome.requests
+                                  << ", near " << near << " of " << outcome.attempts);
+    return std::make_tuple(outcome.inTime, outcome.attempts, near);
+  };
+  BOOST_TEST((run(300.0, false, true) == run(300.0, false, false)));
+  run(100.0, true, false);
+  run(300.0, true, false);
+  const auto [calmInTime, calmAttempts, calmNear] = run(100.0, true, true);
+  BOOST_TEST(calmNear >= calmAttempts * 95 / 100);
+  const auto [inTime, attempts, near] = run(300.0, true, true);
+  BOOST_TEST(inTime >= 300U * 20 * 95 / 100);
+  BOOST_TEST(near >= attempts * 4 / 10);
+}
+
 BOOST_AUTO_TEST_CASE(answers_meet_the_objective_despite_replica_pauses)
 {
   for (std::size_t n = 0; n < 10; ++n) {
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -522,12 +522,16 @@
       }
     }
   }
+  const bool hasOwnDomain = ApplySpillover(candidates, aRequest);
   const std::uint64_t tieBreak = mRandom.Below(aClients.size());
   while (const auto best = ChooseReplica(candidates, tieBreak)) {
     // Hedges and retries are short of time, and too few to overload the best replica.
     const std::size_t index =
       aRequest.kind == AttemptKind::First ? SpreadOverBest(candidates, *best) : *best;
     if (TryAcquireSend(*aClients[index])) {
+      const Proximity proximity = candidates[index].proximity;
+      mSpilled.ownRegion += hasOwnDomain && proximity == Proximity::OwnRegion ? 1 : 0;
+      mSpilled.otherRegion += hasOwnDomain && proximity == Proximity::OtherRegion ? 1 : 0;
       return aClients[index];
     }
     candidates[index].hasRoom = false;
@@ -535,6 +539,24 @@
   return nullptr;
 }
 
+bool
+ReplicaBalancer::ApplySpillover(std::vector<ReplicaCandidate>& aCandidates,
+                                const AttemptRequest& aRequest)
+{
+  // Hedges and retries have lost time already, so that the price doesn't matter.
+  if (!mSpillover || aRequest.kind != AttemptKind::First ||
+      !DomainSpillover::IsInEffect(aCandidates)) {
+    return false;
+  }
+  DomainSpillover& spillover = ServiceOf(aRequest.service).spillover;
+  const bool hasOwnDomain =
+    spillover.Apply(aCandidates, *mSpillover, mRandom.Fraction(), mTimers.Now());
+  if (const auto change = spillover.TakeChange()) {
+    mOnSpilloverChange(std::string(aRequest.service), *change);
+  }
+  return hasOwnDomain;
+}
+
 std::size_t
 ReplicaBalancer::SpreadOverBest(const std::vector<ReplicaCandidate>& aCandidates, std::size_t aBest)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -3,6 +3,7 @@
 #include "core/log_rate_limiter.h"
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
+#include "upstream/domain_spillover.h"
 #include "upstream/partition_detector.h"
 #include "upstream/replica_client.h"
 #include "upstream/request_terms.h"
@@ -116,6 +117,16 @@
   std::uint32_t Priority() const { return terms == nullptr ? 0 : terms->priority; }
 };
 
+/** First attempts that left the failure domain although it had a replica that answered. */
+struct SpilledRequests
+{
+  std::uint32_t ownRegion = 0;
+  std::uint32_t otherRegion = 0;
+};
+
+/** Called when requests of a service begin to leave the failure domain, or have all returned. */
+using SpilloverHook = std::function<void(const std::string& aService, const SpilloverChange&)>;
+
 /** How first attempts were given to replicas that report their speed. */
 struct SpeedChoices
 {
@@ -164,6 +175,15 @@
   /** @return the use of each rate-limited replica since the last call, without unused ones. */
   std::vector<LimitedUseReport> TakeLimitedUse();
 
+  /** Sets when requests may leave the failure domain; without it, the shortest time decides. */
+  void SetSpillover(const SpilloverSettings& aSettings) { mSpillover = aSettings; }
+
+  /** Sets the callback for requests that leave the failure domain. */
+  void OnSpilloverChange(SpilloverHook aHook) { mOnSpilloverChange = std::move(aHook); }
+
+  /** @return the requests that left the failure domain since the last call. */
+  SpilledRequests TakeSpilledRequests() { return std::exchange(mSpilled, {}); }
+
   /** @return the choices among replicas that report their speed, since the last call. */
   SpeedChoices TakeSpeedChoices() { return std::exchange(mSpeedChoices, {}); }
 
@@ -307,6 +327,7 @@
     /** By priority, then by arrival. */
     std::map<std::pair<std::uint32_t, WaiterId>, std::function<void()>> waiters;
     RoomWait roomWait;
+    DomainSpillover spillover;
     /** Wakes a waiter when a rate limit allows a request. */
     core::TimerId rateTimer = 0;
   };
@@ -333,6 +354,9 @@
   RemovedReplicas mRemoved;
   std::map<std::string, Service, std::less<>> mServices;
   SpeedChoices mSpeedChoices;
+  std::optional<SpilloverSettings> mSpillover;
+  SpilledRequests mSpilled;
+  SpilloverHook mOnSpilloverChange = [](const std::string&, const SpilloverChange&) {};
   WaiterId mLastWaiter = 0;
   PartitionDetector mPartition;
   /** The callbacks of the next probe; the running one was started before. */
@@ -370,6 +394,7 @@
   void WakeAll(std::string_view aService);
   std::shared_ptr<ReplicaClient> Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
                                         const AttemptRequest& aRequest);
+  bool ApplySpillover(std::vector<ReplicaCandidate>& aCandidates, const AttemptRequest& aRequest);
   std::size_t SpreadOverBest(const std::vector<ReplicaCandidate>& aCandidates, std::size_t aBest);
   void WakeWaiter(std::string_view aService);
   void WakeAllIfUnusable(std::string_view aService);
--- a/upstream/replica_choice.cpp
+++ b/upstream/replica_choice.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 
 namespace skylarkwing::upstream {
 
@@ -74,7 +75,8 @@
   for (const ReplicaCandidate& replica : aReplicas) {
     const core::Duration cost = ExpectedCost(replica);
     const bool shares = replica.hasRoom && replica.reportsSpeed &&
-                        replica.proximity <= best.proximity && cost <= maxCost;
+                        replica.proximity <= best.proximity &&
+                        replica.isDeferred <= best.isDeferred && cost <= maxCost;
     sharing += shares ? 1 : 0;
     const double ratio = std::chrono::duration<double>(cost) / ExpectedCost(best);
     weights.push_back(shares ? std::pow(ratio, -kCostExponent) : 0.0);
@@ -112,7 +114,8 @@
       continue;
     }
     const core::Duration time = ExpectedCost(aReplicas[index]);
-    if (!best || time < bestTime) {
+    const bool isDeferred = aReplicas[index].isDeferred;
+    if (!best || std::tie(isDeferred, time) < std::tie(aReplicas[*best].isDeferred, bestTime)) {
       best = index;
       bestTime = time;
     }
--- a/upstream/replica_choice.h
+++ b/upstream/replica_choice.h
@@ -46,13 +46,19 @@
   double failureRate = 0.0;
   /** Whether it reports its speed; the times above are then those at its present speed. */
   bool reportsSpeed = false;
+  /** How long work takes at its present speed, 1 as usual; part of the times above. */
+  double slowdown = 1.0;
   /** Whether the times are measured, and not long ago. */
   bool isMeasured = false;
   /** Share of its slots that requests take, by its reports; nothing when it isn't known. */
   std::optional<double> use;
+  /** Time since its last load report; nothing when there is none. */
+  std::optional<core::Duration> reportAge;
   Proximity proximity = Proximity::OwnDomain;
   /** Added to the expected time in a choice, for traffic that costs money. */
   core::Duration price{};
+  /** Chosen only when no other one has room. */
+  bool isDeferred = false;
 };
 
 /** Multiplies the estimate for a cold replica, which works at about half speed. */
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -195,14 +195,17 @@
     candidate.stalledFor = now - std::max(*oldest, mLastAnswerAt);
   }
   candidate.isMeasured = isFresh && mHasAnswered;
+  if (mLoadAt != core::TimePoint{}) {
+    candidate.reportAge = now - mLoadAt;
+  }
   if (now - mLoadAt < kMaxUseAge) {
     candidate.use = mUse;
   }
   candidate.reportsSpeed = mSpeed.IsReported();
   if (candidate.reportsSpeed) {
     const core::Duration usual = candidate.serviceTime;
-    candidate.serviceTime =
-      std::chrono::duration_cast<core::Duration>(usual * mSpeed.FactorAt(now));
+    candidate.slowdown = mSpeed.FactorAt(now);
+    candidate.serviceTime = std::chrono::duration_cast<core::Duration>(usual * candidate.slowdown);
     candidate.typicalTime += candidate.serviceTime - usual;
   }
   // A new connection costs another round trip, and the replica a handshake.
