Spillover: some requests leave at once when the own domain takes 1.8 times as long

Change: from an excess of 0.6 on, up to 0.6 of the requests may leave before the smoothed times show it.

--- a/upstream/domain_spillover.cpp
+++ b/upstream/domain_spillover.cpp
@@ -24,9 +24,19 @@
 /** The share at which a change is reported, so that small ones aren't. */
 constexpr double kReportedShare = 0.05;
 
-/** Excess while no replica of the own domain has room. */
+/** Greatest excess, also while no replica of the own domain has room. */
 constexpr double kMaxExcess = 1.0;
 
+/**
+ * From this excess on, where the own domain takes 1.8 times as long, some requests leave at once:
+ * at the beginning of an overload, the queue would make them late before the share has risen.
+ */
+constexpr double kUrgentExcess = 0.6;
+
+/** The share that leaves at once at the greatest excess; the rest stays, so that daemons don't all
+ * leave together. */
+constexpr double kMaxUrgentShare = 0.6;
+
 double
 Seconds(core::Duration aSpan)
 {
@@ -59,6 +69,28 @@
   return !IsOwn(aReplica) && aReplica.use && *aReplica.use > aSettings.maxUse;
 }
 
+/** @return the logarithm of the ratio of the times, limited; negative while none may be sent away.
+ */
+double
+ExcessOf(const SpilloverChange& aTimes)
+{
+  if (!aTimes.away) {
+    return -kMaxExcess;
+  }
+  // The logarithm, so that times that vary around the same average have no excess on average.
+  const double excess =
+    aTimes.own ? std::log(Seconds(*aTimes.own) / Seconds(*aTimes.away)) : kMaxExcess;
+  return std::clamp(excess, -kMaxExcess, kMaxExcess);
+}
+
+/** @return the share that may leave at once, before the smoothed times show the excess. */
+double
+UrgentShare(const SpilloverChange& aTimes)
+{
+  return kMaxUrgentShare * std::max(0.0, ExcessOf(aTimes) - kUrgentExcess) /
+         (kMaxExcess - kUrgentExcess);
+}
+
 core::Duration
 PriceOf(Proximity aProximity, const SpilloverSettings& aSettings)
 {
@@ -118,7 +150,7 @@
     // A customer's regions may exclude all others, which says nothing about the service.
     Update(times, elapsed);
   }
-  const bool mayLeave = aFraction < mShare;
+  const bool mayLeave = aFraction < std::max(mShare, UrgentShare(times));
   for (ReplicaCandidate& replica : aReplicas) {
     replica.isDeferred = IsReserved(replica, aSettings) || (!IsOwn(replica) && !mayLeave);
   }
@@ -154,13 +186,7 @@
 void
 DomainSpillover::Update(const SpilloverChange& aTimes, core::Duration aElapsed)
 {
-  double excess = -kMaxExcess;
-  if (aTimes.away) {
-    // The logarithm, so that times that vary around the same average have no excess on average.
-    excess = aTimes.own ? std::log(Seconds(*aTimes.own) / Seconds(*aTimes.away)) : kMaxExcess;
-    excess = std::clamp(excess, -kMaxExcess, kMaxExcess);
-  }
-  mExcess += (excess - mExcess) * SampleWeight(aElapsed, kSmoothingSeconds);
+  mExcess += (ExcessOf(aTimes) - mExcess) * SampleWeight(aElapsed, kSmoothingSeconds);
   const core::Duration riseTime = std::min(aElapsed, kMaxRiseTime);
   // Without requests the share falls: what was measured before is outdated.
   mShare -= kFallPerSecond * Seconds(aElapsed - riseTime);
