--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -130,6 +130,40 @@
   BOOST_TEST(near >= attempts * 4 / 10);
 }
 
+// Guards against spillover to a domain that the operator has taken out, or outside the customer's
+// regions.
+BOOST_AUTO_TEST_CASE(requests_that_leave_the_domain_avoid_domains_that_are_out)
+{
+  AddDaemons(4);
+  SimulatedReplica model;
+  model.work = milliseconds{ 20 };
+  model.slots = 4;
+  model.slowdown = [](core::TimePoint) { return 1.0; };
+  AddService(0, model);
+  table->AddService({ "s0", 200, {}, 0.0 });
+  for (std::size_t n = 0; n < 4; ++n) {
+    Daemon(n).SetSpillover({ milliseconds{ 3 }, milliseconds{ 15 }, 0.7 });
+    Daemon(n).SetDomainOut("far", true);
+  }
+  RunLoad(MakeRoute(1, 1, milliseconds{ 150 }), 300.0, seconds{ 5 });
+  BOOST_TEST(replicas.at("s0-far").arrivals == 0U);
+  BOOST_TEST(replicas.at("s0-farther").arrivals > 100U);
+  upstream::RequestTerms terms;
+  terms.regions = { "near" };
+  upstream::AttemptRequest request;
+  request.service = "s0";
+  request.terms = &terms;
+  request.deadline = loop.timers.Now() + seconds{ 1 };
+  const std::uint32_t farther = replicas.at("s0-farther").arrivals;
+  for (int n = 0; n < 200; ++n) {
+    auto message = std::make_shared<upstream::ForwardedRequest>();
+    message->id = "r" + std::to_string(n);
+    set->Send(request, std::move(message), [](const upstream::AttemptResult&) {});
+  }
+  loop.Run(seconds{ 2 });
+  BOOST_TEST(replicas.at("s0-farther").arrivals == farther);
+}
+
 BOOST_AUTO_TEST_CASE(answers_meet_the_objective_despite_replica_pauses)
 {
   for (std::size_t n = 0; n < 10; ++n) {
