--- a/query/tests/forwarding_load_test.cpp
+++ b/query/tests/forwarding_load_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <tuple>
+
 namespace skylarkwing::query::tests {
 
 namespace {
@@ -32,10 +35,135 @@
   return replica;
 }
 
+/**
+ * Adds a service of six near replicas whose work takes 0.6 to 3 times as long as usual, changing
+ * every 250 ms at different times.
+ */
+void
+AddUnevenReplicas(ReplicaSimulation& aSimulation, bool aReportsSlowdown)
+{
+  aSimulation.table->AddService({ "s0", 600, {}, 0.0 });
+  for (std::size_t n = 0; n < 6; ++n) {
+    SimulatedReplica model;
+    model.roundTrip = milliseconds{ 1 };
+    model.work = milliseconds{ 20 };
+    model.slots = 4;
+    model.reportsSlowdown = aReportsSlowdown;
+    model.slowdown = [n](core::TimePoint aNow) {
+      constexpr std::array<double, 5> kFactors{ 0.6, 1.0, 3.0, 0.8, 1.4 };
+      const auto step = (aNow.time_since_epoch() + n * milliseconds{ 41 }) / milliseconds{ 250 };
+      return kFactors.at((static_cast<std::size_t>(step) * (n + 1) + n) % kFactors.size());
+    };
+    upstream::AnnouncedReplica replica;
+    replica.id = "s0-" + std::to_string(n);
+    replica.service = "s0";
+    replica.address = replica.id;
+    replica.failureDomain = "near";
+    replica.slots = 4;
+    aSimulation.replicas.emplace(replica.id, model);
+    for (std::size_t daemon = 0; daemon <= aSimulation.others.size(); ++daemon) {
+      aSimulation.Daemon(daemon).AddOrUpdate(replica);
+    }
+  }
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(forwarding_load, ReplicaSimulation)
 
+// Guards against figures that are ignored, and against daemons that all send to the replica that
+// looked fast a moment ago.
+BOOST_AUTO_TEST_CASE(replicas_that_report_their_speed_answer_sooner_and_no_one_gets_all_requests)
+{
+  constexpr double kPerSecond = 360.0;
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 50 });
+  std::array<std::size_t, 2> late{};
+  for (const bool reports : { false, true }) {
+    ReplicaSimulation simulation;
+    simulation.AddDaemons(12);
+    AddUnevenReplicas(simulation, reports);
+    const LoadOutcome outcome = simulation.RunLoad(route, kPerSecond, seconds{ 20 });
+    late.at(reports ? 1 : 0) = outcome.requests - outcome.inTime;
+    for (const auto& [id, replica] : simulation.replicas) {
+      // Of 72 requests in this time.
+      const std::size_t most =
+        MostInSpan(replica.arrivalTimes, core::TimePoint{}, milliseconds{ 200 });
+      BOOST_TEST((!reports || most <= 48U));
+    }
+  }
+  BOOST_TEST_MESSAGE("late without the figure " << late[0] << ", with it " << late[1]);
+  BOOST_TEST(late[1] <= late[0] * 4 / 5);
+}
+
+// Guards against requests that leave the domain in calm times, and that queue there under load.
+BOOST_AUTO_TEST_CASE(requests_leave_the_domain_under_load_only_and_not_without_the_figure)
+{
+  const declaration::Route route = MakeRoute(1, 1, milliseconds{ 150 });
+  const upstream::SpilloverSettings spillover{ milliseconds{ 3 }, milliseconds{ 15 }, 0.7 };
+  const auto run = [&route, &spillover](double aPerSecond, bool aReports, bool aHasSpillover) {
+    ReplicaSimulation simulation;
+    simulation.AddDaemons(12);
+    SimulatedReplica model;
+    model.work = milliseconds{ 20 };
+    model.slots = 4;
+    model.slowdown = [](core::TimePoint) { return 1.0; };
+    model.reportsSlowdown = aReports;
+    simulation.AddService(0, model);
+    simulation.table->AddService({ "s0", 600, {}, 0.0 });
+    for (std::size_t n = 0; aHasSpillover && n < 12; ++n) {
+      simulation.Daemon(n).SetSpillover(spillover);
+    }
+    const LoadOutcome outcome = simulation.RunLoad(route, aPerSecond, seconds{ 20 });
+    const std::uint32_t near = simulation.replicas.at("s0-near").arrivals;
+    BOOST_TEST_MESSAGE(aPerSecond << "/s, figure " << aReports << ", spillover " << aHasSpillover
+                                  << ": in time " << outcome.inTime << " of " << outcome.requests
+                                  << ", near " << near << " of " << outcome.attempts);
+    return std::make_tuple(outcome.inTime, outcome.attempts, near);
+  };
+  BOOST_TEST((run(300.0, false, true) == run(300.0, false, false)));
+  run(100.0, true, false);
+  run(300.0, true, false);
+  const auto [calmInTime, calmAttempts, calmNear] = run(100.0, true, true);
+  BOOST_TEST(calmNear >= calmAttempts * 95 / 100);
+  const auto [inTime, attempts, near] = run(300.0, true, true);
+  BOOST_TEST(inTime >= 300U * 20 * 95 / 100);
+  BOOST_TEST(near >= attempts * 4 / 10);
+}
+
+// Guards against spillover to a domain that the operator has taken out, or outside the customer's
+// regions.
+BOOST_AUTO_TEST_CASE(requests_that_leave_the_domain_avoid_domains_that_are_out)
+{
+  AddDaemons(4);
+  SimulatedReplica model;
+  model.work = milliseconds{ 20 };
+  model.slots = 4;
+  model.slowdown = [](core::TimePoint) { return 1.0; };
+  AddService(0, model);
+  table->AddService({ "s0", 200, {}, 0.0 });
+  for (std::size_t n = 0; n < 4; ++n) {
+    Daemon(n).SetSpillover({ milliseconds{ 3 }, milliseconds{ 15 }, 0.7 });
+    Daemon(n).SetDomainOut("far", true);
+  }
+  RunLoad(MakeRoute(1, 1, milliseconds{ 150 }), 300.0, seconds{ 5 });
+  BOOST_TEST(replicas.at("s0-far").arrivals == 0U);
+  BOOST_TEST(replicas.at("s0-farther").arrivals > 100U);
+  upstream::RequestTerms terms;
+  terms.regions = { "near" };
+  upstream::AttemptRequest request;
+  request.service = "s0";
+  request.terms = &terms;
+  request.deadline = loop.timers.Now() + seconds{ 1 };
+  const std::uint32_t farther = replicas.at("s0-farther").arrivals;
+  for (int n = 0; n < 200; ++n) {
+    auto message = std::make_shared<upstream::ForwardedRequest>();
+    message->id = "r" + std::to_string(n);
+    set->Send(request, std::move(message), [](const upstream::AttemptResult&) {});
+  }
+  loop.Run(seconds{ 2 });
+  BOOST_TEST(replicas.at("s0-farther").arrivals == farther);
+}
+
 BOOST_AUTO_TEST_CASE(answers_meet_the_objective_despite_replica_pauses)
 {
   for (std::size_t n = 0; n < 10; ++n) {
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -61,13 +61,27 @@
   return it == regions.end() ? unknown : it->second;
 }
 
+Proximity
+Locality::ProximityOf(const std::string& aFailureDomain) const
+{
+  if (aFailureDomain == failureDomain) {
+    return Proximity::OwnDomain;
+  }
+  return RegionOf(aFailureDomain) == region ? Proximity::OwnRegion : Proximity::OtherRegion;
+}
+
 core::Duration
 Locality::AssumedRoundTrip(const std::string& aFailureDomain) const
 {
-  if (aFailureDomain == failureDomain) {
-    return kRoundTripInDomain;
+  switch (ProximityOf(aFailureDomain)) {
+    case Proximity::OwnDomain:
+      return kRoundTripInDomain;
+    case Proximity::OwnRegion:
+      return kRoundTripInRegion;
+    case Proximity::OtherRegion:
+      break;
   }
-  return RegionOf(aFailureDomain) == region ? kRoundTripInRegion : kRoundTripToOtherRegion;
+  return kRoundTripToOtherRegion;
 }
 
 ReplicaBalancer::ReplicaBalancer(boost::asio::any_io_executor aExecutor,
@@ -490,6 +504,7 @@
   candidates.reserve(aClients.size());
   for (const std::shared_ptr<ReplicaClient>& client : aClients) {
     candidates.push_back(client->Candidate());
+    candidates.back().proximity = mLocality.ProximityOf(client->Replica().failureDomain);
     const bool isTooSlow = aRequest.maxExpectedTime > core::Duration::zero() &&
                            ExpectedTime(candidates.back()) >= aRequest.maxExpectedTime;
     const bool isUnreachable = mPartition.IsPartitioned() && !client->HasIdleConnection();
@@ -507,16 +522,53 @@
       }
     }
   }
+  const bool hasOwnDomain = ApplySpillover(candidates, aRequest);
   const std::uint64_t tieBreak = mRandom.Below(aClients.size());
-  while (const auto index = ChooseReplica(candidates, tieBreak)) {
-    if (TryAcquireSend(*aClients[*index])) {
-      return aClients[*index];
+  while (const auto best = ChooseReplica(candidates, tieBreak)) {
+    // Hedges and retries are short of time, and too few to overload the best replica.
+    const std::size_t index =
+      aRequest.kind == AttemptKind::First ? SpreadOverBest(candidates, *best) : *best;
+    if (TryAcquireSend(*aClients[index])) {
+      const Proximity proximity = candidates[index].proximity;
+      mSpilled.ownRegion += hasOwnDomain && proximity == Proximity::OwnRegion ? 1 : 0;
+      mSpilled.otherRegion += hasOwnDomain && proximity == Proximity::OtherRegion ? 1 : 0;
+      return aClients[index];
     }
-    candidates[*index].hasRoom = false;
+    candidates[index].hasRoom = false;
   }
   return nullptr;
 }
 
+bool
+ReplicaBalancer::ApplySpillover(std::vector<ReplicaCandidate>& aCandidates,
+                                const AttemptRequest& aRequest)
+{
+  // Hedges and retries have lost time already, so that the price doesn't matter.
+  if (!mSpillover || aRequest.kind != AttemptKind::First ||
+      !DomainSpillover::IsInEffect(aCandidates)) {
+    return false;
+  }
+  DomainSpillover& spillover = ServiceOf(aRequest.service).spillover;
+  const bool hasOwnDomain =
+    spillover.Apply(aCandidates, *mSpillover, mRandom.Fraction(), mTimers.Now());
+  if (const auto change = spillover.TakeChange()) {
+    mOnSpilloverChange(std::string(aRequest.service), *change);
+  }
+  return hasOwnDomain;
+}
+
+std::size_t
+ReplicaBalancer::SpreadOverBest(const std::vector<ReplicaCandidate>& aCandidates, std::size_t aBest)
+{
+  const std::vector<double> weights = ShareAmongBest(aCandidates, aBest);
+  // Nothing is drawn for replicas that don't report their speed: their choice stays the same.
+  const std::size_t index = weights.empty() ? aBest : DrawByWeight(weights, mRandom.Fraction());
+  if (aCandidates[index].reportsSpeed) {
+    ++(index == aBest ? mSpeedChoices.best : mSpeedChoices.shared);
+  }
+  return index;
+}
+
 void
 ReplicaBalancer::WakeWaiter(std::string_view aService)
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -3,6 +3,7 @@
 #include "core/log_rate_limiter.h"
 #include "core/random_source.h"
 #include "declaration/routing_table.h"
+#include "upstream/domain_spillover.h"
 #include "upstream/partition_detector.h"
 #include "upstream/replica_client.h"
 #include "upstream/request_terms.h"
@@ -37,6 +38,9 @@
   /** @return the region of a failure domain, empty when it isn't known. */
   const std::string& RegionOf(const std::string& aFailureDomain) const;
 
+  /** @return where a failure domain is, seen from this daemon. */
+  Proximity ProximityOf(const std::string& aFailureDomain) const;
+
   /** @return the assumed round trip to a failure domain. */
   core::Duration AssumedRoundTrip(const std::string& aFailureDomain) const;
 };
@@ -113,6 +117,25 @@
   std::uint32_t Priority() const { return terms == nullptr ? 0 : terms->priority; }
 };
 
+/** First attempts that left the failure domain although it had a replica that answered. */
+struct SpilledRequests
+{
+  std::uint32_t ownRegion = 0;
+  std::uint32_t otherRegion = 0;
+};
+
+/** Called when requests of a service begin to leave the failure domain, or have all returned. */
+using SpilloverHook = std::function<void(const std::string& aService, const SpilloverChange&)>;
+
+/** How first attempts were given to replicas that report their speed. */
+struct SpeedChoices
+{
+  /** The best replica got it. */
+  std::uint32_t best = 0;
+  /** Another one that is nearly as good got it. */
+  std::uint32_t shared = 0;
+};
+
 /** An attempt that was started, or why it was not. */
 struct SendResult
 {
@@ -152,6 +175,18 @@
   /** @return the use of each rate-limited replica since the last call, without unused ones. */
   std::vector<LimitedUseReport> TakeLimitedUse();
 
+  /** Sets when requests may leave the failure domain; without it, the shortest time decides. */
+  void SetSpillover(const SpilloverSettings& aSettings) { mSpillover = aSettings; }
+
+  /** Sets the callback for requests that leave the failure domain. */
+  void OnSpilloverChange(SpilloverHook aHook) { mOnSpilloverChange = std::move(aHook); }
+
+  /** @return the requests that left the failure domain since the last call. */
+  SpilledRequests TakeSpilledRequests() { return std::exchange(mSpilled, {}); }
+
+  /** @return the choices among replicas that report their speed, since the last call. */
+  SpeedChoices TakeSpeedChoices() { return std::exchange(mSpeedChoices, {}); }
+
   /** @return the rate limits that have ended a short time ago. */
   std::vector<EndedRateLimit> EndedRateLimits() const;
 
@@ -292,6 +327,7 @@
     /** By priority, then by arrival. */
     std::map<std::pair<std::uint32_t, WaiterId>, std::function<void()>> waiters;
     RoomWait roomWait;
+    DomainSpillover spillover;
     /** Wakes a waiter when a rate limit allows a request. */
     core::TimerId rateTimer = 0;
   };
@@ -317,6 +353,10 @@
   std::map<std::string, std::shared_ptr<ReplicaClient>> mClients;
   RemovedReplicas mRemoved;
   std::map<std::string, Service, std::less<>> mServices;
+  SpeedChoices mSpeedChoices;
+  std::optional<SpilloverSettings> mSpillover;
+  SpilledRequests mSpilled;
+  SpilloverHook mOnSpilloverChange = [](const std::string&, const SpilloverChange&) {};
   WaiterId mLastWaiter = 0;
   PartitionDetector mPartition;
   /** The callbacks of the next probe; the running one was started before. */
@@ -354,6 +394,8 @@
   void WakeAll(std::string_view aService);
   std::shared_ptr<ReplicaClient> Choose(const std::vector<std::shared_ptr<ReplicaClient>>& aClients,
                                         const AttemptRequest& aRequest);
+  bool ApplySpillover(std::vector<ReplicaCandidate>& aCandidates, const AttemptRequest& aRequest);
+  std::size_t SpreadOverBest(const std::vector<ReplicaCandidate>& aCandidates, std::size_t aBest);
   void WakeWaiter(std::string_view aService);
   void WakeAllIfUnusable(std::string_view aService);
   void RemoveFromService(const std::shared_ptr<ReplicaClient>& aClient);
