Entry admission: shares of customers, and retry delays by the time at which room is expected

Cause: with a full daemon all customers were refused alike, so that one at seven times its usual rate took the capacity of the others; all refused callers were told 150 ms and returned together.

The limits of EntryAdmission shrink for customers from 1.5 times their share on, to half at 3.5 times. Retry-After follows the time between ends of requests and the lag, spread over a factor of two. Without customers only Retry-After changes.

--- a/caller/entry_admission.h
+++ b/caller/entry_admission.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "caller/fair_shares.h"
 #include "core/timer_service.h"
+#include "upstream/request_terms.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,7 +24,9 @@
  *
  * With more requests than the VM's share of a core can handle, the event loop falls behind and
  * every request becomes late. Refusing requests immediately is the cheapest way out; requests of
- * lower priority are refused earlier.
+ * lower priority are refused earlier. Among those of the same priority, requests of customers that
+ * use more than their fair share are refused earlier, so that one customer at many times its usual
+ * rate doesn't take the capacity of the others.
  */
 class EntryAdmission
 {
@@ -38,24 +42,28 @@
   /** @return the average timer delay over about a second. */
   core::Duration AverageLag() const { return mAverageLag; }
 
-  /**
-   * @param aPriority 0 is the most important.
-   * @return nothing when the request is accepted, otherwise the delay before its caller may retry.
+  /** @return nothing when the request is accepted, otherwise the delay before its caller may retry.
    */
-  std::optional<core::Duration> Refuse(std::uint32_t aPriority, core::TimePoint aNow) const;
+  std::optional<core::Duration> Refuse(const upstream::RequestTerms& aTerms, core::TimePoint aNow);
 
   /**
    * Decides on a request of another daemon. Those of this daemon's own callers go before it, so
    * that they don't suffer from the failure of others.
    */
-  std::optional<core::Duration> RefuseForwarded(std::uint32_t aPriority,
-                                                core::TimePoint aNow) const;
+  std::optional<core::Duration> RefuseForwarded(const upstream::RequestTerms& aTerms,
+                                                core::TimePoint aNow);
+
+  /** @return the customer's use of this daemon in proportion to all; see FairShares::UseOf(). */
+  double UseOf(const upstream::RequestTerms& aTerms, core::TimePoint aNow)
+  {
+    return mShares.UseOf(aTerms.customer, aTerms.weight, aNow);
+  }
 
   /** Records the start of an accepted request. */
-  void Begin() { ++mRunning; }
+  void Begin(const upstream::RequestTerms& aTerms, core::TimePoint aNow);
 
   /** Records the end of an accepted request. */
-  void End() { --mRunning; }
+  void End(const upstream::RequestTerms& aTerms, core::TimePoint aNow);
 
   std::size_t Running() const { return mRunning; }
 
@@ -65,8 +73,17 @@
   core::Duration mMaxLag{};
   core::TimePoint mMaxLagAt{};
   core::Duration mAverageLag{};
+  FairShares mShares;
+  /** Average time between the ends of two requests; nothing before the first ones. */
+  std::optional<core::Duration> mEndInterval;
+  std::optional<core::TimePoint> mLastEndAt;
+  /** The next fraction by which a retry delay is extended. */
+  double mSpread = 0.0;
 
-  std::optional<core::Duration> RefuseBeyond(double aShare, core::TimePoint aNow) const;
+  std::optional<core::Duration> RefuseBeyond(double aShare,
+                                             const upstream::RequestTerms& aTerms,
+                                             core::TimePoint aNow);
+  core::Duration RetryAfter(double aLimit, bool aIsLagging, core::TimePoint aNow);
 };
 
 } // namespace skylarkwing::caller
--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -43,13 +43,19 @@
                                               0.15,  0.2,  0.3,  0.5,  1.0,  2.0,  5.0 };
 
 std::string
-FormatSeconds(core::Duration aSpan)
+FormatDecimal(double aValue)
 {
   std::ostringstream out;
-  out << std::fixed << std::setprecision(2) << std::chrono::duration<double>(aSpan).count();
+  out << std::fixed << std::setprecision(2) << aValue;
   return out.str();
 }
 
+std::string
+FormatSeconds(core::Duration aSpan)
+{
+  return FormatDecimal(std::chrono::duration<double>(aSpan).count());
+}
+
 std::string
 FormatMilliseconds(core::Duration aSpan)
 {
@@ -103,6 +109,9 @@
                                   "Requests without a key that the configuration knows."))
   , mOverloads(aMetrics.Counter("skylarkwing_entry_overload_refusals_total",
                                 "Requests refused because the daemon had too much work."))
+  , mExcessRefusals(
+      aMetrics.Counter("skylarkwing_entry_excess_refusals_total",
+                       "Requests refused for load while their customer was above its fair share."))
   , mQuarantineRefusals(
       aMetrics.Counter("skylarkwing_entry_quarantine_refusals_total",
                        "Requests refused because replicas had ended under earlier attempts."))
@@ -172,9 +181,9 @@
     co_return std::move(*refusal);
   }
   Prepare(job);
-  mAdmission.Begin();
+  mAdmission.Begin(*job.serviceTerms, mTimers.Now());
   RequestResult result = co_await Run(job);
-  mAdmission.End();
+  mAdmission.End(*job.serviceTerms, mTimers.Now());
   if (job.customer != nullptr && !job.terms && mQuotas != nullptr &&
       result.outcome == RequestOutcome::NotRun) {
     mQuotas->Refund(*job.customer);
@@ -260,12 +269,21 @@
   if (aJob.terms && mReplicas.Partition().IsPartitioned()) {
     return RefuseNotRun(metadata, "partitioned", "forwarded", kNoConfigurationRetryAfter);
   }
-  const auto retryAfter = aJob.terms ? mAdmission.RefuseForwarded(aJob.serviceTerms->priority, now)
-                                     : mAdmission.Refuse(aJob.serviceTerms->priority, now);
+  const upstream::RequestTerms& terms = *aJob.serviceTerms;
+  const auto retryAfter =
+    aJob.terms ? mAdmission.RefuseForwarded(terms, now) : mAdmission.Refuse(terms, now);
   if (retryAfter) {
     mOverloads.Increment();
-    return RefuseNotRun(
-      metadata, "overloaded", std::to_string(mAdmission.Running()) + " running", *retryAfter);
+    const double use = mAdmission.UseOf(terms, now);
+    if (use > 1.0) {
+      mExcessRefusals.Increment();
+    }
+    std::string input =
+      std::to_string(mAdmission.Running()) + " running, priority " + std::to_string(terms.priority);
+    if (!terms.customer.empty()) {
+      input += ", " + terms.customer + " at " + FormatDecimal(use) + " of its share";
+    }
+    return RefuseNotRun(metadata, "overloaded", input, *retryAfter);
   }
   return std::nullopt;
 }
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -154,6 +154,7 @@
   prometheus::Counter& mUnknownRoutes;
   prometheus::Counter& mUnknownKeys;
   prometheus::Counter& mOverloads;
+  prometheus::Counter& mExcessRefusals;
   prometheus::Counter& mQuarantineRefusals;
   prometheus::Histogram& mLatency;
 
--- a/caller/tests/entry_admission_test.cpp
+++ b/caller/tests/entry_admission_test.cpp
@@ -13,6 +13,15 @@
 
 const core::TimePoint kNow = core::TimePoint{} + std::chrono::hours{ 1 };
 
+/** @return the terms of a request without a customer. */
+upstream::RequestTerms
+Terms(std::uint32_t aPriority)
+{
+  upstream::RequestTerms terms;
+  terms.priority = aPriority;
+  return terms;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(entry_admission)
@@ -21,36 +30,36 @@
 {
   EntryAdmission admission({ 100, milliseconds{ 60 } });
   for (int n = 0; n < 80; ++n) {
-    admission.Begin();
+    admission.Begin(Terms(0), kNow);
   }
-  BOOST_TEST(!admission.Refuse(0, kNow).has_value());
-  BOOST_TEST(!admission.Refuse(1, kNow).has_value());
-  BOOST_TEST(admission.Refuse(2, kNow).has_value());
+  BOOST_TEST(!admission.Refuse(Terms(0), kNow).has_value());
+  BOOST_TEST(!admission.Refuse(Terms(1), kNow).has_value());
+  BOOST_TEST(admission.Refuse(Terms(2), kNow).has_value());
   for (int n = 0; n < 20; ++n) {
-    admission.Begin();
+    admission.Begin(Terms(0), kNow);
   }
-  BOOST_TEST(admission.Refuse(0, kNow).has_value());
-  admission.End();
-  BOOST_TEST(!admission.Refuse(0, kNow).has_value());
+  BOOST_TEST(admission.Refuse(Terms(0), kNow).has_value());
+  admission.End(Terms(0), kNow);
+  BOOST_TEST(!admission.Refuse(Terms(0), kNow).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(requests_of_other_daemons_are_refused_before_those_of_own_callers)
 {
   EntryAdmission admission({ 100, milliseconds{ 60 } });
   for (int n = 0; n < 60; ++n) {
-    admission.Begin();
+    admission.Begin(Terms(0), kNow);
   }
-  BOOST_TEST(admission.RefuseForwarded(0, kNow).has_value());
-  BOOST_TEST(!admission.Refuse(0, kNow).has_value());
-  BOOST_TEST(!admission.Refuse(2, kNow).has_value());
+  BOOST_TEST(admission.RefuseForwarded(Terms(0), kNow).has_value());
+  BOOST_TEST(!admission.Refuse(Terms(0), kNow).has_value());
+  BOOST_TEST(!admission.Refuse(Terms(2), kNow).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(refuses_while_the_event_loop_lags)
 {
   EntryAdmission admission({ 100, milliseconds{ 60 } });
   admission.RecordLag(milliseconds{ 80 }, kNow);
-  BOOST_TEST(admission.Refuse(0, kNow + milliseconds{ 50 }).has_value());
-  BOOST_TEST(!admission.Refuse(0, kNow + milliseconds{ 150 }).has_value());
+  BOOST_TEST(admission.Refuse(Terms(0), kNow + milliseconds{ 50 }).has_value());
+  BOOST_TEST(!admission.Refuse(Terms(0), kNow + milliseconds{ 150 }).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(the_average_lag_adapts_within_seconds_and_ignores_a_single_late_timer)
--- a/upstream/request_terms.h
+++ b/upstream/request_terms.h
@@ -15,6 +15,8 @@
   std::uint32_t priority = 0;
   /** Regions in which the request may be processed; empty means all. */
   std::vector<std::string> regions;
+  /** The customer's part of scarce capacity, in proportion to those of other customers. */
+  double weight = 1.0;
 };
 
 } // namespace skylarkwing::upstream
