Crowd tests: one daemon as a process beside clients outside the limits

The tests start skylarkwing platform with lowered resources, a crowd of clients, and an ordinary caller beside it and after it. They check that the process runs, its peak memory, its sockets, and that the ordinary requests are answered.

--- /dev/null
+++ b/crowd/crowd_fixture.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "core/asio_timer_service.h"
+#include "core/task.h"
+#include "net/http_message.h"
+#include "platform/tests/platform_fakes.h"
+#include "soak/daemon_process.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::crowd {
+
+/** Resources of the process under test, as the platform states them in the settings. */
+struct CrowdBounds
+{
+  std::size_t memoryMegabytes = 0;
+  std::size_t descriptors = 0;
+};
+
+/** What the crowd's clients have in common. */
+struct CrowdPlan
+{
+  std::size_t clients = 0;
+  /** Sent by each client, which then neither sends nor reads, and stays connected. */
+  std::string bytes;
+  /** Receive buffer of each client; 0 leaves the system's default. */
+  int receiveBuffer = 0;
+};
+
+/**
+ * One daemon as a process, with a store and replicas in this process, and a crowd of clients.
+ *
+ * The settings give the process its resources; the same number of descriptors is enforced by the
+ * system. Memory isn't, so that a process that uses too much lives to be measured.
+ */
+class CrowdFixture
+{
+public:
+  CrowdFixture();
+  CrowdFixture(const CrowdFixture&) = delete;
+  CrowdFixture& operator=(const CrowdFixture&) = delete;
+  ~CrowdFixture();
+
+  /** Starts the process and waits until it is ready. */
+  void StartDaemon(const CrowdBounds& aBounds);
+
+  /**
+   * Connects all clients, and waits until each has sent its bytes or lost its connection, and the
+   * process has read what it reads of them.
+   */
+  void StartCrowd(const CrowdPlan& aPlan);
+
+  /** Closes the connections of the crowd. */
+  void EndCrowd();
+
+  /**
+   * Sends a request on a new connection, and repeats it a bounded number of times while it is
+   * refused with 503.
+   *
+   * @return the last status, or 0 when no complete answer arrived.
+   */
+  unsigned Ask(const std::string& aMethod, const std::string& aTarget, const std::string& aBody);
+
+  /**
+   * Checks that the process runs, and that its memory and its sockets stayed under the bounds from
+   * its start until now.
+   */
+  void CheckProcess();
+
+private:
+  boost::asio::io_context mLoop;
+  core::AsioTimerService mTimers{ mLoop };
+  platform::tests::FakePlatformStore mStore{ mLoop, mTimers };
+  platform::tests::FakePlatformReplica mShort{ mLoop, mTimers, "i-short" };
+  platform::tests::FakePlatformReplica mLong{ mLoop, mTimers, "i-long" };
+  std::string mFolder;
+  CrowdBounds mBounds;
+  std::string mCallerAddress;
+  std::string mReadinessAddress;
+  std::unique_ptr<soak::DaemonProcess> mProcess;
+  std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> mClients;
+  std::size_t mBusyClients = 0;
+  std::size_t mPeakSockets = 0;
+  std::size_t mIdleKilobytes = 0;
+
+  /** Runs the event loop until a condition holds. @return false when the test's time has ended. */
+  bool RunUntil(const std::function<bool()>& aCondition);
+  core::Task<void> RunClient(std::shared_ptr<boost::asio::ip::tcp::socket> aSocket,
+                             std::shared_ptr<const CrowdPlan> aPlan);
+  core::Task<void> AskTask(std::string aAddress,
+                           net::HttpRequest aRequest,
+                           std::shared_ptr<std::optional<unsigned>> aStatus);
+  unsigned AskOnce(const std::string& aAddress, const net::HttpRequest& aRequest);
+  void SampleSockets();
+  void AwaitSteadyMemory();
+};
+
+} // namespace skylarkwing::crowd
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -26,6 +26,9 @@
   /** @return whether the process runs; reaps it if it has exited. */
   bool IsRunning();
 
+  /** @return the process id while it runs, otherwise -1. */
+  pid_t Pid() const { return mPid; }
+
   /** Sends a signal to the process if it runs. */
   void Signal(int aSignal);
 
