Clients outside the limits: one memory budget, and connections within the descriptors

Cause: each connection could hold a request or an answer of the permitted size, and nothing limited all of them together; idle connections used up the descriptors. Freed large blocks stayed in the process.

net/memory_budget counts connections, requests and answers. net/client_queue finds the connection that was longest without progress, which is closed when there is no room. net/connection_limits derives both from the resources of the settings; without them nothing changes, except that a client that takes no byte of an answer is closed after 10 s instead of 30 s. Blocks from 128 kB on are mapped on their own.

--- a/main/platform_command.cpp
+++ b/main/platform_command.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -41,6 +43,13 @@
   "\n"
   "Exit codes: 0 stopped, 1 failed, 2 wrong usage or settings.\n";
 
+/**
+ * Blocks from this size on are mapped on their own, so that the system gets them back when they are
+ * freed. Otherwise the allocator keeps freed bodies and answers, and a crowd of slow readers of
+ * answers of 3 MB took 91 MB where they were limited to 20 MB.
+ */
+constexpr int kMappedBlockBytes = 128 * 1024;
+
 /** Reloads the settings on each SIGHUP; invalid settings are ignored. */
 core::Task<void>
 ReloadAtSignal(asio::io_context& aLoop, platform::PlatformDaemon& aDaemon, std::string aPath)
@@ -89,6 +98,7 @@
 {
   core::InitializeLog(core::LogLevel::Info, core::LogFormat::Json, core::LogTarget::Output);
   core::SetLogVm(aSettings.vm);
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   asio::io_context loop(1);
   platform::PlatformDaemon daemon(loop, std::move(aSettings));
   if (!daemon.Setup()) {
--- /dev/null
+++ b/net/connection_limits.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+
+namespace skylarkwing::net {
+
+/** Memory of a connection without a request, rounded up: its task, its parser, a small buffer. */
+inline constexpr std::size_t kConnectionBytes = std::size_t{ 12 } * 1024;
+
+/** How many connections a process accepts, and how much memory its clients get. */
+struct ConnectionLimits
+{
+  /** Connections of callers, of other daemons, to the directory and to the readiness check. */
+  std::size_t callers = 4096;
+  std::size_t peers = 4096;
+  std::size_t directory = 4096;
+  std::size_t readiness = 4096;
+  /** Size of the memory budget for clients; 0 for none. */
+  std::size_t clientBytes = 0;
+  /** Whether the limits come from the resources of the process. */
+  bool isDerived = false;
+};
+
+/**
+ * Divides the resources of a process.
+ *
+ * Of the descriptors, 200 are for files. Of the rest, callers get 10 of 16 parts, other daemons 2,
+ * the directory 1 and the readiness check up to 32 descriptors; at least 2 parts are left for the
+ * store and the replicas. Idle connections of callers take at most half of the memory for clients.
+ *
+ * @param aMemoryBytes memory of the process.
+ * @param aDescriptors number of descriptors that the process may have open.
+ */
+ConnectionLimits
+DeriveConnectionLimits(std::size_t aMemoryBytes, std::size_t aDescriptors);
+
+} // namespace skylarkwing::net
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -2,9 +2,11 @@
 
 #include "core/name_table.h"
 #include "net/endpoint.h"
+#include "net/http_reading.h"
 #include "net/http_serialization.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -35,6 +37,11 @@
 constexpr unsigned kFirstInterimStatus = 100;
 constexpr std::size_t kReadSomeBytes = std::size_t{ 64 } * 1024;
 
+/** A response of this size or less is read without asking, because ordinary ones are as small. */
+constexpr std::size_t kUnlimitedResponseBytes = std::size_t{ 64 } * 1024;
+/** How often a response that waits for memory asks again; stalled clients are closed meanwhile. */
+constexpr core::Duration kMemoryPause = std::chrono::milliseconds{ 20 };
+
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
 HttpResult
@@ -133,12 +140,17 @@
 /** Connection state; a running exchange keeps it alive when its owner is destroyed. */
 struct TcpHttpConnection::State : std::enable_shared_from_this<TcpHttpConnection::State>
 {
-  explicit State(asio::any_io_executor aExecutor)
+  State(asio::any_io_executor aExecutor, std::shared_ptr<MemoryBudget> aBudget)
     : stream(std::move(aExecutor))
+    , budget(std::move(aBudget))
   {
   }
 
   beast::tcp_stream stream;
+  /** Null for no limit. */
+  std::shared_ptr<MemoryBudget> budget;
+  /** When the response must have been read. */
+  core::TimePoint deadline;
   /** Limited in size, because a faulty server may send endless data. */
   beast::flat_buffer buffer{ kMaxUnparsedBytes };
   std::optional<http::response_parser<http::buffer_body>> streamed;
@@ -174,6 +186,12 @@
   core::Task<HttpResult> ExchangeWithBody(HttpRequest aRequest, core::Duration aTimeout);
   core::Task<HttpResult> ReadResponse();
   core::Task<HttpResult> ReadOneResponse();
+  core::Task<beast::error_code> Reserve(MemoryReservation& aMemory, std::size_t aBytes);
+  void ExpireAfter(core::Duration aTimeout)
+  {
+    deadline = std::chrono::steady_clock::now() + aTimeout;
+    stream.expires_after(aTimeout);
+  }
 };
 
 bool
@@ -203,7 +221,7 @@
   isHead = aRequest.method == "HEAD";
   RequestWrite write;
   write.message = ToMessage(std::move(aRequest));
-  stream.expires_after(aTimeout);
+  ExpireAfter(aTimeout);
   write.head = SerializeHead(write.message);
   std::tie(write.error, write.written) =
     co_await asio::async_write(stream, MessageBuffers(write.head, write.message.body()), kAsTuple);
@@ -246,7 +264,7 @@
   const auto write = std::make_shared<RequestWrite>();
   write->message = ToMessage(std::move(aRequest));
   write->head = SerializeHead(write->message);
-  stream.expires_after(aTimeout);
+  ExpireAfter(aTimeout);
   StartWrite(write);
   HttpResult result = co_await ReadResponse();
   if (result.error != HttpClientError::None && write->isDone && write->error) {
@@ -286,6 +304,28 @@
   co_return Failure(HttpClientError::Malformed);
 }
 
+/** Waits for memory, because a failure would count against a replica that did nothing wrong. */
+core::Task<beast::error_code>
+TcpHttpConnection::State::Reserve(MemoryReservation& aMemory, std::size_t aBytes)
+{
+  if (aBytes <= kUnlimitedResponseBytes) {
+    aMemory.ForceResize(aBytes);
+    co_return beast::error_code();
+  }
+  asio::steady_timer timer(stream.get_executor());
+  while (!aMemory.Resize(aBytes)) {
+    if (!isOpen) {
+      co_return asio::error::operation_aborted;
+    }
+    if (std::chrono::steady_clock::now() >= deadline) {
+      co_return beast::error::timeout;
+    }
+    timer.expires_after(kMemoryPause);
+    co_await timer.async_wait(kAsTuple);
+  }
+  co_return beast::error_code();
+}
+
 core::Task<HttpResult>
 TcpHttpConnection::State::ReadOneResponse()
 {
@@ -293,7 +333,15 @@
   parser.header_limit(kMaxHeaderBytes);
   parser.body_limit(kMaxBodyBytes);
   parser.skip(isHead);
-  const auto [ec, n] = co_await http::async_read(stream, buffer, parser, kAsTuple);
+  const auto memory =
+    budget ? std::make_shared<MemoryReservation>(budget, MemoryUse::Answer) : nullptr;
+  const auto mayRead = [&](const MessageMemory& aUse) -> core::Task<beast::error_code> {
+    if (!memory) {
+      co_return beast::error_code();
+    }
+    co_return co_await Reserve(*memory, aUse.bodyBytes);
+  };
+  const beast::error_code ec = co_await ReadMessage(stream, buffer, parser, mayRead);
   if (ec) {
     Close();
     co_return Failure(ToReadError(ec));
@@ -309,11 +357,13 @@
   HttpResult result;
   result.response = ToResponse(parser.get());
   result.response.body = std::move(parser.get().body());
+  result.response.memory = memory;
   co_return result;
 }
 
-TcpHttpConnection::TcpHttpConnection(asio::any_io_executor aExecutor)
-  : mState(std::make_shared<State>(std::move(aExecutor)))
+TcpHttpConnection::TcpHttpConnection(asio::any_io_executor aExecutor,
+                                     std::shared_ptr<MemoryBudget> aBudget)
+  : mState(std::make_shared<State>(std::move(aExecutor), std::move(aBudget)))
 {
 }
 
@@ -368,7 +418,7 @@
     co_return Failure(HttpClientError::Broken);
   }
   state->isAwaitingResponse = true;
-  state->stream.expires_after(aTimeout);
+  state->ExpireAfter(aTimeout);
   co_return co_await state->ReadResponse();
 }
 
@@ -430,10 +480,11 @@
 }
 
 HttpConnectionFactory
-MakeTcpHttpConnectionFactory(asio::any_io_executor aExecutor)
+MakeTcpHttpConnectionFactory(asio::any_io_executor aExecutor, std::shared_ptr<MemoryBudget> aBudget)
 {
-  return
-    [executor = std::move(aExecutor)] { return std::make_shared<TcpHttpConnection>(executor); };
+  return [executor = std::move(aExecutor), budget = std::move(aBudget)] {
+    return std::make_shared<TcpHttpConnection>(executor, budget);
+  };
 }
 
 } // namespace skylarkwing::net
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -3,6 +3,7 @@
 #include "core/task.h"
 #include "core/timer_service.h"
 #include "net/http_message.h"
+#include "net/memory_budget.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -77,7 +78,9 @@
 class TcpHttpConnection : public HttpConnection
 {
 public:
-  explicit TcpHttpConnection(boost::asio::any_io_executor aExecutor);
+  /** @param aBudget budget for the responses; null for no limit on all of them together. */
+  explicit TcpHttpConnection(boost::asio::any_io_executor aExecutor,
+                             std::shared_ptr<MemoryBudget> aBudget = nullptr);
   ~TcpHttpConnection() override;
 
   core::Task<bool> Connect(std::string aAddress, core::Duration aTimeout) override;
@@ -98,8 +101,12 @@
   std::shared_ptr<State> mState;
 };
 
-/** @return a factory for TCP connections. */
+/**
+ * @param aBudget budget for the responses; null for no limit on all of them together.
+ * @return a factory for TCP connections.
+ */
 HttpConnectionFactory
-MakeTcpHttpConnectionFactory(boost::asio::any_io_executor aExecutor);
+MakeTcpHttpConnectionFactory(boost::asio::any_io_executor aExecutor,
+                             std::shared_ptr<MemoryBudget> aBudget = nullptr);
 
 } // namespace skylarkwing::net
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -11,6 +11,8 @@
 
 namespace skylarkwing::net {
 
+class MemoryReservation;
+
 /** One HTTP header field. */
 struct HttpHeader
 {
@@ -93,6 +95,8 @@
   std::vector<HttpHeader> headers;
   std::string body;
   HttpStreamWriter stream;
+  /** Keeps the memory of the body reserved; set by clients with a MemoryBudget, null otherwise. */
+  std::shared_ptr<MemoryReservation> memory;
 
   /** @return the value of a header field; the name is case-insensitive. */
   std::optional<std::string> Header(std::string_view aName) const;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -2,18 +2,23 @@
 
 #include "core/log.h"
 #include "core/name_table.h"
+#include "net/connection_limits.h"
 #include "net/endpoint.h"
+#include "net/http_reading.h"
 #include "net/http_serialization.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -25,16 +30,28 @@
 
 namespace {
 
-constexpr core::NameTable<HttpRequestError, 5> kErrorNames{
-  { "malformed", "header_too_large", "body_too_large", "too_slow", "too_many_connections" }
-};
-/** Size of the first read, which usually gets the complete request. */
-constexpr std::size_t kFirstReadBytes = std::size_t{ 16 } * 1024;
+constexpr core::NameTable<HttpRequestError, 6> kErrorNames{ { "malformed",
+                                                              "header_too_large",
+                                                              "body_too_large",
+                                                              "too_slow",
+                                                              "too_many_connections",
+                                                              "not_enough_memory" } };
+/**
+ * Size of the first read, which usually gets the complete request. Idle connections hold a buffer
+ * of this size, so that thousands of them need little.
+ */
+constexpr std::size_t kFirstReadBytes = std::size_t{ 4 } * 1024;
+/** Longer bodies are counted twice while they are handled: each attempt has a copy. */
+constexpr std::size_t kSmallBodyBytes = std::size_t{ 4 } * 1024;
+/** Refused connections that get an answer; beyond them, newcomers are closed without one. */
+constexpr std::size_t kMaxRefusing = 16;
 /** Buffer for received, unparsed data besides a header; must hold the framing of a chunk. */
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 128 } * 1024;
 constexpr int kAcceptBacklog = 1024;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
-constexpr core::Duration kWriteTimeout = std::chrono::seconds{ 30 };
+/** A client that takes no byte of an answer for this long is closed. */
+constexpr core::Duration kWriteTimeout = std::chrono::seconds{ 10 };
+constexpr std::size_t kLingerReadBytes = std::size_t{ 4 } * 1024;
 constexpr core::Duration kLingerTimeout = std::chrono::milliseconds{ 500 };
 
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
@@ -133,6 +150,9 @@
   if (aError == beast::error::timeout) {
     return HttpRequestError::TooSlow;
   }
+  if (aError == asio::error::no_memory) {
+    return HttpRequestError::NotEnoughMemory;
+  }
   return HttpRequestError::Malformed;
 }
 
@@ -147,6 +167,7 @@
     case HttpRequestError::TooSlow:
       return static_cast<unsigned>(http::status::request_timeout);
     case HttpRequestError::TooManyConnections:
+    case HttpRequestError::NotEnoughMemory:
       return static_cast<unsigned>(http::status::service_unavailable);
     case HttpRequestError::Malformed:
       break;
@@ -256,46 +277,80 @@
   /** An open connection. */
   struct Connection
   {
+    Connection(std::uint64_t aId,
+               asio::ip::tcp::socket aSocket,
+               std::shared_ptr<MemoryBudget> aBudget,
+               ClientQueue::Handle aClient)
+      : id(aId)
+      , stream(std::make_shared<beast::tcp_stream>(std::move(aSocket)))
+      , memory(std::move(aBudget), MemoryUse::Request)
+      , client(aClient)
+    {
+    }
+
+    std::uint64_t id;
     std::shared_ptr<beast::tcp_stream> stream;
+    MemoryReservation memory;
+    /** The memory of the answer that is sent; null for short ones. */
+    std::shared_ptr<MemoryReservation> answer;
+    ClientQueue::Handle client;
     /** Whether a request is being received, handled or answered. */
     bool isBusy = false;
+    /** Whether it was refused when it was accepted. */
+    bool isRefused = false;
+    /** Whether it was closed for want of progress; its task ends soon. */
+    bool isGivenUp = false;
   };
+  using ConnectionPointer = std::shared_ptr<Connection>;
 
-  std::unordered_map<std::uint64_t, Connection> connections;
+  std::unordered_map<std::uint64_t, ConnectionPointer> connections;
+  std::shared_ptr<MemoryBudget> budget;
+  ClientQueue clients;
+  HttpClosureHandler closureHandler;
   std::uint64_t lastConnectionId = 0;
+  std::size_t refusing = 0;
+  std::size_t givenUp = 0;
   std::size_t active = 0;
   bool isClosing = false;
   bool isClosed = false;
 
   core::Task<void> Accept(std::shared_ptr<State> aSelf);
-  core::Task<void> ServeAll(std::uint64_t aId,
-                            std::shared_ptr<beast::tcp_stream> aStream,
+  void Admit(asio::ip::tcp::socket aSocket);
+  std::optional<HttpRequestError> RefuseNewcomer(Connection& aConnection);
+  bool CloseStalled();
+  bool CloseStalled(MemoryUse aUse);
+  bool GiveUp(std::optional<std::uint64_t> aId);
+  core::Task<void> ServeAll(ConnectionPointer aConnection,
+                            std::optional<HttpRequestError> aRefusal,
                             std::string aClientAddress);
   core::Task<void> Serve(std::shared_ptr<State> aSelf,
-                         std::uint64_t aId,
-                         std::shared_ptr<beast::tcp_stream> aStream);
-  core::Task<bool> ServeOne(std::uint64_t aId,
-                            std::shared_ptr<beast::tcp_stream> aStream,
+                         ConnectionPointer aConnection,
+                         std::optional<HttpRequestError> aRefusal);
+  core::Task<bool> ServeOne(ConnectionPointer aConnection,
                             std::shared_ptr<beast::flat_buffer> aBuffer,
                             std::string aClientAddress);
+  core::Task<bool> Answer(ConnectionPointer aConnection, HttpRequest aRequest, bool aKeepAlive);
   core::Task<HttpResponse> Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest);
-  core::Task<beast::error_code> Read(std::uint64_t aId,
-                                     std::shared_ptr<beast::tcp_stream> aStream,
+  core::Task<beast::error_code> Read(ConnectionPointer aConnection,
                                      beast::flat_buffer& aBuffer,
                                      Parser& aParser);
   core::Task<beast::error_code> AwaitFirstByte(std::shared_ptr<beast::tcp_stream> aStream,
                                                beast::flat_buffer& aBuffer);
-  void MarkBusy(std::uint64_t aId, bool aIsBusy);
-  core::Task<bool> Respond(beast::tcp_stream& aStream,
+  void SetPhase(Connection& aConnection, ClientPhase aPhase);
+  std::size_t Charge(std::size_t aBytes) const;
+  core::Task<bool> Respond(Connection& aConnection,
                            HttpResponse aResponse,
                            bool aKeepAlive,
                            bool aIsHead = false);
+  core::Task<beast::error_code> Write(Connection& aConnection,
+                                      const std::string& aHead,
+                                      const std::string& aBody);
   core::Task<bool> RespondStreamed(beast::tcp_stream& aStream, HttpResponse aResponse);
-  core::Task<void> RejectAndLinger(beast::tcp_stream& aStream, HttpRequestError aError);
+  core::Task<void> RejectAndLinger(Connection& aConnection, HttpRequestError aError);
 };
 
 core::Task<void>
-HttpServer::State::Accept(std::shared_ptr<State> aSelf)
+HttpServer::State::Accept([[maybe_unused]] std::shared_ptr<State> aSelf)
 {
   while (acceptor.is_open()) {
     auto [ec, socket] = co_await acceptor.async_accept(kAsTuple);
@@ -308,95 +363,200 @@
       co_await pause.async_wait(kAsTuple);
       continue;
     }
-    beast::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const std::uint64_t id = ++lastConnectionId;
-    auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
-    connections.emplace(id, Connection{ stream, false });
-    core::Start(loop.get_executor(), Serve(aSelf, id, std::move(stream)));
+    Admit(std::move(socket));
+  }
+}
+
+void
+HttpServer::State::Admit(asio::ip::tcp::socket aSocket)
+{
+  beast::error_code ignored;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (limits.sendBufferBytes > 0) {
+    aSocket.set_option(
+      asio::socket_base::send_buffer_size(static_cast<int>(limits.sendBufferBytes)), ignored);
+  }
+  const std::uint64_t id = ++lastConnectionId;
+  auto connection = std::make_shared<Connection>(
+    id, std::move(aSocket), budget, clients.Add(id, std::chrono::steady_clock::now()));
+  connections.emplace(id, connection);
+  const auto refusal = RefuseNewcomer(*connection);
+  if (refusal) {
+    connection->isRefused = true;
+    ++refusing;
+    SetPhase(*connection, ClientPhase::Handling);
+    if (limits.closeStalled && refusing > kMaxRefusing) {
+      connection->stream->socket().close(ignored);
+    }
   }
+  core::Start(loop.get_executor(), Serve(shared_from_this(), std::move(connection), refusal));
+}
+
+std::optional<HttpRequestError>
+HttpServer::State::RefuseNewcomer(Connection& aConnection)
+{
+  const auto isFull = [this] {
+    return connections.size() - givenUp - refusing > limits.connections;
+  };
+  while (isFull()) {
+    if (!limits.closeStalled || !CloseStalled()) {
+      return HttpRequestError::TooManyConnections;
+    }
+  }
+  // A refusal for want of memory waits for the request, which may be small enough to be served.
+  aConnection.memory.ForceResize(Charge(0));
+  return std::nullopt;
+}
+
+/** Closes the connection that was longest without progress. @return false if all had progress. */
+bool
+HttpServer::State::CloseStalled()
+{
+  return GiveUp(clients.Next(std::chrono::steady_clock::now()));
+}
+
+/** The same for memory; idle connections hold too little of it to make room for an answer. */
+bool
+HttpServer::State::CloseStalled(MemoryUse aUse)
+{
+  return aUse == MemoryUse::Request
+           ? CloseStalled()
+           : GiveUp(clients.NextTransfer(std::chrono::steady_clock::now()));
+}
+
+bool
+HttpServer::State::GiveUp(std::optional<std::uint64_t> aId)
+{
+  if (!aId) {
+    return false;
+  }
+  Connection& connection = *connections.at(*aId);
+  if (closureHandler) {
+    closureHandler(connection.client->phase);
+  }
+  SetPhase(connection, ClientPhase::Handling);
+  // Its task returns the memory itself, which is soon but not now.
+  connection.memory.ForceResize(0);
+  if (connection.answer) {
+    connection.answer->ForceResize(0);
+  }
+  if (!connection.isGivenUp) {
+    connection.isGivenUp = true;
+    ++givenUp;
+  }
+  beast::error_code ignored;
+  connection.stream->socket().close(ignored);
+  return true;
 }
 
 core::Task<void>
 HttpServer::State::Serve([[maybe_unused]] std::shared_ptr<State> aSelf,
-                         std::uint64_t aId,
-                         std::shared_ptr<beast::tcp_stream> aStream)
+                         ConnectionPointer aConnection,
+                         std::optional<HttpRequestError> aRefusal)
 {
   beast::error_code ec;
-  const auto remote = aStream->socket().remote_endpoint(ec);
+  const auto remote = aConnection->stream->socket().remote_endpoint(ec);
   std::string clientAddress = ec ? std::string() : ToString(remote);
   try {
-    co_await ServeAll(aId, aStream, std::move(clientAddress));
+    co_await ServeAll(aConnection, aRefusal, std::move(clientAddress));
   } catch (const std::exception& error) {
     // One message that a library rejects must not end the process with all other requests.
     core::LogEvent(
       core::LogLevel::Error, "net", "connection_failed", { { "error", error.what() } });
   }
-  aStream->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
-  aStream->close();
-  connections.erase(aId);
+  aConnection->stream->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+  aConnection->stream->close();
+  refusing -= aConnection->isRefused ? 1 : 0;
+  givenUp -= aConnection->isGivenUp ? 1 : 0;
+  clients.Remove(aConnection->client);
+  connections.erase(aConnection->id);
 }
 
 core::Task<void>
-HttpServer::State::ServeAll(std::uint64_t aId,
-                            std::shared_ptr<beast::tcp_stream> aStream,
+HttpServer::State::ServeAll(ConnectionPointer aConnection,
+                            std::optional<HttpRequestError> aRefusal,
                             std::string aClientAddress)
 {
-  if (connections.size() > limits.connections) {
-    co_await RejectAndLinger(*aStream, HttpRequestError::TooManyConnections);
+  if (aRefusal) {
+    co_await RejectAndLinger(*aConnection, *aRefusal);
     co_return;
   }
   auto buffer = std::make_shared<beast::flat_buffer>();
   bool isOpen = true;
   while (isOpen && !isClosed) {
-    isOpen = co_await ServeOne(aId, aStream, buffer, aClientAddress);
-    MarkBusy(aId, false);
+    isOpen = co_await ServeOne(aConnection, buffer, aClientAddress);
+    aConnection->isBusy = false;
   }
 }
 
 void
-HttpServer::State::MarkBusy(std::uint64_t aId, bool aIsBusy)
+HttpServer::State::SetPhase(Connection& aConnection, ClientPhase aPhase)
 {
-  const auto it = connections.find(aId);
-  if (it != connections.end()) {
-    it->second.isBusy = aIsBusy;
-  }
+  clients.SetPhase(aConnection.client, aPhase, std::chrono::steady_clock::now());
+}
+
+/** @return what a connection takes from the budget when it holds a number of bytes. */
+std::size_t
+HttpServer::State::Charge(std::size_t aBytes) const
+{
+  const std::size_t bytes = kConnectionBytes + aBytes;
+  return bytes > limits.unlimitedBytes ? bytes - limits.unlimitedBytes : 0;
 }
 
 core::Task<bool>
-HttpServer::State::ServeOne(std::uint64_t aId,
-                            std::shared_ptr<beast::tcp_stream> aStream,
+HttpServer::State::ServeOne(ConnectionPointer aConnection,
                             std::shared_ptr<beast::flat_buffer> aBuffer,
                             std::string aClientAddress)
 {
-  Parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-  parser.body_limit(limits.bodyBytes);
-  const beast::error_code ec = co_await Read(aId, aStream, *aBuffer, parser);
-  if (IsDisconnect(ec)) {
+  std::optional<Parser> parser(std::in_place);
+  parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+  parser->body_limit(limits.bodyBytes);
+  const beast::error_code ec = co_await Read(aConnection, *aBuffer, *parser);
+  if (IsDisconnect(ec) || aConnection->isGivenUp) {
     co_return false;
   }
+  std::optional<HttpRequestError> fault;
   if (ec) {
-    co_await RejectAndLinger(*aStream, ToRequestError(ec));
+    fault = ToRequestError(ec);
+  } else if (HasInvalidFraming(*parser)) {
+    fault = HttpRequestError::Malformed;
+  }
+  if (!fault && parser->get().body().size() > kSmallBodyBytes &&
+      !aConnection->memory.Resize(
+        Charge(aBuffer->capacity() + 2 * parser->get().body().capacity()))) {
+    fault = HttpRequestError::NotEnoughMemory;
+  }
+  if (fault) {
+    parser.reset();
+    aBuffer->clear();
+    aBuffer->shrink_to_fit();
+    co_await RejectAndLinger(*aConnection, *fault);
     co_return false;
   }
-  if (HasInvalidFraming(parser)) {
-    co_await RejectAndLinger(*aStream, HttpRequestError::Malformed);
-    co_return false;
+  HttpRequest request = ToRequest(*parser, aClientAddress);
+  const bool isKeepAlive = parser->get().keep_alive();
+  parser.reset();
+  const bool isOpen = co_await Answer(aConnection, std::move(request), isKeepAlive);
+  if (aBuffer->size() == 0 && aBuffer->capacity() > kFirstReadBytes) {
+    aBuffer->shrink_to_fit();
   }
-  HttpRequest request = ToRequest(parser, aClientAddress);
-  const bool isKeepAlive = parser.get().keep_alive();
-  const bool isHead = parser.get().method() == http::verb::head;
-  aStream->expires_never();
+  aConnection->memory.ForceResize(Charge(0));
+  SetPhase(*aConnection, ClientPhase::Idle);
+  co_return isOpen;
+}
+
+core::Task<bool>
+HttpServer::State::Answer(ConnectionPointer aConnection, HttpRequest aRequest, bool aKeepAlive)
+{
+  const bool isHead = aRequest.method == "HEAD";
+  aConnection->stream->expires_never();
   const ActiveRequest activeRequest(active);
-  HttpResponse response = co_await Handle(aStream, std::move(request));
-  bool isOpen = false;
+  SetPhase(*aConnection, ClientPhase::Handling);
+  HttpResponse response = co_await Handle(aConnection->stream, std::move(aRequest));
   if (response.stream) {
-    isOpen = co_await RespondStreamed(*aStream, std::move(response));
-  } else {
-    isOpen = co_await Respond(*aStream, std::move(response), isKeepAlive && !isClosing, isHead);
+    co_return co_await RespondStreamed(*aConnection->stream, std::move(response));
   }
-  co_return isOpen;
+  co_return co_await Respond(*aConnection, std::move(response), aKeepAlive && !isClosing, isHead);
 }
 
 core::Task<HttpResponse>
@@ -446,30 +606,54 @@
 }
 
 core::Task<beast::error_code>
-HttpServer::State::Read(std::uint64_t aId,
-                        std::shared_ptr<beast::tcp_stream> aStream,
-                        beast::flat_buffer& aBuffer,
-                        Parser& aParser)
+HttpServer::State::Read(ConnectionPointer aConnection, beast::flat_buffer& aBuffer, Parser& aParser)
 {
   // The limits may have changed since the last request.
   aBuffer.max_size(limits.headerBytes + kMaxUnparsedBytes);
   // The idle timeout applies until the first byte, the request timeout after it.
   if (aBuffer.size() == 0) {
-    const beast::error_code ec = co_await AwaitFirstByte(aStream, aBuffer);
+    const beast::error_code ec = co_await AwaitFirstByte(aConnection->stream, aBuffer);
     if (ec) {
       co_return ec;
     }
   }
-  MarkBusy(aId, true);
+  aConnection->isBusy = true;
+  SetPhase(*aConnection, ClientPhase::Transfer);
   auto isTimedOut = std::make_shared<bool>(false);
   asio::steady_timer timer(loop);
-  CancelAfter(timer, limits.requestTimeout, aStream, isTimedOut);
-  const auto [ec, n] = co_await http::async_read(*aStream, aBuffer, aParser, kAsTuple);
+  CancelAfter(timer, limits.requestTimeout, aConnection->stream, isTimedOut);
+  const auto mayRead = [&](const MessageMemory& aUse) -> beast::error_code {
+    clients.AddBytes(aConnection->client, aUse.received, std::chrono::steady_clock::now());
+    const bool hasRoom = aConnection->memory.Resize(Charge(aUse.bufferBytes + aUse.bodyBytes));
+    return hasRoom ? beast::error_code() : asio::error::no_memory;
+  };
+  const beast::error_code ec =
+    co_await ReadMessage(*aConnection->stream, aBuffer, aParser, mayRead);
   co_return *isTimedOut&& ec ? beast::error_code(beast::error::timeout) : ec;
 }
 
+core::Task<beast::error_code>
+HttpServer::State::Write(Connection& aConnection,
+                         const std::string& aHead,
+                         const std::string& aBody)
+{
+  beast::buffers_suffix<std::array<asio::const_buffer, 2>> rest(MessageBuffers(aHead, aBody));
+  std::size_t size = aHead.size() + aBody.size();
+  while (size > 0) {
+    aConnection.stream->expires_after(kWriteTimeout);
+    const auto [ec, n] = co_await aConnection.stream->async_write_some(rest, kAsTuple);
+    if (ec) {
+      co_return ec;
+    }
+    rest.consume(n);
+    size -= n;
+    clients.AddBytes(aConnection.client, n, std::chrono::steady_clock::now());
+  }
+  co_return beast::error_code();
+}
+
 core::Task<bool>
-HttpServer::State::Respond(beast::tcp_stream& aStream,
+HttpServer::State::Respond(Connection& aConnection,
                            HttpResponse aResponse,
                            bool aKeepAlive,
                            bool aIsHead)
@@ -485,13 +669,24 @@
       message.erase(http::field::content_length);
     }
   }
-  aStream.expires_after(kWriteTimeout);
   const std::string head = SerializeHead(message);
   if (aIsHead) {
     message.body().clear();
   }
-  const auto [ec, n] =
-    co_await asio::async_write(aStream, MessageBuffers(head, message.body()), kAsTuple);
+  if (!aConnection.isRefused) {
+    SetPhase(aConnection, ClientPhase::Transfer);
+  }
+  aConnection.answer = std::move(aResponse.memory);
+  if (budget && !aConnection.answer && message.body().size() > limits.unlimitedBytes &&
+      message.body().size() > kSmallBodyBytes) {
+    aConnection.answer = std::make_shared<MemoryReservation>(budget, MemoryUse::Answer);
+  }
+  if (aConnection.answer) {
+    // The body exists already; that of a replica may have been joined with others since.
+    aConnection.answer->ForceResize(message.body().capacity());
+  }
+  const beast::error_code ec = co_await Write(aConnection, head, message.body());
+  aConnection.answer.reset();
   co_return !ec && aKeepAlive;
 }
 
@@ -517,8 +712,9 @@
 }
 
 core::Task<void>
-HttpServer::State::RejectAndLinger(beast::tcp_stream& aStream, HttpRequestError aError)
+HttpServer::State::RejectAndLinger(Connection& aConnection, HttpRequestError aError)
 {
+  beast::tcp_stream& stream = *aConnection.stream;
   HttpResponse response;
   if (errorHandler) {
     response = errorHandler(aError);
@@ -526,15 +722,15 @@
     response.body = R"({"error":")" + std::string(NameOf(aError)) + R"("})";
   }
   response.status = ToStatus(aError);
-  co_await Respond(aStream, std::move(response), false);
+  co_await Respond(aConnection, std::move(response), false);
   // Closing a socket with unread bytes would reset the connection, and the response could be lost.
   beast::error_code ec;
-  aStream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-  aStream.expires_after(kLingerTimeout);
-  std::string discarded(limits.headerBytes, '\0');
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  stream.expires_after(kLingerTimeout);
+  std::string discarded(kLingerReadBytes, '\0');
   while (!ec) {
     auto buffer = asio::buffer(discarded);
-    const auto [readError, n] = co_await aStream.async_read_some(buffer, kAsTuple);
+    const auto [readError, n] = co_await stream.async_read_some(buffer, kAsTuple);
     ec = readError;
   }
 }
@@ -555,6 +751,24 @@
   mState->errorHandler = std::move(aHandler);
 }
 
+void
+HttpServer::SetClosureHandler(HttpClosureHandler aHandler)
+{
+  mState->closureHandler = std::move(aHandler);
+}
+
+void
+HttpServer::SetBudget(std::shared_ptr<MemoryBudget> aBudget)
+{
+  mState->budget = std::move(aBudget);
+  if (mState->budget && mState->limits.closeStalled) {
+    mState->budget->AddReclaimer([weak = std::weak_ptr(mState)](MemoryUse aUse) {
+      const auto state = weak.lock();
+      return state && state->CloseStalled(aUse);
+    });
+  }
+}
+
 void
 HttpServer::SetLimits(HttpServerLimits aLimits)
 {
@@ -617,9 +831,9 @@
   StopAccepting();
   mState->isClosing = true;
   for (auto& [id, connection] : mState->connections) {
-    if (!connection.isBusy) {
+    if (!connection->isBusy) {
       beast::error_code ec;
-      connection.stream->socket().close(ec);
+      connection->stream->socket().close(ec);
     }
   }
 }
@@ -643,7 +857,7 @@
   mState->isClosed = true;
   for (auto& [id, connection] : mState->connections) {
     beast::error_code ec;
-    connection.stream->socket().close(ec);
+    connection->stream->socket().close(ec);
   }
 }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -2,7 +2,9 @@
 
 #include "core/task.h"
 #include "core/timer_service.h"
+#include "net/client_queue.h"
 #include "net/http_message.h"
+#include "net/memory_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,6 +27,15 @@
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
   /** Sets HttpRequest::client. A client that closes its sending side counts as disconnected. */
   bool watchClients = false;
+  /**
+   * Whether a connection without progress is closed when another one needs its place or its
+   * memory; otherwise only newcomers are refused.
+   */
+  bool closeStalled = false;
+  /** Size of the kernel's send buffer of a connection, so that it counts little; 0 for its own. */
+  std::size_t sendBufferBytes = 0;
+  /** Memory of a connection that no budget limits. */
+  std::size_t unlimitedBytes = 0;
 };
 
 /** Why a request was rejected before it reached the handler. */
@@ -35,6 +46,8 @@
   BodyTooLarge,
   TooSlow,
   TooManyConnections,
+  /** There was no memory for the request; it was not handled. */
+  NotEnoughMemory,
 };
 
 /** @return the name of an error, for metric labels and error responses. */
@@ -47,6 +60,9 @@
 /** Creates the response to a rejected request; called once for each, so it may also count them. */
 using HttpErrorHandler = std::function<HttpResponse(HttpRequestError)>;
 
+/** Called for each connection that is closed for want of progress, with its phase. */
+using HttpClosureHandler = std::function<void(ClientPhase)>;
+
 /** HTTP/1.1 server with one task per connection. All calls must be made on the loop's thread. */
 class HttpServer
 {
@@ -59,6 +75,12 @@
   /** Replaces the default response to rejected requests. */
   void SetErrorHandler(HttpErrorHandler aHandler);
 
+  /** Sets what is told of connections that are closed for want of progress. */
+  void SetClosureHandler(HttpClosureHandler aHandler);
+
+  /** Limits the memory of connections, requests and responses; call it before Listen(). */
+  void SetBudget(std::shared_ptr<MemoryBudget> aBudget);
+
   /** Changes the limits; for connections that are idle now, the longer idle timeout applies. */
   void SetLimits(HttpServerLimits aLimits);
 
--- /dev/null
+++ b/net/tests/client_limits_test.cpp
@@ -0,0 +1,272 @@
+#include "net/client_queue.h"
+#include "net/connection_limits.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/memory_budget.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwing::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
+
+const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+/** Ends a test that hangs; no test's result depends on how long it takes. */
+constexpr auto kTestTimeout = 20s;
+
+struct Fixture
+{
+  asio::io_context loop;
+  HttpServerLimits limits;
+  std::shared_ptr<MemoryBudget> budget;
+  std::unique_ptr<HttpServer> server;
+  std::vector<ClientPhase> closed;
+  std::size_t answerBytes = 3;
+  int handled = 0;
+
+  Fixture()
+  {
+    limits.closeStalled = true;
+    limits.requestTimeout = kTestTimeout;
+    limits.idleTimeout = kTestTimeout;
+  }
+
+  void Listen()
+  {
+    server =
+      std::make_unique<HttpServer>(loop, limits, [this](HttpRequest) -> core::Task<HttpResponse> {
+        ++handled;
+        HttpResponse response;
+        response.body.assign(answerBytes, 'a');
+        co_return response;
+      });
+    server->SetClosureHandler([this](ClientPhase aPhase) { closed.push_back(aPhase); });
+    server->SetBudget(budget);
+    BOOST_REQUIRE(server->Listen("127.0.0.1:0"));
+  }
+
+  std::shared_ptr<asio::ip::tcp::socket> Connect(const std::string& aBytes)
+  {
+    auto socket = std::make_shared<asio::ip::tcp::socket>(loop);
+    const std::string address = server->Address();
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    socket->connect({ asio::ip::make_address("127.0.0.1"), port });
+    asio::write(*socket, asio::buffer(aBytes));
+    return socket;
+  }
+
+  /** Runs the loop for longer than a connection may be without progress. */
+  void RunLong() { loop.run_for(700ms); }
+
+  HttpResult Ask(const std::string& aBody = "")
+  {
+    HttpResult result;
+    bool isDone = false;
+    const auto ask = [&]() -> core::Task<void> {
+      TcpHttpConnection connection(loop.get_executor());
+      std::string address = server->Address();
+      co_await connection.Connect(std::move(address), kTestTimeout);
+      HttpRequest request;
+      request.method = "POST";
+      request.body = aBody;
+      result = co_await connection.Exchange(std::move(request), kTestTimeout);
+      isDone = true;
+    };
+    core::Start(loop.get_executor(), ask());
+    while (!isDone) {
+      loop.run_one();
+    }
+    return result;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(client_limits)
+
+// Closing an idle connection while a stalled transfer could be closed would hurt ordinary callers.
+BOOST_AUTO_TEST_CASE(the_transfer_without_progress_for_longest_is_given_up_first)
+{
+  ClientQueue queue;
+  const core::TimePoint start{};
+  const auto idle = queue.Add(1, start);
+  const auto slow = queue.Add(2, start);
+  const auto fast = queue.Add(3, start);
+  queue.SetPhase(idle, ClientPhase::Idle, start);
+  queue.SetPhase(slow, ClientPhase::Transfer, start);
+  queue.SetPhase(fast, ClientPhase::Transfer, start);
+  queue.Add(4, start);
+  BOOST_TEST(!queue.Next(start + 100ms).has_value());
+  queue.AddBytes(slow, 1, start + 900ms);
+  queue.AddBytes(fast, 100000, start + 900ms);
+  BOOST_TEST(queue.Next(start + 1s).value() == 2U);
+  queue.SetPhase(slow, ClientPhase::Handling, start + 1s);
+  BOOST_TEST(queue.Next(start + 1s).value() == 4U);
+  BOOST_TEST(!queue.NextTransfer(start + 1s + 100ms).has_value());
+  queue.Remove(fast);
+  BOOST_TEST(queue.Count(ClientPhase::Transfer) == 0U);
+}
+
+// A reservation that isn't returned would refuse clients for good.
+BOOST_AUTO_TEST_CASE(reservations_return_what_they_took)
+{
+  const auto budget = std::make_shared<MemoryBudget>(1000);
+  {
+    MemoryReservation request(budget, MemoryUse::Request);
+    BOOST_TEST(request.Resize(700));
+    BOOST_TEST(!request.Resize(800));
+    MemoryReservation answer(budget, MemoryUse::Answer);
+    BOOST_TEST(answer.Resize(300));
+    BOOST_TEST(!answer.Resize(301));
+    // A crowd that doesn't read leaves a quarter for requests.
+    request.ForceResize(100);
+    BOOST_TEST(!answer.Resize(800));
+    request.ForceResize(700);
+    answer.ForceResize(500);
+    BOOST_TEST(budget->UsedBytes() == 1200U);
+  }
+  BOOST_TEST(budget->UsedBytes() == 0U);
+}
+
+// The connection that is closed to make room may be the one that asks.
+BOOST_AUTO_TEST_CASE(a_reservation_that_gives_itself_up_counts_once)
+{
+  const auto budget = std::make_shared<MemoryBudget>(1000);
+  MemoryReservation request(budget, MemoryUse::Request);
+  budget->AddReclaimer([&](MemoryUse) {
+    const bool hasBytes = request.Bytes() > 0;
+    request.ForceResize(0);
+    return hasBytes;
+  });
+  BOOST_TEST(request.Resize(700));
+  BOOST_TEST(!request.Resize(760));
+  BOOST_TEST(budget->UsedBytes() == 0U);
+  BOOST_TEST(request.Resize(700));
+  BOOST_TEST(budget->UsedBytes() == 700U);
+}
+
+// Limits that leave no descriptors for the store and the replicas would cut the daemon off.
+BOOST_AUTO_TEST_CASE(derived_limits_leave_descriptors_and_room_for_a_request)
+{
+  for (const std::size_t descriptors : { 256, 500, 4100, 8192 }) {
+    const ConnectionLimits limits = DeriveConnectionLimits(160 * kMegabyte, descriptors);
+    const std::size_t sum = limits.callers + limits.peers + limits.directory + limits.readiness;
+    BOOST_TEST(sum + (descriptors - 200) / 8 <= descriptors - 200);
+  }
+  BOOST_TEST(DeriveConnectionLimits(160 * kMegabyte, 4100).clientBytes == 68 * kMegabyte);
+  BOOST_TEST(DeriveConnectionLimits(16 * kMegabyte, 256).clientBytes == 4 * kMegabyte);
+  BOOST_TEST(!ConnectionLimits{}.isDerived);
+}
+
+// A body that stops short holds its memory until the request's timeout.
+BOOST_AUTO_TEST_CASE(a_stalled_body_makes_room_for_a_newcomer)
+{
+  Fixture fixture;
+  fixture.budget = std::make_shared<MemoryBudget>(200 * 1024);
+  fixture.Listen();
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 30000\r\n\r\n";
+  const auto stalled = fixture.Connect(head + std::string(20000, 'b'));
+  fixture.loop.run_for(100ms);
+  BOOST_TEST(fixture.budget->UsedBytes() > 40U * 1024);
+  MemoryReservation rest(fixture.budget, MemoryUse::Request);
+  BOOST_TEST(rest.Resize(150U * 1024 - fixture.budget->UsedBytes()));
+  // Nothing can be given up yet, so that the newcomer is refused, unread.
+  const std::string body(30000, 'n');
+  BOOST_TEST(fixture.Ask(body).response.status == 503U);
+  BOOST_TEST(fixture.handled == 0);
+  fixture.RunLong();
+  BOOST_TEST(fixture.Ask(body).response.status == 200U);
+  BOOST_TEST(fixture.handled == 1);
+  BOOST_REQUIRE(fixture.closed.size() == 1U);
+  BOOST_TEST((fixture.closed.front() == ClientPhase::Transfer));
+  fixture.RunLong();
+  BOOST_TEST(fixture.server->OpenConnections() == 0U);
+  rest.ForceResize(0);
+  BOOST_TEST(fixture.budget->UsedBytes() == 0U);
+}
+
+// Connections beyond the limit use up descriptors, also while they are refused.
+BOOST_AUTO_TEST_CASE(idle_connections_beyond_the_limit_make_room_or_newcomers_are_refused)
+{
+  Fixture fixture;
+  fixture.limits.connections = 2;
+  fixture.Listen();
+  std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets;
+  for (int n = 0; n < 40; ++n) {
+    sockets.push_back(fixture.Connect(""));
+  }
+  fixture.loop.run_for(100ms);
+  BOOST_TEST(fixture.server->OpenConnections() <= 18U);
+  BOOST_TEST(fixture.Ask().response.status == 503U);
+  fixture.RunLong();
+  BOOST_TEST(fixture.Ask().response.status == 200U);
+  BOOST_REQUIRE(fixture.closed.size() == 1U);
+  BOOST_TEST((fixture.closed.front() == ClientPhase::Unused));
+}
+
+// A reader that takes nothing holds the whole answer.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_read_makes_room)
+{
+  Fixture fixture;
+  fixture.budget = std::make_shared<MemoryBudget>(12 * kMegabyte);
+  fixture.answerBytes = 9 * kMegabyte;
+  fixture.limits.sendBufferBytes = 64 * 1024;
+  fixture.Listen();
+  const auto reader = fixture.Connect("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  fixture.RunLong();
+  BOOST_TEST(fixture.budget->UsedBytes() > 9 * kMegabyte);
+  BOOST_TEST(fixture.Ask().response.status == 200U);
+  BOOST_TEST(fixture.closed.size() == 1U);
+  fixture.RunLong();
+  BOOST_TEST(fixture.budget->UsedBytes() == 0U);
+}
+
+// Failing a response for want of memory would count against a replica that did nothing wrong.
+BOOST_AUTO_TEST_CASE(a_response_waits_for_memory)
+{
+  Fixture fixture;
+  fixture.answerBytes = kMegabyte;
+  fixture.Listen();
+  const auto budget = std::make_shared<MemoryBudget>(2 * kMegabyte);
+  auto other = std::make_unique<MemoryReservation>(budget, MemoryUse::Answer);
+  BOOST_REQUIRE(other->Resize(3 * kMegabyte / 2));
+  HttpResult result;
+  bool isDone = false;
+  const auto ask = [&]() -> core::Task<void> {
+    TcpHttpConnection connection(fixture.loop.get_executor(), budget);
+    std::string address = fixture.server->Address();
+    co_await connection.Connect(std::move(address), kTestTimeout);
+    HttpRequest request;
+    result = co_await connection.Exchange(std::move(request), kTestTimeout);
+    isDone = true;
+  };
+  core::Start(fixture.loop.get_executor(), ask());
+  fixture.loop.run_for(200ms);
+  BOOST_TEST(!isDone);
+  other.reset();
+  while (!isDone) {
+    fixture.loop.run_one();
+  }
+  BOOST_TEST(result.response.body.size() == kMegabyte);
+  BOOST_TEST(budget->UsedBytes() >= kMegabyte);
+  result = {};
+  BOOST_TEST(budget->UsedBytes() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace skylarkwing::net
