--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -49,8 +49,7 @@
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 128 } * 1024;
 constexpr int kAcceptBacklog = 1024;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
-/** A client that takes no byte of an answer for this long is closed. */
-constexpr core::Duration kWriteTimeout = std::chrono::seconds{ 10 };
+constexpr core::Duration kStreamWriteTimeout = std::chrono::seconds{ 30 };
 constexpr std::size_t kLingerReadBytes = std::size_t{ 4 } * 1024;
 constexpr core::Duration kLingerTimeout = std::chrono::milliseconds{ 500 };
 
@@ -69,7 +68,7 @@
 
   core::Task<bool> Write(std::string aData) override
   {
-    mStream.expires_after(kWriteTimeout);
+    mStream.expires_after(kStreamWriteTimeout);
     const auto chunk = http::make_chunk(asio::buffer(aData));
     const auto [ec, n] = co_await asio::async_write(mStream, chunk, kAsTuple);
     co_return !ec;
@@ -640,7 +639,7 @@
   beast::buffers_suffix<std::array<asio::const_buffer, 2>> rest(MessageBuffers(aHead, aBody));
   std::size_t size = aHead.size() + aBody.size();
   while (size > 0) {
-    aConnection.stream->expires_after(kWriteTimeout);
+    aConnection.stream->expires_after(limits.writeTimeout);
     const auto [ec, n] = co_await aConnection.stream->async_write_some(rest, kAsTuple);
     if (ec) {
       co_return ec;
@@ -649,6 +648,8 @@
     size -= n;
     clients.AddBytes(aConnection.client, n, std::chrono::steady_clock::now());
   }
+  // The timeout would also end the wait for the next request.
+  aConnection.stream->expires_never();
   co_return beast::error_code();
 }
 
@@ -698,14 +699,14 @@
   FillHeader(message, aResponse, false);
   message.chunked(true);
   const std::string head = SerializeHead(message);
-  aStream.expires_after(kWriteTimeout);
+  aStream.expires_after(kStreamWriteTimeout);
   const auto [ec, n] = co_await asio::async_write(aStream, asio::buffer(head), kAsTuple);
   if (ec) {
     co_return false;
   }
   ChunkStream chunks(aStream);
   co_await aResponse.stream(chunks);
-  aStream.expires_after(kWriteTimeout);
+  aStream.expires_after(kStreamWriteTimeout);
   const auto end = http::make_chunk_last();
   co_await asio::async_write(aStream, end, kAsTuple);
   co_return false;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -25,6 +25,8 @@
   std::size_t connections = 4096;
   core::Duration idleTimeout = std::chrono::seconds{ 60 };
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
+  /** A client that takes no byte of a response for this long is closed. */
+  core::Duration writeTimeout = std::chrono::seconds{ 10 };
   /** Sets HttpRequest::client. A client that closes its sending side counts as disconnected. */
   bool watchClients = false;
   /**
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -238,6 +239,33 @@
   BOOST_TEST(fixture.budget->UsedBytes() == 0U);
 }
 
+// The timeout of a write that stayed set would close connections before the idle timeout.
+BOOST_AUTO_TEST_CASE(a_connection_is_idle_for_longer_than_a_write_may_take)
+{
+  Fixture fixture;
+  fixture.limits.writeTimeout = 100ms;
+  fixture.Listen();
+  std::vector<unsigned> statuses;
+  const auto ask = [&]() -> core::Task<void> {
+    TcpHttpConnection connection(fixture.loop.get_executor());
+    std::string address = fixture.server->Address();
+    co_await connection.Connect(std::move(address), kTestTimeout);
+    for (int n = 0; n < 2; ++n) {
+      HttpRequest request;
+      const HttpResult result = co_await connection.Exchange(std::move(request), kTestTimeout);
+      statuses.push_back(result.error == HttpClientError::None ? result.response.status : 0);
+      asio::steady_timer pause(fixture.loop, 400ms);
+      co_await pause.async_wait(kAsTuple);
+    }
+  };
+  core::Start(fixture.loop.get_executor(), ask());
+  while (statuses.size() < 2) {
+    fixture.loop.run_one();
+  }
+  BOOST_TEST(statuses.front() == 200U);
+  BOOST_TEST(statuses.back() == 200U);
+}
+
 // Failing a response for want of memory would count against a replica that did nothing wrong.
 BOOST_AUTO_TEST_CASE(a_response_waits_for_memory)
 {
