--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -235,6 +235,7 @@
 {
   upstream::AttemptRequest request;
   request.service = mPlan.service;
+  request.route = mPlan.route->name;
   request.terms = mPlan.terms.get();
   request.triedReplicas = IsRetryingRefusers() ? nullptr : &mTried;
   request.allowedReplicas = IsRetryingRefusers() ? &mRefusedBy : nullptr;
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -272,13 +272,16 @@
     refusal = std::max(refusal, clientRefusal);
   }
   SendResult result;
-  if (usable.empty()) {
+  std::shared_ptr<ReplicaClient> client = ChooseCandidate(aRequest);
+  if (!client && usable.empty()) {
     result.refusal = refusal;
     return result;
   }
-  const bool mustQueue =
-    !aRequest.hasWaited && RateLimitWait(aRequest).value_or(core::Duration::zero()).count() > 0;
-  const std::shared_ptr<ReplicaClient> client = mustQueue ? nullptr : Choose(usable, aRequest);
+  const bool mustQueue = !client && !aRequest.hasWaited &&
+                         RateLimitWait(aRequest).value_or(core::Duration::zero()).count() > 0;
+  if (!client && !mustQueue) {
+    client = Choose(usable, aRequest);
+  }
   if (!client && mPartition.IsPartitioned()) {
     result.refusal = SendRefusal::Unreachable;
     return result;
@@ -290,8 +293,9 @@
     result.refusal = areAllLimited ? SendRefusal::RateLimited : SendRefusal::NoRoom;
     return result;
   }
+  AttemptCallback callback = ObserveVersion(*client, aRequest, std::move(aCallback));
   result.attempt =
-    client->Send(std::move(aMessage), aRequest.kind, aRequest.deadline, std::move(aCallback));
+    client->Send(std::move(aMessage), aRequest.kind, aRequest.deadline, std::move(callback));
   return result;
 }
 
@@ -301,6 +305,9 @@
   Service& service = ServiceOf(aService);
   service.lastUse = mTimers.Now();
   service.retryBudget.RecordFirstAttempt(service.lastUse);
+  if (mVersions.onRequest) {
+    mVersions.onRequest(aService);
+  }
 }
 
 bool
@@ -400,7 +407,10 @@
     }
     std::vector<std::pair<core::Duration, std::shared_ptr<ReplicaClient>>> byDistance;
     for (const std::shared_ptr<ReplicaClient>& client : service.clients) {
-      if (MayUse(*client, {})) {
+      const bool isUsable =
+        MayUse(*client, {}) ||
+        (IsCandidate(*client) && RefusalByState(*client, {}) == SendRefusal::None);
+      if (isUsable) {
         // An offset far below any real difference orders replicas that are equally far.
         const auto offset = std::hash<std::string>()(mLocality.vm + client->Replica().id) % 1000;
         byDistance.emplace_back(mLocality.AssumedRoundTrip(client->Replica().failureDomain) +
@@ -417,6 +427,12 @@
 
 SendRefusal
 ReplicaBalancer::RefusalFor(const ReplicaClient& aClient, const AttemptRequest& aRequest) const
+{
+  return IsVersionServing(aClient) ? RefusalByState(aClient, aRequest) : SendRefusal::NoReplica;
+}
+
+SendRefusal
+ReplicaBalancer::RefusalByState(const ReplicaClient& aClient, const AttemptRequest& aRequest) const
 {
   const AnnouncedReplica& replica = aClient.Replica();
   const bool isExcluded =
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -9,6 +9,7 @@
 #include "upstream/retry_budget.h"
 #include "upstream/room_wait.h"
 #include "upstream/shared_limits.h"
+#include "upstream/version_hooks.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -94,6 +95,8 @@
 struct AttemptRequest
 {
   std::string_view service;
+  /** Name of the caller's route; evidence about versions is kept by it. */
+  std::string_view route;
   AttemptKind kind = AttemptKind::First;
   /** Null means the highest priority, all regions and no customer. */
   const RequestTerms* terms = nullptr;
@@ -146,6 +149,12 @@
   /** Sets the callback for changes of a replica's availability. */
   void OnAvailabilityChange(AvailabilityHook aHook) { mOnAvailabilityChange = std::move(aHook); }
 
+  /** Sets which versions of a service get requests; all of the hooks must be set. */
+  void SetVersionHooks(VersionHooks aHooks);
+
+  /** To be called after the rule of a service has changed. */
+  void ApplyVersionRules(std::string_view aService);
+
   /** Sets the callback for changes of a replica's rate limit. */
   void OnRateLimitChange(RateLimitHook aHook) { mOnRateLimitChange = std::move(aHook); }
 
@@ -324,6 +333,7 @@
   bool mIsProbing = false;
   bool mWasPartitioned = false;
   core::LogRateLimiter mUnconfirmedLines;
+  VersionHooks mVersions;
   /** False once this object is destroyed; callbacks that come later check it. */
   std::shared_ptr<bool> mIsAlive;
 
@@ -332,6 +342,16 @@
   void ShareRoundTrips();
   bool IsInUse(const Service& aService) const;
   SendRefusal RefusalFor(const ReplicaClient& aClient, const AttemptRequest& aRequest) const;
+  /** @return the refusal without regard to the replica's version. */
+  SendRefusal RefusalByState(const ReplicaClient& aClient, const AttemptRequest& aRequest) const;
+  const VersionRule* VersionRuleOf(std::string_view aService) const;
+  /** @return whether its version is in service, or no replica of that version is left. */
+  bool IsVersionServing(const ReplicaClient& aClient) const;
+  bool IsCandidate(const ReplicaClient& aClient) const;
+  std::shared_ptr<ReplicaClient> ChooseCandidate(const AttemptRequest& aRequest);
+  AttemptCallback ObserveVersion(const ReplicaClient& aClient,
+                                 const AttemptRequest& aRequest,
+                                 AttemptCallback aCallback);
   bool MayUse(const ReplicaClient& aClient, const AttemptRequest& aRequest) const;
   bool HasUsableReplica(std::string_view aService);
   bool HasRoom(std::string_view aService);
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -249,6 +249,10 @@
   if (!aAttempt->mIsCancelled && !hasFailed) {
     RecordResult(*aAttempt, result.status);
   }
+  result.wasCancelled = aAttempt->mIsCancelled;
+  if (aAttempt->mSentAt) {
+    result.exchangeTime = mTimers.Now() - *aAttempt->mSentAt;
+  }
   aCallback(std::move(result));
   mHooks.onFree();
 }
@@ -268,6 +272,7 @@
       co_return Result(AttemptStatus::NothingSent);
     }
     const core::TimePoint sentAt = mTimers.Now();
+    aAttempt->mSentAt = sentAt;
     const core::Duration remaining = aDeadline - sentAt;
     const std::shared_ptr<net::HttpConnection> connection = aAttempt->mConnection;
     net::HttpResult reply = co_await connection->Exchange(
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -57,6 +57,9 @@
   AttemptStatus status = AttemptStatus::Lost;
   net::HttpResponse response;
   std::string signature;
+  /** Time since the request was sent, without opening a connection; zero when nothing was sent. */
+  core::Duration exchangeTime{};
+  bool wasCancelled = false;
 };
 
 /** Receives the result of an attempt, exactly once. */
@@ -89,6 +92,8 @@
   std::string mReplica;
   std::uint64_t mProcessStart;
   core::TimePoint mStart;
+  /** When the request was sent; nothing before that. */
+  std::optional<core::TimePoint> mSentAt;
   core::Duration mTypicalTime;
   bool mIsCancelled = false;
   std::shared_ptr<net::HttpConnection> mConnection;
