--- a/rollout/rollout.cpp
+++ b/rollout/rollout.cpp
@@ -16,7 +16,6 @@
 
 /** Answers of the old version from which some of the new one must have come too. */
 constexpr std::uint64_t kBusyAnswers = 100;
-constexpr std::uint64_t kMinTargetAnswers = 5;
 
 /** Daemons after these in the ranking don't wait longer. */
 constexpr std::size_t kMaxRank = 6;
@@ -154,7 +153,9 @@
   if (mOutcome) {
     return;
   }
-  mVerdict = CompareVersions(mEvidence.Totals());
+  if (mEvidence.Answers(VersionSide::Target) >= kMinTargetAnswers) {
+    mVerdict = CompareVersions(mEvidence.Totals());
+  }
   const core::Duration elapsed = Elapsed(aNow);
   // A target without any answers when it is too late for a shift has not shown that it works.
   const bool hasFailedToStart =
--- a/rollout/rollout_evidence.cpp
+++ b/rollout/rollout_evidence.cpp
@@ -36,6 +36,12 @@
  */
 constexpr double kMinScoreOfRest = 2.0;
 
+/**
+ * Least share of the new version's answers that have some of the old one in their stratum. Below it
+ * the domains are compared together: the versions run in different ones, or answers are few.
+ */
+constexpr double kMinComparable = 0.9;
+
 struct Stratum
 {
   double targetBad = 0.0;
@@ -50,7 +56,7 @@
   std::optional<std::string> route;
   /** Failure domain whose answers of the new version are left out. */
   std::optional<std::string> leftOut;
-  /** False when the versions run in different failure domains. */
+  /** Whether the domains are compared one by one. */
   bool byDomain = true;
 };
 
@@ -230,6 +236,7 @@
       ++cell->times[TimeBucket(aTime)];
     }
   }
+  ++(aKey.side == VersionSide::Target ? mTargetAnswers : mBaseAnswers);
 }
 
 void
@@ -241,6 +248,9 @@
     EvidenceCell& total = mTotals[key];
     total.Subtract(previous);
     total.Add(cell);
+    std::uint64_t& answers = key.side == VersionSide::Target ? mTargetAnswers : mBaseAnswers;
+    answers += cell.Count();
+    answers -= previous.Count();
     previous = cell;
   }
 }
@@ -259,16 +269,6 @@
   return cells;
 }
 
-std::uint64_t
-RolloutEvidence::Answers(VersionSide aSide) const
-{
-  std::uint64_t answers = 0;
-  for (const auto& [key, cell] : mTotals) {
-    answers += key.side == aSide ? cell.Count() : 0;
-  }
-  return answers;
-}
-
 RolloutVerdict
 CompareVersions(const EvidenceCells& aCells)
 {
@@ -280,7 +280,7 @@
   for (const auto& route : routes) {
     Selection selection{ route, std::nullopt, true };
     Score score = ScoreOf(aCells, selection);
-    if (2.0 * score.comparable < score.total) {
+    if (score.comparable < kMinComparable * score.total) {
       selection.byDomain = false;
       score = ScoreOf(aCells, selection);
     }
--- a/rollout/rollout_evidence.h
+++ b/rollout/rollout_evidence.h
@@ -67,13 +67,21 @@
   const EvidenceCells& Totals() const { return mTotals; }
 
   /** @return the answers of a version. */
-  std::uint64_t Answers(VersionSide aSide) const;
+  std::uint64_t Answers(VersionSide aSide) const
+  {
+    return aSide == VersionSide::Target ? mTargetAnswers : mBaseAnswers;
+  }
 
 private:
   std::map<std::string, EvidenceCells> mByVm;
   EvidenceCells mTotals;
+  std::uint64_t mBaseAnswers = 0;
+  std::uint64_t mTargetAnswers = 0;
 };
 
+/** Least number of the new version's answers for a verdict. */
+constexpr std::uint64_t kMinTargetAnswers = 5;
+
 /** The comparison of two versions. */
 struct RolloutVerdict
 {
--- a/rollout/rollout_plan.cpp
+++ b/rollout/rollout_plan.cpp
@@ -16,17 +16,15 @@
 };
 
 /**
- * Time at Full before the deadline: requests that run at old replicas end in it, all daemons
- * confirm, and the store takes up to 400 ms. While the old version gets nothing there is nothing to
- * compare with, so that it is limited.
+ * Time at Full before the rollout is completed: two reports, in which all daemons confirm, and the
+ * end of the requests that run at old replicas. While the old version gets nothing there is nothing
+ * to compare with, so that it is short.
  */
-constexpr double kFullPart = 0.045;
-constexpr core::Duration kMinFull = milliseconds{ 1000 };
-constexpr core::Duration kMaxFull = milliseconds{ 3000 };
+constexpr core::Duration kFullTime = milliseconds{ 600 };
 
 /** Time before the deadline for the write of `completed`. */
 constexpr double kCompletePart = 0.02;
-constexpr core::Duration kMinComplete = milliseconds{ 800 };
+constexpr core::Duration kMinComplete = milliseconds{ 700 };
 constexpr core::Duration kMaxComplete = milliseconds{ 1500 };
 
 /** One slow call of the store. */
@@ -58,14 +56,18 @@
 RolloutPlan::RolloutPlan(core::Duration aDuration, const RolloutLimits& aLimits)
   : mDuration(aDuration)
   , mLimits(aLimits)
-  , mShiftAt(Scale(aDuration, 1.0 - aLimits.exposureShare * (1.0 - kTrialPart)))
-  , mFullAt(
-      std::max(mShiftAt, aDuration - std::clamp(Scale(aDuration, kFullPart), kMinFull, kMaxFull)))
-  , mCompleteAt(
-      std::max(mFullAt,
-               aDuration - std::clamp(Scale(aDuration, kCompletePart), kMinComplete, kMaxComplete)))
+  , mShiftAt(aDuration)
+  , mFullAt(aDuration)
+  , mCompleteAt(aDuration - std::clamp(Scale(aDuration, kCompletePart), kMinComplete, kMaxComplete))
   , mLastMoment(std::max(mCompleteAt, aDuration - kLastMoment))
 {
+  // What the trial leaves of the allowed share is the time at Full, and the shift before it.
+  const core::Duration left = Scale(aDuration, aLimits.exposureShare * (1.0 - kTrialPart));
+  const core::Duration full = std::min(left, aDuration - mCompleteAt + kFullTime);
+  mFullAt = aDuration - full;
+  mShiftAt = mFullAt - Scale(left - full, 1.0 / kShiftShare);
+  mCompleteAt = std::max(mCompleteAt, mFullAt);
+  mLastMoment = std::max(mLastMoment, mCompleteAt);
 }
 
 ExposureBudget::ExposureBudget(const RolloutPlan& aPlan, core::Duration aStart)
@@ -93,11 +95,13 @@
 {
   switch (aPhase) {
     case RolloutPhase::Trial:
+      // Otherwise the first requests of the shift all went to the new version.
+      mShiftCredit = mOffset;
       return AllowsTrial(aElapsed);
     case RolloutPhase::Shift: {
       const RolloutLimits& limits = mPlan.Limits();
       const double allowed = limits.exposureShare * static_cast<double>(mRequests) +
-                             limits.exposureSlack * kShiftSlackPart * mShare;
+                             limits.exposureSlack * kShiftSlackPart * mShare + mOffset;
       if (mShiftCredit < 1.0 || static_cast<double>(mSent) + 1.0 > allowed) {
         return false;
       }
--- a/rollout/rollout_plan.h
+++ b/rollout/rollout_plan.h
@@ -61,8 +61,11 @@
   /** Part of the allowed share and of the allowed slack that the trial uses. */
   static constexpr double kTrialPart = 0.3;
 
-  /** Share of the new version during the shift; the rest shows whether a fault is the fleet's. */
-  static constexpr double kShiftShare = 0.75;
+  /**
+   * Share of the new version during the shift; the rest shows whether a fault is the fleet's. With
+   * 0.75, 20 failures in 2 s of a service with 21 requests per second were no verdict.
+   */
+  static constexpr double kShiftShare = 0.6;
 
   RolloutPlan(core::Duration aDuration, const RolloutLimits& aLimits);
 
