--- a/rollout/rollout.cpp
+++ b/rollout/rollout.cpp
@@ -87,7 +87,8 @@
 Rollout::Allows(core::TimePoint aNow)
 {
   const bool isSilent =
-    mRanking.size() > 1 && !HasMajority(aNow) && aNow - std::max(mRepliedAt, mSeenAt) > kMaxSilence;
+    mRanking.size() > 1 && !HasMajority(aNow) &&
+    aNow - std::max(mRepliedAt, mSeenAt) > mPlan.Limits().rollbackTime * kMaxSilencePart;
   return (mOutcome || !isSilent) && mBudget.Allows(Phase(aNow), Elapsed(aNow));
 }
 
--- a/rollout/rollout.h
+++ b/rollout/rollout.h
@@ -45,7 +45,7 @@
  * One rollout as one daemon sees it.
  *
  * The phase follows from the elapsed time, the evidence and the word of a majority of the daemons;
- * a daemon without such word falls back to the trial's share, and after kMaxSilence to none.
+ * a daemon without such word falls back to the trial's share, and after kMaxSilencePart to none.
  */
 class Rollout
 {
@@ -54,10 +54,10 @@
   static constexpr core::Duration kRecent = std::chrono::milliseconds{ 1500 };
 
   /**
-   * Silence after which the new version gets nothing: others may have seen 50 bad answers, after
-   * which nothing may reach it for longer than 5 s.
+   * Silence after which the new version gets nothing, as a part of RolloutLimits::rollbackTime:
+   * others may have seen 50 bad answers, and take up to 1 s to judge them.
    */
-  static constexpr core::Duration kMaxSilence = std::chrono::seconds{ 3 };
+  static constexpr double kMaxSilencePart = 0.6;
 
   /** A daemon waits this long for each daemon before it in the ranking to write a step. */
   static constexpr core::Duration kRankDelay = std::chrono::milliseconds{ 500 };
--- a/rollout/rollout_control.cpp
+++ b/rollout/rollout_control.cpp
@@ -302,11 +302,11 @@
                            core::TimePoint aNow,
                            std::int64_t aWallMs)
 {
-  if (!aService.order || aService.rollout || !aService.base) {
+  if (!mHasReadRecords || !aService.order || aService.rollout || !aService.base) {
     return;
   }
   const bool hasRecord = aService.record && IsRecordOf(*aService.record, *aService.order);
-  core::Duration elapsed = aNow - aService.orderSeenAt;
+  core::Duration elapsed = std::min(aNow - aService.orderSeenAt, aService.order->duration);
   if (hasRecord && aService.mayBeOld) {
     const std::chrono::milliseconds sinceStart(aWallMs - aService.record->startedAtMs);
     elapsed = std::clamp<core::Duration>(sinceStart, elapsed, aService.order->duration);
--- a/rollout/rollout_control.h
+++ b/rollout/rollout_control.h
@@ -80,6 +80,9 @@
                  std::optional<RolloutRecord> aRecord,
                  std::uint64_t aRevision);
 
+  /** To be called once the records were read; no rollout begins before that. */
+  void SetRecordsRead() { mHasReadRecords = true; }
+
   /** Sets the status in the store; nothing when it doesn't exist. */
   void SetStatus(const std::string& aService,
                  std::optional<RolloutStatus> aStatus,
@@ -148,6 +151,7 @@
   std::map<std::string, Service, std::less<>> mServices;
   std::vector<std::string> mRanking;
   double mOwnShare = 1.0;
+  bool mHasReadRecords = false;
 
   Rollout* RolloutOf(std::string_view aService);
   static void EndRollout(Service& aService);
--- a/rollout/rollout_plan.h
+++ b/rollout/rollout_plan.h
@@ -2,6 +2,7 @@
 
 #include "core/timer_service.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,6 +38,8 @@
   /** Share of a service's requests, and requests beyond that, over all daemons. */
   double exposureShare = 0.1;
   std::uint32_t exposureSlack = 50;
+  /** It gets nothing later than this after its 50th bad answer. */
+  core::Duration rollbackTime = std::chrono::seconds{ 5 };
 };
 
 /** An order of the operator. */
