--- a/rollout/rollout_control.cpp
+++ b/rollout/rollout_control.cpp
@@ -118,6 +118,9 @@
 void
 RolloutControl::SetFleet(const std::vector<std::string>& aRanking, double aOwnShare)
 {
+  if (mRanking == aRanking && mOwnShare == aOwnShare) {
+    return;
+  }
   mRanking = aRanking;
   mOwnShare = aOwnShare;
   for (auto& [name, service] : mServices) {
--- a/rollout/tests/rollout_test.cpp
+++ b/rollout/tests/rollout_test.cpp
@@ -204,6 +204,20 @@
   BOOST_TEST((fleet.Phase() == RolloutPhase::Reverted));
 }
 
+// Guards against a good version that is reverted, or never completed, since the store was away.
+BOOST_AUTO_TEST_CASE(a_good_version_is_completed_late_when_the_store_is_away_at_the_deadline)
+{
+  Fleet fleet(7);
+  fleet.Order("v2");
+  fleet.RunUntil(50.0);
+  fleet.isStoreDown = true;
+  fleet.RunUntil(65.0);
+  BOOST_TEST(fleet.IsWithinBound());
+  fleet.isStoreDown = false;
+  fleet.RunUntil(66.0);
+  BOOST_TEST((fleet.Phase() == RolloutPhase::Completed));
+}
+
 // Guards against verdicts that a restored store has lost, and with them the version in service.
 BOOST_AUTO_TEST_CASE(a_verdict_that_a_restored_store_has_lost_is_written_again)
 {
