--- a/upstream/replica_choice.h
+++ b/upstream/replica_choice.h
@@ -82,9 +82,9 @@
 
 /**
  * Replicas that report their speed share the requests if their cost is at most this many times the
- * best one's: at the usual range of 60 to 140, the replica with the best figure gets company.
+ * best one's. Slower ones would make queries over many shards late.
  */
-constexpr double kMaxSharedCost = 2.5;
+constexpr double kMaxSharedCost = 1.5;
 
 /**
  * Exponent of the inverse cost in the weights of replicas that share requests. With 1, all would be
--- a/upstream/replica_speed.h
+++ b/upstream/replica_speed.h
@@ -40,7 +40,10 @@
   /** @return whether the replica has reported a figure. */
   bool IsReported() const { return mFactor.has_value(); }
 
-  /** @return how long work takes now, compared with the averaged times; 1 when it isn't known. */
+  /**
+   * @return how long work takes now, compared with the averaged times; 1 when it isn't known, and
+   *         when work is faster than usual.
+   */
   double FactorAt(core::TimePoint aNow) const;
 
   /**
