Findings of the linter

Parameters by value that are only read, an unused variable, a missing include and allocations in tests (units of caller, net, platform); no change of behaviour.

--- a/caller/customer_quota.cpp
+++ b/caller/customer_quota.cpp
@@ -1,6 +1,7 @@
 #include "caller/customer_quota.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkwing::caller {
 
--- a/caller/quota_client.cpp
+++ b/caller/quota_client.cpp
@@ -55,9 +55,8 @@
 }
 
 core::Task<void>
-QuotaClient::Run()
+QuotaClient::Run([[maybe_unused]] std::shared_ptr<QuotaClient> aSelf)
 {
-  const auto self = shared_from_this();
   core::TimePoint reportedAt = mTimers.Now();
   while (true) {
     const core::TimePoint due = reportedAt + mQuota.ReportInterval();
@@ -114,7 +113,7 @@
     mQuota.ReturnReport(report);
   }
   const bool hadWaiters = !waiters.empty();
-  AnswerWaiters(std::move(waiters), reply);
+  AnswerWaiters(waiters, reply);
   if (!reply && !hadWaiters) {
     co_await core::Sleep(mTimers, kRetryInterval);
   }
@@ -190,13 +189,14 @@
 }
 
 void
-QuotaClient::AnswerWaiters(std::deque<Waiter> aWaiters, const std::optional<QuotaReply>& aReply)
+QuotaClient::AnswerWaiters(const std::deque<Waiter>& aWaiters,
+                           const std::optional<QuotaReply>& aReply)
 {
   std::map<std::string, std::uint32_t> granted;
   if (aReply) {
     granted = aReply->granted;
   }
-  for (Waiter& waiter : aWaiters) {
+  for (const Waiter& waiter : aWaiters) {
     const std::string& name = waiter.customer.name;
     if (!aReply) {
       const QuotaVerdict verdict = mQuota.DecideAlone(waiter.customer, mTimers.Now());
--- a/caller/quota_client.h
+++ b/caller/quota_client.h
@@ -29,7 +29,7 @@
  * All requests that wait for tokens are in one report, and only one report is under way. A
  * coordinator that doesn't answer is passed over for a while.
  */
-class QuotaClient : public std::enable_shared_from_this<QuotaClient>
+class QuotaClient
 {
 public:
   QuotaClient(core::TimerService& aTimers,
@@ -37,8 +37,12 @@
               std::string aVm,
               QuotaHooks aHooks);
 
-  /** Begins to report; continues until the process ends. */
-  core::Task<void> Run();
+  /**
+   * Begins to report; continues until the process ends.
+   *
+   * @param aSelf keeps this object alive.
+   */
+  core::Task<void> Run(std::shared_ptr<QuotaClient> aSelf);
 
   /** Sets whether any customer has a quota; nothing is reported otherwise. */
   void SetActive(bool aIsActive);
@@ -84,7 +88,7 @@
   core::Task<std::optional<QuotaReply>> Ask(QuotaReport aReport);
   core::Task<void> LeaveCoordinator(QuotaReport& aReport);
   std::optional<std::string> ChooseCoordinator(const std::vector<std::string>& aTried);
-  void AnswerWaiters(std::deque<Waiter> aWaiters, const std::optional<QuotaReply>& aReply);
+  void AnswerWaiters(const std::deque<Waiter>& aWaiters, const std::optional<QuotaReply>& aReply);
 };
 
 } // namespace skylarkwing::caller
--- a/caller/quota_coordinator.cpp
+++ b/caller/quota_coordinator.cpp
@@ -113,7 +113,7 @@
 }
 
 void
-QuotaCoordinator::SetFleet(std::map<std::string, double> aWeights,
+QuotaCoordinator::SetFleet(const std::map<std::string, double>& aWeights,
                            bool aIsFirst,
                            core::TimePoint aNow)
 {
--- a/caller/quota_coordinator.h
+++ b/caller/quota_coordinator.h
@@ -68,7 +68,7 @@
    * @param aWeights their weights, by VM.
    * @param aIsFirst whether this daemon is the one that all others report to while they reach it.
    */
-  void SetFleet(std::map<std::string, double> aWeights, bool aIsFirst, core::TimePoint aNow);
+  void SetFleet(const std::map<std::string, double>& aWeights, bool aIsFirst, core::TimePoint aNow);
 
   /** Charges what a daemon has admitted, and grants tokens for what waits there. */
   QuotaReply Handle(const QuotaReport& aReport, core::TimePoint aNow);
--- a/main/platform_command.cpp
+++ b/main/platform_command.cpp
@@ -94,13 +94,13 @@
 }
 
 int
-Serve(platform::BootSettings aSettings, const std::string& aPath)
+Serve(const platform::BootSettings& aSettings, const std::string& aPath)
 {
   core::InitializeLog(core::LogLevel::Info, core::LogFormat::Json, core::LogTarget::Output);
   core::SetLogVm(aSettings.vm);
   mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   asio::io_context loop(1);
-  platform::PlatformDaemon daemon(loop, std::move(aSettings));
+  platform::PlatformDaemon daemon(loop, aSettings);
   if (!daemon.Setup()) {
     std::cerr << "skylarkwing platform: " << daemon.LastError() << '\n';
     return kExitFailure;
@@ -125,11 +125,11 @@
   if (options.exitCode >= 0) {
     return options.exitCode;
   }
-  platform::BootSettingsResult loaded = platform::LoadBootSettings(options.settingsFile);
+  const platform::BootSettingsResult loaded = platform::LoadBootSettings(options.settingsFile);
   if (const auto exitCode = ReportSettings(options, loaded.faults)) {
     return *exitCode;
   }
-  return Serve(std::move(*loaded.settings), options.settingsFile);
+  return Serve(*loaded.settings, options.settingsFile);
 }
 
 } // namespace skylarkwing
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -185,7 +185,7 @@
   fixture.loop.run_for(100ms);
   BOOST_TEST(fixture.budget->UsedBytes() > 40U * 1024);
   MemoryReservation rest(fixture.budget, MemoryUse::Request);
-  BOOST_TEST(rest.Resize(150U * 1024 - fixture.budget->UsedBytes()));
+  BOOST_TEST(rest.Resize(std::size_t{ 150 } * 1024 - fixture.budget->UsedBytes()));
   // Nothing can be given up yet, so that the newcomer is refused, unread.
   const std::string body(6000, 'n');
   BOOST_TEST(fixture.Ask(body) == 503U);
@@ -207,8 +207,10 @@
   Fixture fixture;
   fixture.limits.connections = 2;
   fixture.Listen();
+  constexpr std::size_t kSockets = 40;
   std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets;
-  for (int n = 0; n < 40; ++n) {
+  sockets.reserve(kSockets);
+  for (std::size_t n = 0; n < kSockets; ++n) {
     sockets.push_back(fixture.Connect(""));
   }
   fixture.loop.run_for(100ms);
@@ -228,7 +230,7 @@
   Fixture fixture;
   fixture.budget = std::make_shared<MemoryBudget>(5 * kMegabyte);
   fixture.answerBytes = 3 * kMegabyte;
-  fixture.limits.sendBufferBytes = 64 * 1024;
+  fixture.limits.sendBufferBytes = std::size_t{ 64 } * 1024;
   fixture.Listen();
   const auto reader = fixture.Connect("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   fixture.RunLong();
--- a/net/tests/message_framing_test.cpp
+++ b/net/tests/message_framing_test.cpp
@@ -134,8 +134,9 @@
          "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
          "Content-Length: 5\r\nContent-Length: 6\r\n" }) {
     ServerFixture fixture;
-    const std::string answer =
-      fixture.Send("POST /a HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n" + smuggled);
+    std::string request("POST /a HTTP/1.1\r\nHost: h\r\n");
+    request.append(framing).append("\r\n").append(smuggled);
+    const std::string answer = fixture.Send(request);
     BOOST_TEST(answer.find("HTTP/1.1 400") == 0U, framing << answer);
     BOOST_TEST(answer.find("HTTP/1.1", 1) == std::string::npos, framing << answer);
     BOOST_TEST(fixture.handled == 0, framing);
