--- a/crowd/crowd_test.cpp
+++ b/crowd/crowd_test.cpp
@@ -12,7 +12,7 @@
 constexpr unsigned kOk = 200;
 
 /** Inside the limit on bodies of the test's configuration. */
-constexpr std::size_t kOrdinaryBodyBytes = 200 * 1000;
+constexpr std::size_t kOrdinaryBodyBytes = std::size_t{ 200 } * 1000;
 
 const std::string kChunkedHead = "POST /short/crowd HTTP/1.1\r\nHost: shop.example\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n";
@@ -62,7 +62,7 @@
 {
   CrowdPlan plan;
   plan.clients = 300;
-  plan.bytes = ChunkedRequestWithoutEnd(15, 16 * 1000);
+  plan.bytes = ChunkedRequestWithoutEnd(15, std::size_t{ 16 } * 1000);
   CheckCrowd({ 48, 2000 }, plan);
 }
 
@@ -71,7 +71,7 @@
 {
   CrowdPlan plan;
   plan.clients = 400;
-  plan.bytes = ChunkedRequestWithoutEnd(100 * 1000, 1);
+  plan.bytes = ChunkedRequestWithoutEnd(std::size_t{ 100 } * 1000, 1);
   CheckCrowd({ 32, 2000 }, plan);
 }
 
@@ -98,8 +98,8 @@
 {
   CrowdPlan plan;
   plan.clients = 1500;
-  plan.bytes =
-    "GET /short/crowd HTTP/1.1\r\nHost: shop.example\r\nPadding: " + std::string(15 * 1000, 'h');
+  plan.bytes = "GET /short/crowd HTTP/1.1\r\nHost: shop.example\r\nPadding: " +
+               std::string(std::size_t{ 15 } * 1000, 'h');
   CheckCrowd({ 32, 2000 }, plan);
 }
 
