--- a/review/standin-2/stage.hh
+++ b/review/standin-2/stage.hh
@@ -225,6 +225,42 @@
   return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/** The bandwidth of a machine's link, which all connections over it share. */
+class Link
+{
+public:
+  explicit Link(double mbps)
+    : bytesPerSecond(mbps * 1e6 / 8.0)
+  {
+  }
+
+  bool Send(int fd, const std::string& bytes)
+  {
+    constexpr std::size_t kBlock = 8192;
+    for (std::size_t at = 0; at < bytes.size(); at += kBlock) {
+      const std::string block = bytes.substr(at, kBlock);
+      double until = 0.0;
+      {
+        const std::lock_guard lock(mutex);
+        freeAt = std::max(freeAt, Now()) + static_cast<double>(block.size()) / bytesPerSecond;
+        until = freeAt;
+      }
+      while (Now() < until) {
+        std::this_thread::sleep_for(std::chrono::duration<double>(until - Now()));
+      }
+      if (!SendAll(fd, block)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+private:
+  double bytesPerSecond;
+  std::mutex mutex;
+  double freeAt = 0.0;
+};
+
 /** Answers requests on a port of its own; one thread for each connection. */
 class Server
 {
@@ -232,8 +268,10 @@
   /** Returns the bytes of the response; empty resets the connection. */
   using Handler = std::function<std::string(const Message& request, int fd)>;
 
-  explicit Server(Handler handler)
+  /** @param link the link that the responses take; null for no limit. */
+  explicit Server(Handler handler, Link* link = nullptr)
     : handler(std::move(handler))
+    , link(link)
   {
     listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
@@ -264,6 +302,7 @@
 
 private:
   Handler handler;
+  Link* link;
   int listener = -1;
   int port = 0;
   bool isStopped = false;
@@ -300,7 +339,7 @@
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
         break;
       }
-      if (!SendAll(fd, response)) {
+      if (link != nullptr ? !link->Send(fd, response) : !SendAll(fd, response)) {
         break;
       }
     }
@@ -921,6 +960,7 @@
   std::string zone;
   std::string region;
   int memoryMb = 260;
+  double cpuShare = 0.25;
 };
 
 /** `target/skylarkwing platform`, started as the deploy file says. */
@@ -952,7 +992,7 @@
                  { "store", { { "address", storeAddress }, { "leastLeaseMs", 1000 } } },
                  { "extraAttempts",
                    { { "ratio", 0.2 }, { "slack", 56 }, { "windowSeconds", 10 } } },
-                 { "capacity", { { "share", 0.25 }, { "cores", 1 } } },
+                 { "capacity", { { "share", this->place.cpuShare }, { "cores", 1 } } },
                  { "resources",
                    { { "memoryMegabytes", this->place.memoryMb }, { "descriptors", 4100 } } },
                  { "stopGraceSeconds", 6 },
