--- a/review/standin-2/stage.hh
+++ b/review/standin-2/stage.hh
@@ -939,19 +939,24 @@
   std::string folder;
 };
 
-/** A free port of the loopback address. */
+/** A free port of the loopback address, below those that outgoing connections get. */
 inline std::string
 FreeAddress()
 {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  static int next = 20'000 + getpid() * 37 % 10'000;
+  while (true) {
+    next = next < 32'000 ? next + 1 : 20'000;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(next));
+    const bool isFree = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (isFree) {
+      return "127.0.0.1:" + std::to_string(next);
+    }
+  }
 }
 
 struct DaemonPlace
