--- a/review/standin-2/stage.hh
+++ b/review/standin-2/stage.hh
@@ -777,7 +777,13 @@
     bool isFinished = false;
   };
 
-  Replica(Store& store, std::string id, std::string service, std::string zone, int slots)
+  /** @param coldSeconds how long it is cold after its start. */
+  Replica(Store& store,
+          std::string id,
+          std::string service,
+          std::string zone,
+          int slots,
+          double coldSeconds = 0.0)
     : store(store)
     , id(std::move(id))
     , service(std::move(service))
@@ -788,6 +794,7 @@
              .count())
     , server([this](const Message& request, int fd) { return Handle(request, fd); })
   {
+    coldUntil = coldSeconds > 0.0 ? Now() + coldSeconds : 0.0;
     beat = std::thread([this] {
       while (!hasLeft) {
         Announce();
@@ -802,6 +809,12 @@
   /** Time that a request takes. */
   std::atomic<int> workMs{ 20 };
 
+  /** Until when it is cold. */
+  std::atomic<double> coldUntil{ 0.0 };
+
+  /** Called for each request that isn't answered with 421. */
+  std::function<void(Replica&, const Message&)> onArrival;
+
   std::function<void(const Replica&, const Message&)> onRun;
 
   const std::string& Id() const { return id; }
@@ -818,6 +831,15 @@
 
   void Stop() { server.Stop(); }
 
+  /** Ends as a process that crashes: it sends nothing more. */
+  void Crash()
+  {
+    hasLeft = true;
+    server.Stop();
+  }
+
+  int Running() const { return running; }
+
 private:
   Store& store;
   std::string id;
@@ -845,7 +867,8 @@
                       { "version", "v1" },
                       { "slots", slots },
                       { "state", "ready" },
-                      { "cold_remaining_ms", 0 },
+                      { "cold_remaining_ms",
+                        static_cast<int>(std::max(0.0, coldUntil - Now()) * 1000.0) },
                       { "sequence", ++sequence },
                       { "born", born } }
                   .dump());
@@ -860,6 +883,9 @@
       headers.emplace_back("Instance-Id", id);
       return MakeResponse(421, headers, "");
     }
+    if (onArrival) {
+      onArrival(*this, request);
+    }
     if (running >= slots) {
       auto headers = echo;
       headers.emplace_back("Not-Executed", "1");
@@ -1010,6 +1036,8 @@
   const std::string& Front() const { return front; }
   const std::string& Peers() const { return peers; }
   void SetSeeds(const std::vector<std::string>& seeds) { settings["seeds"] = seeds; }
+  /** Sets a section of the settings that not all deployments have. */
+  void SetSection(const std::string& name, json section) { settings[name] = std::move(section); }
 
   void Start()
   {
