--- a/review/standin-2/cold_crowd.cc
+++ b/review/standin-2/cold_crowd.cc
@@ -229,7 +229,7 @@
   SleepMs(5000);
 
   for (const auto& replica : replicas) {
-    replica->Stop();
+    replica->Crash();
   }
   Record::Line("all replicas lose power");
   if (HasTrouble()) {
