Server: a client that leaves is noticed behind unread bytes

What callers saw: after 300 clients had sent a held request and a part of a second one and had left, ordinary requests were refused as overloaded until the deadline of the held ones. Cause: bytes behind the running request make the socket readable for good, so that the watch of the client's socket ended with the first of them and the end of the connection wasn't noticed. Fix: once there are such bytes, the state of the socket is looked at every 100 ms; poll() reports a close and a reset whatever is unread. The watch moves to a file of its own. Ruled out: waiting for readability again, which is a busy loop; waiting for errors only, which misses a close.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include "net/endpoint.h"
 #include "net/http_reading.h"
 #include "net/http_serialization.h"
+#include "net/socket_watch.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -174,54 +175,6 @@
   return static_cast<unsigned>(http::status::bad_request);
 }
 
-/** Monitors the socket of a client while its request is handled. */
-class SocketWatch
-  : public HttpClientWatch
-  , public std::enable_shared_from_this<SocketWatch>
-{
-public:
-  explicit SocketWatch(std::shared_ptr<beast::tcp_stream> aStream)
-    : mStream(std::move(aStream))
-  {
-  }
-
-  void Start()
-  {
-    mStream->socket().async_wait(
-      asio::socket_base::wait_read,
-      [self = shared_from_this()](const beast::error_code& aError) { self->OnReadable(aError); });
-  }
-
-  void Stop()
-  {
-    mIsStopped = true;
-    beast::error_code ec;
-    mStream->socket().cancel(ec);
-  }
-
-private:
-  void OnReadable(const beast::error_code& aError)
-  {
-    if (aError || mIsStopped) {
-      return;
-    }
-    char byte = 0;
-    beast::error_code ec;
-    auto& socket = mStream->socket();
-    // The bytes that made it readable may have been read before, and receive() would block for
-    // good.
-    socket.non_blocking(true, ec);
-    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
-    // Received bytes belong to a pipelined request, which is read after the response.
-    if (ec && ec != asio::error::would_block) {
-      SetDisconnected();
-    }
-  }
-
-  std::shared_ptr<beast::tcp_stream> mStream;
-  bool mIsStopped = false;
-};
-
 /**
  * Cancels the pending operation of a stream after a timeout. The stream's own timeout would close
  * it before an error response could be sent.
@@ -561,8 +514,9 @@
 core::Task<HttpResponse>
 HttpServer::State::Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest)
 {
-  const auto watch =
-    limits.watchClients ? std::make_shared<SocketWatch>(std::move(aStream)) : nullptr;
+  const auto watch = limits.watchClients
+                       ? std::make_shared<SocketWatch>(std::move(aStream), [](std::size_t) {})
+                       : nullptr;
   if (watch) {
     aRequest.client = watch;
     watch->Start();
