Server: bytes behind a running request count, and their buffer is bounded

What callers saw: 300 clients that send on behind a held request took 22.6 MB in the kernel, which the platform counts as memory of the process: 37.9 MB where the machine has 32. Cause: nothing is read of a connection while its request runs, and the kernel's receive buffer had no limit. Unread bytes are counted in the budget while a request is handled, and a client that sends much then can be given up, after transfers and idle connections. Ruled out: reading on, which only moves the bytes.

--- a/net/client_queue.cpp
+++ b/net/client_queue.cpp
@@ -74,16 +74,9 @@
 }
 
 std::optional<std::uint64_t>
-ClientQueue::NextTransfer(core::TimePoint aNow) const
+ClientQueue::NextOf(std::initializer_list<ClientPhase> aPhases, core::TimePoint aNow) const
 {
-  return NextIn(ClientPhase::Transfer, aNow);
-}
-
-std::optional<std::uint64_t>
-ClientQueue::Next(core::TimePoint aNow) const
-{
-  for (const ClientPhase phase :
-       { ClientPhase::Transfer, ClientPhase::Unused, ClientPhase::Idle }) {
+  for (const ClientPhase phase : aPhases) {
     if (const auto id = NextIn(phase, aNow)) {
       return id;
     }
@@ -91,6 +84,20 @@
   return std::nullopt;
 }
 
+std::optional<std::uint64_t>
+ClientQueue::NextWithMemory(core::TimePoint aNow) const
+{
+  return NextOf({ ClientPhase::Transfer, ClientPhase::Pipelining }, aNow);
+}
+
+std::optional<std::uint64_t>
+ClientQueue::Next(core::TimePoint aNow) const
+{
+  return NextOf(
+    { ClientPhase::Transfer, ClientPhase::Unused, ClientPhase::Idle, ClientPhase::Pipelining },
+    aNow);
+}
+
 std::size_t
 ClientQueue::Count(ClientPhase aPhase) const
 {
--- a/net/client_queue.h
+++ b/net/client_queue.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <initializer_list>
 #include <list>
 #include <optional>
 
@@ -21,12 +22,14 @@
   Idle,
   /** The process has to answer; the connection can't be given up. */
   Handling,
+  /** The process has to answer, and the client has sent much of further requests meanwhile. */
+  Pipelining,
 };
 
 /**
  * Order in which connections of clients are given up: first those that were longest without
- * progress in a transfer, then those that never carried a request, then idle ones. Clients reuse
- * idle connections, so that these come last.
+ * progress in a transfer, then those that never carried a request, then idle ones, which clients
+ * reuse, then those whose client sends on while its request is handled.
  */
 class ClientQueue
 {
@@ -61,20 +64,22 @@
   /** @return the connection to give up next, or nothing if all have had progress lately. */
   std::optional<std::uint64_t> Next(core::TimePoint aNow) const;
 
-  /** @return the same, but only among the transfers. */
-  std::optional<std::uint64_t> NextTransfer(core::TimePoint aNow) const;
+  /** @return the same, but only among those that hold more than a connection without a request. */
+  std::optional<std::uint64_t> NextWithMemory(core::TimePoint aNow) const;
 
   /** @return the number of connections in a phase. */
   std::size_t Count(ClientPhase aPhase) const;
 
 private:
-  static constexpr std::size_t kPhases = 4;
+  static constexpr std::size_t kPhases = 5;
 
   /** By phase, each in the order of Client::since. */
   std::array<std::list<Client>, kPhases> mClients;
 
   std::list<Client>& ListOf(ClientPhase aPhase);
   std::optional<std::uint64_t> NextIn(ClientPhase aPhase, core::TimePoint aNow) const;
+  std::optional<std::uint64_t> NextOf(std::initializer_list<ClientPhase> aPhases,
+                                      core::TimePoint aNow) const;
 };
 
 } // namespace skylarkwing::net
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -44,6 +44,8 @@
 constexpr std::size_t kFirstReadBytes = std::size_t{ 4 } * 1024;
 /** Longer bodies are counted twice while they are handled: each attempt has a copy. */
 constexpr std::size_t kSmallBodyBytes = std::size_t{ 4 } * 1024;
+/** Bytes in the kernel's queue of a connection that are part of what each connection takes. */
+constexpr std::size_t kSmallQueueBytes = std::size_t{ 4 } * 1024;
 /** Refused connections that get an answer; beyond them, newcomers are closed without one. */
 constexpr std::size_t kMaxRefusing = 16;
 /** Buffer for received, unparsed data besides a header; must hold the framing of a chunk. */
@@ -235,7 +237,8 @@
                ClientQueue::Handle aClient)
       : id(aId)
       , stream(std::make_shared<beast::tcp_stream>(std::move(aSocket)))
-      , memory(std::move(aBudget), MemoryUse::Request)
+      , memory(aBudget, MemoryUse::Request)
+      , unread(std::move(aBudget), MemoryUse::Request)
       , client(aClient)
     {
     }
@@ -243,6 +246,10 @@
     std::uint64_t id;
     std::shared_ptr<beast::tcp_stream> stream;
     MemoryReservation memory;
+    /** The memory of what the kernel has received behind the request that is handled. */
+    MemoryReservation unread;
+    /** Monitors the socket while a request is handled; null at other times. */
+    std::shared_ptr<SocketWatch> watch;
     /** The memory of the answer that is sent; null for short ones. */
     std::shared_ptr<MemoryReservation> answer;
     ClientQueue::Handle client;
@@ -282,7 +289,9 @@
                             std::shared_ptr<beast::flat_buffer> aBuffer,
                             std::string aClientAddress);
   core::Task<bool> Answer(ConnectionPointer aConnection, HttpRequest aRequest, bool aKeepAlive);
-  core::Task<HttpResponse> Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest);
+  core::Task<HttpResponse> Handle(ConnectionPointer aConnection, HttpRequest aRequest);
+  void WatchClient(const ConnectionPointer& aConnection);
+  void CountUnread(Connection& aConnection, std::size_t aBytes);
   core::Task<beast::error_code> Read(ConnectionPointer aConnection,
                                      beast::flat_buffer& aBuffer,
                                      Parser& aParser);
@@ -373,7 +382,7 @@
 {
   return aUse == MemoryUse::Request
            ? CloseStalled()
-           : GiveUp(clients.NextTransfer(std::chrono::steady_clock::now()));
+           : GiveUp(clients.NextWithMemory(std::chrono::steady_clock::now()));
 }
 
 bool
@@ -389,6 +398,7 @@
   SetPhase(connection, ClientPhase::Handling);
   // Its task returns the memory itself, which is soon but not now.
   connection.memory.ForceResize(0);
+  connection.unread.ForceResize(0);
   if (connection.answer) {
     connection.answer->ForceResize(0);
   }
@@ -398,6 +408,9 @@
   }
   beast::error_code ignored;
   connection.stream->socket().close(ignored);
+  if (const auto watch = connection.watch) {
+    watch->Interrupt();
+  }
   return true;
 }
 
@@ -504,22 +517,44 @@
   aConnection->stream->expires_never();
   const ActiveRequest activeRequest(active);
   SetPhase(*aConnection, ClientPhase::Handling);
-  HttpResponse response = co_await Handle(aConnection->stream, std::move(aRequest));
+  HttpResponse response = co_await Handle(aConnection, std::move(aRequest));
   if (response.stream) {
     co_return co_await RespondStreamed(*aConnection->stream, std::move(response));
   }
   co_return co_await Respond(*aConnection, std::move(response), aKeepAlive && !isClosing, isHead);
 }
 
+void
+HttpServer::State::WatchClient(const ConnectionPointer& aConnection)
+{
+  aConnection->watch = std::make_shared<SocketWatch>(
+    aConnection->stream,
+    [state = weak_from_this(), weak = std::weak_ptr(aConnection)](std::size_t aBytes) {
+      const auto self = state.lock();
+      const auto connection = weak.lock();
+      if (self && connection) {
+        self->CountUnread(*connection, aBytes);
+      }
+    });
+  aConnection->watch->Start();
+}
+
+void
+HttpServer::State::CountUnread(Connection& aConnection, std::size_t aBytes)
+{
+  if (aBytes <= kSmallQueueBytes || aConnection.isGivenUp) {
+    return;
+  }
+  SetPhase(aConnection, ClientPhase::Pipelining);
+  aConnection.unread.ForceResize(aBytes);
+}
+
 core::Task<HttpResponse>
-HttpServer::State::Handle(std::shared_ptr<beast::tcp_stream> aStream, HttpRequest aRequest)
+HttpServer::State::Handle(ConnectionPointer aConnection, HttpRequest aRequest)
 {
-  const auto watch = limits.watchClients
-                       ? std::make_shared<SocketWatch>(std::move(aStream), [](std::size_t) {})
-                       : nullptr;
-  if (watch) {
-    aRequest.client = watch;
-    watch->Start();
+  if (limits.watchClients) {
+    WatchClient(aConnection);
+    aRequest.client = aConnection->watch;
   }
   HttpResponse response;
   try {
@@ -531,9 +566,10 @@
     response.status = static_cast<unsigned>(http::status::bad_gateway);
     response.body = R"({"error":"failed"})";
   }
-  if (watch) {
+  if (const auto watch = std::exchange(aConnection->watch, nullptr)) {
     watch->Stop();
   }
+  aConnection->unread.ForceResize(0);
   co_return response;
 }
 
@@ -744,6 +780,12 @@
   if (!ec) {
     acceptor.set_option(asio::socket_base::reuse_address(true), ec);
   }
+  if (!ec && mState->limits.receiveBufferBytes > 0) {
+    // Connections inherit it, so that it limits what they receive before they are accepted.
+    acceptor.set_option(
+      asio::socket_base::receive_buffer_size(static_cast<int>(mState->limits.receiveBufferBytes)),
+      ec);
+  }
   if (!ec) {
     acceptor.bind(*endpoint, ec);
   }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -36,6 +36,8 @@
   bool closeStalled = false;
   /** Size of the kernel's send buffer of a connection, so that it counts little; 0 for its own. */
   std::size_t sendBufferBytes = 0;
+  /** Size of the kernel's receive buffer, applied by Listen(); 0 for its own. */
+  std::size_t receiveBufferBytes = 0;
   /** Memory of a connection that no budget limits. */
   std::size_t unlimitedBytes = 0;
 };
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -118,11 +118,28 @@
   BOOST_TEST(queue.Next(start + 1s).value() == 2U);
   queue.SetPhase(slow, ClientPhase::Handling, start + 1s);
   BOOST_TEST(queue.Next(start + 1s).value() == 4U);
-  BOOST_TEST(!queue.NextTransfer(start + 1s + 100ms).has_value());
+  BOOST_TEST(!queue.NextWithMemory(start + 1s + 100ms).has_value());
   queue.Remove(fast);
   BOOST_TEST(queue.Count(ClientPhase::Transfer) == 0U);
 }
 
+// A client that only sends must not hold memory for as long as its request runs.
+BOOST_AUTO_TEST_CASE(a_client_that_sends_on_during_its_request_is_given_up_last)
+{
+  ClientQueue queue;
+  const core::TimePoint start{};
+  const auto pipelining = queue.Add(1, start);
+  const auto idle = queue.Add(2, start);
+  queue.SetPhase(pipelining, ClientPhase::Pipelining, start);
+  queue.SetPhase(idle, ClientPhase::Idle, start + 1s);
+  BOOST_TEST(queue.Next(start + 2s).value() == 2U);
+  BOOST_TEST(queue.NextWithMemory(start + 2s).value() == 1U);
+  queue.Remove(idle);
+  BOOST_TEST(queue.Next(start + 2s).value() == 1U);
+  queue.SetPhase(pipelining, ClientPhase::Handling, start + 2s);
+  BOOST_TEST(!queue.Next(start + 3s).has_value());
+}
+
 // A reservation that isn't returned would refuse clients for good.
 BOOST_AUTO_TEST_CASE(reservations_return_what_they_took)
 {
