Requests: all attempts share one copy of the body

What callers saw: 60 requests with bodies of 200 kB on a route of 24 shards, whose replicas don't answer, took 72.4 MB where the machine has 64. Cause: each attempt copied the body of its request, while the budget counts it twice, whatever the number of shards, hedges and daemons that it is sent to. A running attempt also kept the parsed form of its head. Fix: the body is moved once into a shared string; an attempt holds a serialized head until it is written. Ruled out: counting a body for each shard, which would refuse a single request inside the limits on large routes.

--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -316,7 +316,7 @@
   aJob.forwarded->message.headers = mProtocol.forwardHeaders(request);
   aJob.forwarded->message.method = std::move(request.method);
   aJob.forwarded->message.target = std::move(request.target);
-  aJob.forwarded->message.body = std::move(request.body);
+  aJob.forwarded->message.sharedBody = std::make_shared<const std::string>(std::move(request.body));
   aJob.services = ServicesFor(*aJob.route);
 }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -65,10 +65,19 @@
   return isParseError && !isEndOfStream ? HttpClientError::Malformed : HttpClientError::Broken;
 }
 
-http::request<http::string_body>
-ToMessage(HttpRequest aRequest)
+/** @return the body of a request; empty if it has none. */
+std::shared_ptr<const std::string>
+TakeBody(HttpRequest& aRequest)
 {
-  http::request<http::string_body> message;
+  return aRequest.sharedBody ? std::move(aRequest.sharedBody)
+                             : std::make_shared<const std::string>(std::move(aRequest.body));
+}
+
+/** @return the serialized head of a request with a body of a number of bytes. */
+std::string
+MakeHead(const HttpRequest& aRequest, std::size_t aBodyBytes)
+{
+  http::request<http::empty_body> message;
   message.method_string(aRequest.method);
   message.target(aRequest.target);
   message.set(http::field::host, "skylarkwing");
@@ -79,15 +88,23 @@
       message.insert(header.name, header.value);
     }
   }
-  message.body() = std::move(aRequest.body);
   message.prepare_payload();
-  return message;
+  if (aBodyBytes > 0) {
+    message.content_length(aBodyBytes);
+  }
+  return SerializeHead(message);
 }
 
 /** State of a request that is being written. */
 struct RequestWrite
 {
-  http::request<http::string_body> message;
+  explicit RequestWrite(HttpRequest aRequest)
+    : body(TakeBody(aRequest))
+    , head(MakeHead(aRequest, body->size()))
+  {
+  }
+
+  std::shared_ptr<const std::string> body;
   std::string head;
   bool isDone = false;
   beast::error_code error;
@@ -219,12 +236,10 @@
   }
   isAwaitingResponse = true;
   isHead = aRequest.method == "HEAD";
-  RequestWrite write;
-  write.message = ToMessage(std::move(aRequest));
+  RequestWrite write(std::move(aRequest));
   ExpireAfter(aTimeout);
-  write.head = SerializeHead(write.message);
   std::tie(write.error, write.written) =
-    co_await asio::async_write(stream, MessageBuffers(write.head, write.message.body()), kAsTuple);
+    co_await asio::async_write(stream, MessageBuffers(write.head, *write.body), kAsTuple);
   if (write.error) {
     Close();
   }
@@ -234,12 +249,14 @@
 void
 TcpHttpConnection::State::StartWrite(const std::shared_ptr<RequestWrite>& aWrite)
 {
-  const auto buffers = MessageBuffers(aWrite->head, aWrite->message.body());
+  const auto buffers = MessageBuffers(aWrite->head, *aWrite->body);
   auto onWritten = [self = shared_from_this(), write = aWrite](beast::error_code aError,
                                                                std::size_t aBytes) {
     write->isDone = true;
     write->error = aError;
     write->written = aBytes;
+    write->body.reset();
+    write->head = {};
     if (aError && aBytes == 0) {
       // Nothing was sent, so there will be no response.
       self->Close();
@@ -261,9 +278,7 @@
   }
   isAwaitingResponse = true;
   isHead = aRequest.method == "HEAD";
-  const auto write = std::make_shared<RequestWrite>();
-  write->message = ToMessage(std::move(aRequest));
-  write->head = SerializeHead(write->message);
+  const auto write = std::make_shared<RequestWrite>(std::move(aRequest));
   ExpireAfter(aTimeout);
   StartWrite(write);
   HttpResult result = co_await ReadResponse();
@@ -400,7 +415,7 @@
 TcpHttpConnection::Exchange(HttpRequest aRequest, core::Duration aTimeout)
 {
   const auto state = mState;
-  if (!aRequest.body.empty()) {
+  if (!aRequest.body.empty() || (aRequest.sharedBody && !aRequest.sharedBody->empty())) {
     co_return co_await state->ExchangeWithBody(std::move(aRequest), aTimeout);
   }
   const HttpClientError sendError = co_await state->Send(std::move(aRequest), aTimeout);
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -51,6 +51,8 @@
   std::string target = "/";
   std::vector<HttpHeader> headers;
   std::string body;
+  /** A body that several requests share; sent instead of `body` if it is set. */
+  std::shared_ptr<const std::string> sharedBody;
   /** IP address and port of the client; set by servers only. */
   std::string clientAddress;
   /** Set by servers with HttpServerLimits::watchClients; null otherwise. */
