Server: what the kernel has to send counts in the budget

What callers saw: 800 readers of 130 kB took 120 MB where the machine has 64, 98 MB of it in the kernel; 300 clients that pipeline short requests and read nothing 74 MB of 48. Cause: an answer that fits the kernel's send buffer was done for the process. Its client became idle, was given up last, and closing its connection left the buffer to the kernel for minutes. Fix: after more than 4 kB were written, the size of the kernel's queue is asked for and counted; while it is not small, the connection is in a transfer, whose progress is what the client has received. The connection is closed 10 s after the last progress, as before while an answer is written. A connection that ends with its answer waits for the delivery. Giving up a connection resets it, so that its buffer is freed at once. Ruled out: a fixed charge for each connection, which would leave room for 170 callers on a machine of 160 MB.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include "net/endpoint.h"
 #include "net/http_reading.h"
 #include "net/http_serialization.h"
+#include "net/socket_queues.h"
 #include "net/socket_watch.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -58,6 +59,8 @@
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
 constexpr core::Duration kStreamWriteTimeout = std::chrono::seconds{ 30 };
 constexpr std::size_t kLingerReadBytes = std::size_t{ 4 } * 1024;
+/** How often it is looked at how much of an answer a client has received. */
+constexpr core::Duration kDrainInterval = std::chrono::milliseconds{ 100 };
 constexpr core::Duration kLingerTimeout = std::chrono::milliseconds{ 500 };
 
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
@@ -252,7 +255,8 @@
       : id(aId)
       , stream(std::make_shared<beast::tcp_stream>(std::move(aSocket)))
       , memory(aBudget, MemoryUse::Request)
-      , unread(std::move(aBudget), MemoryUse::Request)
+      , unread(aBudget, MemoryUse::Request)
+      , unsent(std::move(aBudget), MemoryUse::Answer)
       , client(aClient)
     {
     }
@@ -262,6 +266,12 @@
     MemoryReservation memory;
     /** The memory of what the kernel has received behind the request that is handled. */
     MemoryReservation unread;
+    /** The memory of what the kernel has to send; none while that is little. */
+    MemoryReservation unsent;
+    /** Bytes that were written since the kernel had little to send. */
+    std::size_t written = 0;
+    /** When the client last received something of it. */
+    core::TimePoint receivedAt;
     /** Monitors the socket while a request is handled; null at other times. */
     std::shared_ptr<SocketWatch> watch;
     /** The memory of the answer that is sent; null for short ones. */
@@ -313,8 +323,11 @@
   bool ReserveForHandling(Connection& aConnection,
                           const beast::flat_buffer& aBuffer,
                           const HttpRequest& aRequest);
-  core::Task<beast::error_code> AwaitFirstByte(std::shared_ptr<beast::tcp_stream> aStream,
+  core::Task<beast::error_code> AwaitFirstByte(ConnectionPointer aConnection,
                                                beast::flat_buffer& aBuffer);
+  void CountUnsent(Connection& aConnection);
+  bool HasStoppedReceiving(const Connection& aConnection) const;
+  core::Task<void> AwaitDelivery(ConnectionPointer aConnection);
   void SetPhase(Connection& aConnection, ClientPhase aPhase);
   std::size_t Charge(std::size_t aBytes) const;
   core::Task<bool> Respond(Connection& aConnection,
@@ -417,9 +430,13 @@
   // Its task returns the memory itself, which is soon but not now.
   connection.memory.ForceResize(0);
   connection.unread.ForceResize(0);
+  connection.unsent.ForceResize(0);
   if (connection.answer) {
     connection.answer->ForceResize(0);
   }
+  if (UnsentBytes(connection.stream->socket()) > kSmallQueueBytes) {
+    SetResetOnClose(connection.stream->socket(), true);
+  }
   if (!connection.isGivenUp) {
     connection.isGivenUp = true;
     ++givenUp;
@@ -447,6 +464,7 @@
     core::LogEvent(
       core::LogLevel::Error, "net", "connection_failed", { { "error", error.what() } });
   }
+  co_await AwaitDelivery(aConnection);
   aConnection->stream->socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
   aConnection->stream->close();
   refusing -= aConnection->isRefused ? 1 : 0;
@@ -524,7 +542,9 @@
     aBuffer->shrink_to_fit();
   }
   aConnection->memory.ForceResize(Charge(0));
-  SetPhase(*aConnection, ClientPhase::Idle);
+  if (aConnection->unsent.Bytes() == 0) {
+    SetPhase(*aConnection, ClientPhase::Idle);
+  }
   co_return isOpen;
 }
 
@@ -606,19 +626,86 @@
   co_return response;
 }
 
+/** Counts what the kernel has to send for a client, which is no progress until it is received. */
+void
+HttpServer::State::CountUnsent(Connection& aConnection)
+{
+  if (!budget || aConnection.isGivenUp || aConnection.written <= kSmallQueueBytes) {
+    return;
+  }
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  const std::size_t bytes = UnsentBytes(aConnection.stream->socket());
+  const std::size_t before = aConnection.unsent.Bytes();
+  if (bytes < before) {
+    clients.AddBytes(aConnection.client, before - bytes, now);
+  }
+  if (bytes < before || before == 0) {
+    aConnection.receivedAt = now;
+  }
+  const bool isSmall = bytes <= kSmallQueueBytes;
+  aConnection.unsent.ForceResize(isSmall ? 0 : bytes);
+  if (isSmall) {
+    aConnection.written = 0;
+  }
+}
+
+bool
+HttpServer::State::HasStoppedReceiving(const Connection& aConnection) const
+{
+  return aConnection.unsent.Bytes() > 0 &&
+         std::chrono::steady_clock::now() - aConnection.receivedAt > limits.writeTimeout;
+}
+
+/** Keeps a connection that is to be closed until the client has received its last answer. */
+core::Task<void>
+HttpServer::State::AwaitDelivery(ConnectionPointer aConnection)
+{
+  auto& socket = aConnection->stream->socket();
+  if (aConnection->unsent.Bytes() == 0 || aConnection->isGivenUp || !socket.is_open()) {
+    co_return;
+  }
+  beast::error_code ec;
+  socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  SetPhase(*aConnection, ClientPhase::Transfer);
+  asio::steady_timer timer(loop);
+  while (!isClosed && socket.is_open() && aConnection->unsent.Bytes() > 0) {
+    if (HasStoppedReceiving(*aConnection)) {
+      SetResetOnClose(socket, true);
+      co_return;
+    }
+    timer.expires_after(kDrainInterval);
+    co_await timer.async_wait(kAsTuple);
+    CountUnsent(*aConnection);
+  }
+}
+
 core::Task<beast::error_code>
-HttpServer::State::AwaitFirstByte(std::shared_ptr<beast::tcp_stream> aStream,
-                                  beast::flat_buffer& aBuffer)
+HttpServer::State::AwaitFirstByte(ConnectionPointer aConnection, beast::flat_buffer& aBuffer)
 {
+  const std::shared_ptr<beast::tcp_stream> stream = aConnection->stream;
   const core::TimePoint start = std::chrono::steady_clock::now();
   while (true) {
     auto isTimedOut = std::make_shared<bool>(false);
     asio::steady_timer timer(loop);
-    CancelAfter(
-      timer, limits.idleTimeout - (std::chrono::steady_clock::now() - start), aStream, isTimedOut);
+    core::Duration wait = limits.idleTimeout - (std::chrono::steady_clock::now() - start);
+    if (aConnection->unsent.Bytes() > 0) {
+      wait = std::min(wait, kDrainInterval);
+    }
+    CancelAfter(timer, wait, stream, isTimedOut);
     auto buffer = aBuffer.prepare(std::min(limits.headerBytes, kFirstReadBytes));
-    const auto [ec, n] = co_await aStream->async_read_some(buffer, kAsTuple);
+    const auto [ec, n] = co_await stream->async_read_some(buffer, kAsTuple);
     aBuffer.commit(n);
+    if (aConnection->unsent.Bytes() > 0) {
+      CountUnsent(*aConnection);
+      if (aConnection->unsent.Bytes() == 0) {
+        SetPhase(*aConnection, ClientPhase::Idle);
+      }
+    }
+    if (HasStoppedReceiving(*aConnection)) {
+      SetResetOnClose(stream->socket(), true);
+      stream->close();
+      co_return asio::error::timed_out;
+    }
     // The idle timeout may have been increased while waiting.
     if (*isTimedOut && ec && std::chrono::steady_clock::now() - start < limits.idleTimeout) {
       continue;
@@ -637,7 +724,7 @@
   aBuffer.max_size(limits.headerBytes + kMaxUnparsedBytes);
   // The idle timeout applies until the first byte, the request timeout after it.
   if (aBuffer.size() == 0) {
-    const beast::error_code ec = co_await AwaitFirstByte(aConnection->stream, aBuffer);
+    const beast::error_code ec = co_await AwaitFirstByte(aConnection, aBuffer);
     if (ec) {
       co_return ec;
     }
@@ -670,6 +757,7 @@
 {
   beast::buffers_suffix<std::array<asio::const_buffer, 2>> rest(MessageBuffers(aHead, aBody));
   std::size_t size = aHead.size() + aBody.size();
+  bool isResetOnClose = false;
   while (size > 0) {
     aConnection.stream->expires_after(limits.writeTimeout);
     const auto [ec, n] = co_await aConnection.stream->async_write_some(rest, kAsTuple);
@@ -678,7 +766,20 @@
     }
     rest.consume(n);
     size -= n;
+    aConnection.written += n;
     clients.AddBytes(aConnection.client, n, std::chrono::steady_clock::now());
+    CountUnsent(aConnection);
+    if (aConnection.isGivenUp) {
+      co_return asio::error::operation_aborted;
+    }
+    if (size > 0 && !isResetOnClose) {
+      // The answer can't be completed any more when the stream closes the connection.
+      isResetOnClose = true;
+      SetResetOnClose(aConnection.stream->socket(), true);
+    }
+  }
+  if (isResetOnClose) {
+    SetResetOnClose(aConnection.stream->socket(), false);
   }
   // The timeout would also end the wait for the next request.
   aConnection.stream->expires_never();
