Answers that wait for memory: few wait, they take no place, and no replica is blamed

Cause: a request whose answer waits for memory counted as running until its deadline, and held a connection to its replica. At the deadline the replica was suspected, although it had answered. Fix: at most an eighth of the budget is used for waiting answers, and half of the connections of each replica; further answers are dropped at once with 502, since their requests have run. Waiting ones don't count against the number of running requests. A dropped answer is an outcome of its own: it isn't tried again and says nothing about the replica. Answers of up to 64 kB wait too while the budget is exceeded, except those of up to 4 kB. Ruled out: not counting them alone, since those that wait for a connection of the same replica take the places instead.

--- a/caller/entry_admission.cpp
+++ b/caller/entry_admission.cpp
@@ -110,6 +110,12 @@
   mLastEndAt = aNow;
 }
 
+std::size_t
+EntryAdmission::Active() const
+{
+  return mRunning - std::min(mRunning, mCountWaiting ? mCountWaiting() : 0);
+}
+
 std::optional<core::Duration>
 EntryAdmission::RefuseBeyond(double aShare,
                              const upstream::RequestTerms& aTerms,
@@ -120,7 +126,7 @@
            mMaxLag > std::chrono::duration_cast<core::Duration>(mLimits.lag * aFactor);
   };
   const double limit = static_cast<double>(mLimits.requests) * aShare;
-  const auto running = static_cast<double>(mRunning);
+  const auto running = static_cast<double>(Active());
   if (!isLaggingBeyond(aShare * kExcessiveFactor) && running < limit * kExcessiveFactor) {
     return std::nullopt;
   }
@@ -137,7 +143,7 @@
 {
   core::Duration delay = kDefaultRetryAfter;
   if (mEndInterval) {
-    const double excess = std::max(0.0, static_cast<double>(mRunning) - aLimit) + 1.0;
+    const double excess = std::max(0.0, static_cast<double>(Active()) - aLimit) + 1.0;
     delay = std::chrono::duration_cast<core::Duration>(*mEndInterval * excess);
   }
   if (aIsLagging) {
--- a/caller/entry_admission.h
+++ b/caller/entry_admission.h
@@ -6,7 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <utility>
 
 namespace skylarkwing::caller {
 
@@ -36,6 +38,15 @@
   {
   }
 
+  /**
+   * Sets what counts the running requests whose answers wait for memory. They need no processor
+   * time until then, so that they don't count against the limit.
+   */
+  void SetWaitingCounter(std::function<std::size_t()> aCounter)
+  {
+    mCountWaiting = std::move(aCounter);
+  }
+
   /** Records the delay of a timer on the event loop; Refuse() uses the recent maximum. */
   void RecordLag(core::Duration aLag, core::TimePoint aNow);
 
@@ -80,6 +91,10 @@
   /** The next fraction by which a retry delay is extended. */
   double mSpread = 0.0;
 
+  std::function<std::size_t()> mCountWaiting;
+
+  /** @return the number of requests that take a place. */
+  std::size_t Active() const;
   std::optional<core::Duration> RefuseBeyond(double aShare,
                                              const upstream::RequestTerms& aTerms,
                                              core::TimePoint aNow);
--- a/caller/peer_forwarder.cpp
+++ b/caller/peer_forwarder.cpp
@@ -128,7 +128,9 @@
   }
   if (reply->error != HttpClientError::None) {
     result.outcome = { ForwardVerdict::Lost, std::string(net::NameOf(reply->error)) };
-    result.failure = PeerFailure::Unreachable;
+    if (reply->error != HttpClientError::NotEnoughMemory) {
+      result.failure = PeerFailure::Unreachable;
+    }
     co_return result;
   }
   const auto outcome = TakeForwardOutcome(reply->response);
--- a/caller/tests/entry_admission_test.cpp
+++ b/caller/tests/entry_admission_test.cpp
@@ -54,6 +54,22 @@
   BOOST_TEST(!admission.Refuse(Terms(2), kNow).has_value());
 }
 
+// Clients that ask for long answers and don't read them used up the places of all others.
+BOOST_AUTO_TEST_CASE(requests_whose_answers_wait_for_memory_take_no_place)
+{
+  EntryAdmission admission({ 100, milliseconds{ 60 } });
+  std::size_t waiting = 40;
+  admission.SetWaitingCounter([&waiting] { return waiting; });
+  for (int n = 0; n < 139; ++n) {
+    admission.Begin(Terms(0), kNow);
+  }
+  BOOST_TEST(!admission.Refuse(Terms(0), kNow).has_value());
+  admission.Begin(Terms(0), kNow);
+  BOOST_TEST(admission.Refuse(Terms(0), kNow).has_value());
+  waiting = 1000;
+  BOOST_TEST(!admission.Refuse(Terms(0), kNow).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(refuses_while_the_event_loop_lags)
 {
   EntryAdmission admission({ 100, milliseconds{ 60 } });
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -22,9 +22,13 @@
 
 namespace {
 
-constexpr core::NameTable<HttpClientError, 6> kErrorNames{
-  { "none", "connect_failed", "nothing_sent", "broken", "timed_out", "malformed" }
-};
+constexpr core::NameTable<HttpClientError, 7> kErrorNames{ { "none",
+                                                             "connect_failed",
+                                                             "nothing_sent",
+                                                             "broken",
+                                                             "timed_out",
+                                                             "malformed",
+                                                             "not_enough_memory" } };
 /** Far above any expected body: the store sends at most 1 MB in base64. */
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 4 } * 1024 * 1024;
 /** Buffer for received, unparsed data; must hold a header or the framing of a chunk. */
@@ -37,8 +41,10 @@
 constexpr unsigned kFirstInterimStatus = 100;
 constexpr std::size_t kReadSomeBytes = std::size_t{ 64 } * 1024;
 
-/** A response of this size or less is read without asking, because ordinary ones are as small. */
-constexpr std::size_t kUnlimitedResponseBytes = std::size_t{ 64 } * 1024;
+/** A response of this size or less doesn't wait, because ordinary ones are as small. */
+constexpr std::size_t kOrdinaryResponseBytes = std::size_t{ 64 } * 1024;
+/** One of this size or less doesn't wait even when the budget is exceeded. */
+constexpr std::size_t kSmallResponseBytes = std::size_t{ 4 } * 1024;
 /** How often a response that waits for memory asks again; stalled clients are closed meanwhile. */
 constexpr core::Duration kMemoryPause = std::chrono::milliseconds{ 20 };
 
@@ -58,6 +64,9 @@
   if (aError == beast::error::timeout) {
     return HttpClientError::TimedOut;
   }
+  if (aError == asio::error::no_memory) {
+    return HttpClientError::NotEnoughMemory;
+  }
   const bool isParseError =
     aError.category() == http::make_error_code(http::error::bad_version).category();
   const bool isEndOfStream =
@@ -166,6 +175,8 @@
   beast::tcp_stream stream;
   /** Null for no limit. */
   std::shared_ptr<MemoryBudget> budget;
+  /** Limit of the request that runs; null for none of its own. */
+  std::shared_ptr<MemoryWaitLimit> waitLimit;
   /** When the response must have been read. */
   core::TimePoint deadline;
   /** Limited in size, because a faulty server may send endless data. */
@@ -236,6 +247,7 @@
   }
   isAwaitingResponse = true;
   isHead = aRequest.method == "HEAD";
+  waitLimit = aRequest.memoryWaitLimit;
   RequestWrite write(std::move(aRequest));
   ExpireAfter(aTimeout);
   std::tie(write.error, write.written) =
@@ -278,6 +290,7 @@
   }
   isAwaitingResponse = true;
   isHead = aRequest.method == "HEAD";
+  waitLimit = aRequest.memoryWaitLimit;
   const auto write = std::make_shared<RequestWrite>(std::move(aRequest));
   ExpireAfter(aTimeout);
   StartWrite(write);
@@ -319,21 +332,29 @@
   co_return Failure(HttpClientError::Malformed);
 }
 
-/** Waits for memory, because a failure would count against a replica that did nothing wrong. */
+/**
+ * Waits for memory, which comes when stalled clients are closed. If enough responses wait already,
+ * or the time is over, the response is dropped.
+ */
 core::Task<beast::error_code>
 TcpHttpConnection::State::Reserve(MemoryReservation& aMemory, std::size_t aBytes)
 {
-  if (aBytes <= kUnlimitedResponseBytes) {
+  const bool isExceeded = budget->UsedBytes() > budget->TotalBytes();
+  if (aBytes <= (isExceeded ? kSmallResponseBytes : kOrdinaryResponseBytes)) {
     aMemory.ForceResize(aBytes);
     co_return beast::error_code();
   }
+  if (aMemory.Resize(aBytes)) {
+    co_return beast::error_code();
+  }
+  const MemoryWait wait(*budget, waitLimit);
   asio::steady_timer timer(stream.get_executor());
   while (!aMemory.Resize(aBytes)) {
     if (!isOpen) {
       co_return asio::error::operation_aborted;
     }
-    if (std::chrono::steady_clock::now() >= deadline) {
-      co_return beast::error::timeout;
+    if (!wait.IsAllowed() || std::chrono::steady_clock::now() >= deadline) {
+      co_return asio::error::no_memory;
     }
     timer.expires_after(kMemoryPause);
     co_await timer.async_wait(kAsTuple);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -29,6 +29,8 @@
   TimedOut,
   /** The response is not valid HTTP, or exceeds a size limit. */
   Malformed,
+  /** There was no memory for the response; the server has processed the request. */
+  NotEnoughMemory,
 };
 
 /** @return the name of an error, for logs and metric labels. */
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -12,6 +12,7 @@
 namespace skylarkwing::net {
 
 class MemoryReservation;
+struct MemoryWaitLimit;
 
 /** One HTTP header field. */
 struct HttpHeader
@@ -53,6 +54,8 @@
   std::string body;
   /** A body that several requests share; sent instead of `body` if it is set. */
   std::shared_ptr<const std::string> sharedBody;
+  /** Limits how many responses wait for memory; null for the limit of the budget alone. */
+  std::shared_ptr<MemoryWaitLimit> memoryWaitLimit;
   /** IP address and port of the client; set by servers only. */
   std::string clientAddress;
   /** Set by servers with HttpServerLimits::watchClients; null otherwise. */
--- a/net/memory_budget.cpp
+++ b/net/memory_budget.cpp
@@ -5,6 +5,16 @@
 
 namespace skylarkwing::net {
 
+namespace {
+
+/** What a waiting answer takes without being counted: its begin, and a receive buffer. */
+constexpr std::size_t kWaitingAnswerBytes = std::size_t{ 256 } * 1024;
+/** Waiting answers take at most this part of the budget. */
+constexpr std::size_t kWaitingParts = 8;
+constexpr std::size_t kMinWaiting = 2;
+
+} // namespace
+
 MemoryBudget::MemoryBudget(std::size_t aTotalBytes)
   : mTotalBytes(aTotalBytes)
 {
@@ -26,6 +36,31 @@
                      [aUse](const ReclaimFunction& aReclaim) { return aReclaim(aUse); });
 }
 
+MemoryWait::MemoryWait(MemoryBudget& aBudget, std::shared_ptr<MemoryWaitLimit> aLimit)
+  : mBudget(aBudget)
+  , mLimit(std::move(aLimit))
+{
+  const std::size_t most =
+    std::max(kMinWaiting, aBudget.TotalBytes() / kWaitingParts / kWaitingAnswerBytes);
+  mIsAllowed = mBudget.mWaiting < most && (!mLimit || mLimit->waiting < mLimit->limit);
+  if (mIsAllowed) {
+    ++mBudget.mWaiting;
+    if (mLimit) {
+      ++mLimit->waiting;
+    }
+  }
+}
+
+MemoryWait::~MemoryWait()
+{
+  if (mIsAllowed) {
+    --mBudget.mWaiting;
+    if (mLimit) {
+      --mLimit->waiting;
+    }
+  }
+}
+
 MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> aBudget, MemoryUse aUse)
   : mBudget(std::move(aBudget))
   , mUse(aUse)
--- a/net/memory_budget.h
+++ b/net/memory_budget.h
@@ -42,19 +42,52 @@
   std::size_t TotalBytes() const { return mTotalBytes; }
   std::size_t UsedBytes() const { return mUsedBytes[0] + mUsedBytes[1]; }
 
+  /** @return the number of answers that wait for memory. */
+  std::size_t Waiting() const { return mWaiting; }
+
 private:
   friend class MemoryReservation;
+  friend class MemoryWait;
 
   std::size_t mTotalBytes;
   /** By MemoryUse. */
   std::array<std::size_t, 2> mUsedBytes{};
   std::vector<ReclaimFunction> mReclaimers;
+  std::size_t mWaiting = 0;
 
   bool IsFree(std::size_t aBytes, MemoryUse aUse) const;
   /** Closes one connection. @return false if none can be given up. */
   bool Reclaim(MemoryUse aUse);
 };
 
+/** How many answers of one origin may wait for memory at once. */
+struct MemoryWaitLimit
+{
+  std::size_t waiting = 0;
+  std::size_t limit = 1;
+};
+
+/** The place of one answer among those that wait for memory. */
+class MemoryWait
+{
+public:
+  /**
+   * @param aLimit limit of the answer's origin; null for the limit of the budget alone.
+   */
+  MemoryWait(MemoryBudget& aBudget, std::shared_ptr<MemoryWaitLimit> aLimit);
+  MemoryWait(const MemoryWait&) = delete;
+  MemoryWait& operator=(const MemoryWait&) = delete;
+  ~MemoryWait();
+
+  /** @return whether the answer may wait; otherwise enough others do. */
+  bool IsAllowed() const { return mIsAllowed; }
+
+private:
+  MemoryBudget& mBudget;
+  std::shared_ptr<MemoryWaitLimit> mLimit;
+  bool mIsAllowed = false;
+};
+
 /** Bytes taken from a budget, which are returned on destruction. */
 class MemoryReservation
 {
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -161,6 +161,30 @@
   BOOST_TEST(budget->UsedBytes() == 0U);
 }
 
+// Waiting answers take connections of replicas, and memory that isn't counted.
+BOOST_AUTO_TEST_CASE(few_answers_may_wait_for_memory)
+{
+  MemoryBudget budget(8 * kMegabyte);
+  const auto replica = std::make_shared<MemoryWaitLimit>();
+  replica->limit = 2;
+  {
+    const MemoryWait first(budget, replica);
+    const MemoryWait second(budget, replica);
+    const MemoryWait third(budget, replica);
+    BOOST_TEST(first.IsAllowed());
+    BOOST_TEST(second.IsAllowed());
+    BOOST_TEST(!third.IsAllowed());
+    const MemoryWait other(budget, nullptr);
+    const MemoryWait another(budget, nullptr);
+    const MemoryWait beyond(budget, nullptr);
+    BOOST_TEST(another.IsAllowed());
+    BOOST_TEST(!beyond.IsAllowed());
+    BOOST_TEST(budget.Waiting() == 4U);
+  }
+  BOOST_TEST(budget.Waiting() == 0U);
+  BOOST_TEST(replica->waiting == 0U);
+}
+
 // The connection that is closed to make room may be the one that asks.
 BOOST_AUTO_TEST_CASE(a_reservation_that_gives_itself_up_counts_once)
 {
--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -464,6 +464,10 @@
   if (mPlan.deadline - mTimers.Now() < kMinAttemptTime) {
     return false;
   }
+  if (aStatus == AttemptStatus::Dropped) {
+    // There would be no memory for another answer either.
+    return false;
+  }
   if (aStatus == AttemptStatus::NothingSent) {
     return mConnectFailures < kMaxConnectFailures && (mPlan.route->isIdempotent || !MayHaveRun());
   }
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -46,6 +46,7 @@
     case net::HttpClientError::TimedOut:
       return StoreError::OutcomeUnknown;
     case net::HttpClientError::Malformed:
+    case net::HttpClientError::NotEnoughMemory:
       return StoreError::Malformed;
     case net::HttpClientError::None:
       break;
--- a/upstream/replica_balancer_versions.cpp
+++ b/upstream/replica_balancer_versions.cpp
@@ -22,9 +22,10 @@
     case AttemptStatus::TimedOut:
     case AttemptStatus::Garbled:
       return true;
-    // A full replica, or an address with a new owner.
+    // A full replica, an address with a new owner, or a shortage of this process.
     case AttemptStatus::NotRun:
     case AttemptStatus::WrongReplica:
+    case AttemptStatus::Dropped:
       break;
   }
   return std::nullopt;
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -12,14 +12,15 @@
 
 namespace {
 
-constexpr core::NameTable<AttemptStatus, 8> kStatusNames{ { "answered",
+constexpr core::NameTable<AttemptStatus, 9> kStatusNames{ { "answered",
                                                             "failed",
                                                             "not_run",
                                                             "wrong_replica",
                                                             "nothing_sent",
                                                             "lost",
                                                             "timed_out",
-                                                            "garbled" } };
+                                                            "garbled",
+                                                            "dropped" } };
 
 /** Weight of the newest sample in the exponential moving average of exchange times. */
 constexpr double kSampleWeight = ReplicaSpeed::kSampleWeight;
@@ -69,6 +70,8 @@
       return AttemptStatus::TimedOut;
     case net::HttpClientError::Malformed:
       return AttemptStatus::Garbled;
+    case net::HttpClientError::NotEnoughMemory:
+      return AttemptStatus::Dropped;
     case net::HttpClientError::None:
     case net::HttpClientError::Broken:
       break;
@@ -211,15 +214,19 @@
   // A new connection costs another round trip, and the replica a handshake.
   candidate.typicalTime +=
     mIdle.empty() ? mRoundTrip + mSettings.handshakeTime : core::Duration::zero();
-  const std::size_t maxInFlight =
-    std::min<std::size_t>(mQuota.maxOpen, mAvailability.MaxInFlight(now));
-  candidate.hasRoom = !mIsRetired && mAttemptStarts.size() < maxInFlight;
+  candidate.hasRoom = !mIsRetired && mAttemptStarts.size() < MaxInFlight();
   candidate.isSuspect = now < mSuspectUntil;
   candidate.isCold = now < mColdUntil;
   candidate.failureRate = mFailureRate.At(now);
   return candidate;
 }
 
+std::size_t
+ReplicaClient::MaxInFlight() const
+{
+  return std::min<std::size_t>(mQuota.maxOpen, mAvailability.MaxInFlight(mTimers.Now()));
+}
+
 std::shared_ptr<Attempt>
 ReplicaClient::Send(std::shared_ptr<const ForwardedRequest> aRequest,
                     AttemptKind aKind,
@@ -298,8 +305,11 @@
     aAttempt->mSentAt = sentAt;
     const core::Duration remaining = aDeadline - sentAt;
     const std::shared_ptr<net::HttpConnection> connection = aAttempt->mConnection;
-    net::HttpResult reply = co_await connection->Exchange(
-      mProtocol.makeRequest(*aRequest, mReplica.id, remaining), remaining + mSettings.answerSlack);
+    net::HttpRequest request = mProtocol.makeRequest(*aRequest, mReplica.id, remaining);
+    mMemoryWaits->limit = std::max<std::size_t>(1, MaxInFlight() / 2);
+    request.memoryWaitLimit = mMemoryWaits;
+    net::HttpResult reply =
+      co_await connection->Exchange(std::move(request), remaining + mSettings.answerSlack);
     if (reply.error == net::HttpClientError::NothingSent && isReused) {
       continue;
     }
@@ -628,6 +638,9 @@
     case AttemptStatus::WrongReplica:
       MarkAddressReassigned();
       break;
+    case AttemptStatus::Dropped:
+      mLastAnswerAt = now;
+      break;
     case AttemptStatus::NothingSent:
     case AttemptStatus::TimedOut:
       mFailureRate.Record(true, now);
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -42,6 +42,8 @@
   TimedOut,
   /** The answer was not valid HTTP, or belonged to other requests; the request may have run. */
   Garbled,
+  /** There was no memory for the answer; the request has run. */
+  Dropped,
 };
 
 /** @return the name of a status, for logs and metric labels. */
@@ -281,6 +283,8 @@
   /** @return when the oldest request that is not answered yet was sent, nothing when there is none.
    */
   std::optional<core::TimePoint> OldestAttempt() const;
+  /** @return how many attempts may run at once. */
+  std::size_t MaxInFlight() const;
 
   /** Closes idle connections and lets running attempts end. No further request may be sent. */
   void Retire();
@@ -309,6 +313,8 @@
   ReplicaAvailability mAvailability;
   ReplicaClientHooks mHooks;
   ConnectionQuota mQuota;
+  /** Leaves connections for answers that don't wait for memory. */
+  std::shared_ptr<net::MemoryWaitLimit> mMemoryWaits = std::make_shared<net::MemoryWaitLimit>();
   /** The replica's idle timeout for connections, as last announced. */
   core::Duration mIdleTimeout;
   bool mIsPreconnecting = false;
--- a/upstream/upstream_connection.cpp
+++ b/upstream/upstream_connection.cpp
@@ -41,6 +41,7 @@
     case net::HttpClientError::TimedOut:
       return ExchangeError::TimedOut;
     case net::HttpClientError::Malformed:
+    case net::HttpClientError::NotEnoughMemory:
       return ExchangeError::Malformed;
   }
   return ExchangeError::Malformed;
