Status servers: unparsed bytes are bounded as heads are

What callers saw: 300 clients with an endless chunk extension at the directory took 34.0 MB where the machine has 32. Cause: a connection could hold 128 kB of framing besides its head, whatever the limits of the server; the directory and the readiness check have no budget that counts it.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -53,8 +53,6 @@
 constexpr std::size_t kSmallQueueBytes = std::size_t{ 4 } * 1024;
 /** Refused connections that get an answer; beyond them, newcomers are closed without one. */
 constexpr std::size_t kMaxRefusing = 16;
-/** Buffer for received, unparsed data besides a header; must hold the framing of a chunk. */
-constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 128 } * 1024;
 constexpr int kAcceptBacklog = 1024;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
 constexpr core::Duration kStreamWriteTimeout = std::chrono::seconds{ 30 };
@@ -721,7 +719,7 @@
                         HttpRequest& aRequest)
 {
   // The limits may have changed since the last request.
-  aBuffer.max_size(limits.headerBytes + kMaxUnparsedBytes);
+  aBuffer.max_size(limits.headerBytes + limits.unparsedBytes);
   // The idle timeout applies until the first byte, the request timeout after it.
   if (aBuffer.size() == 0) {
     const beast::error_code ec = co_await AwaitFirstByte(aConnection, aBuffer);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -22,6 +22,8 @@
 {
   std::size_t headerBytes = std::size_t{ 16 } * 1024;
   std::size_t bodyBytes = std::size_t{ 1024 } * 1024;
+  /** Received, unparsed bytes besides a header, such as the framing of a chunk. */
+  std::size_t unparsedBytes = std::size_t{ 128 } * 1024;
   std::size_t connections = 4096;
   core::Duration idleTimeout = std::chrono::seconds{ 60 };
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
