Connections of other daemons: as many as the memory bears, and stalled ones make room

What callers saw: 600 clients with bodies without end at the port of the daemons took 41.2 MB where the machine has 32, and kept other daemons out until their timeouts. Cause: each such connection has 64 kB that the budget doesn't count, and their number followed the descriptors alone. Without a place left, only newcomers were refused. Fix: what isn't counted is at most half of the clients' memory in all. Beyond the number of connections the stalled one is closed, as for callers; for memory only transfers are, since idle connections of daemons hold none that counts. On the machines of the deployments (160 MB and more) the number doesn't change.

--- a/net/connection_limits.cpp
+++ b/net/connection_limits.cpp
@@ -40,6 +40,8 @@
   // Half of what is left: the allocator keeps freed blocks, and growing buffers exist twice.
   const std::size_t left = aMemoryBytes > kOwnBytes ? aMemoryBytes - kOwnBytes : 0;
   limits.clientBytes = std::max({ left / 2, aMemoryBytes / 4, kMinClientBytes });
+  limits.peers = std::min(limits.peers,
+                          std::max(limits.clientBytes / 2 / kPeerConnectionBytes, kMinConnections));
   limits.callers = std::min(limits.callers, limits.clientBytes / 2 / kConnectionBytes);
   return limits;
 }
--- a/net/connection_limits.h
+++ b/net/connection_limits.h
@@ -7,6 +7,9 @@
 /** Memory of a connection without a request, rounded up: its task, its parser, a small buffer. */
 inline constexpr std::size_t kConnectionBytes = std::size_t{ 12 } * 1024;
 
+/** Memory of another daemon's connection that the clients of this one can't take. */
+inline constexpr std::size_t kPeerConnectionBytes = std::size_t{ 64 } * 1024;
+
 /** How many connections a process accepts, and how much memory its clients get. */
 struct ConnectionLimits
 {
@@ -26,7 +29,8 @@
  *
  * Of the descriptors, 200 are for files. Of the rest, callers get 10 of 16 parts, other daemons 2,
  * the directory 1 and the readiness check up to 32 descriptors; at least 2 parts are left for the
- * store and the replicas. Idle connections of callers take at most half of the memory for clients.
+ * store and the replicas. Idle connections of callers take at most half of the memory for clients;
+ * what the connections of other daemons take without being counted is at most as much again.
  *
  * @param aMemoryBytes memory of the process.
  * @param aDescriptors number of descriptors that the process may have open.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -405,11 +405,14 @@
   return GiveUp(clients.Next(std::chrono::steady_clock::now()));
 }
 
-/** The same for memory; idle connections hold too little of it to make room for an answer. */
+/**
+ * The same for memory. Idle connections hold too little of it to make room for an answer, or none
+ * that counts.
+ */
 bool
 HttpServer::State::CloseStalled(MemoryUse aUse)
 {
-  return aUse == MemoryUse::Request
+  return aUse == MemoryUse::Request && limits.unlimitedBytes == 0
            ? CloseStalled()
            : GiveUp(clients.NextWithMemory(std::chrono::steady_clock::now()));
 }
