serve: callers and operators stay within the resources of the process

What callers saw at a daemon that runs serve: 300 clients with chunked bodies that stop short took 285 MB, 100 at the operators' port 394 MB, where the machine has 64; 600 idle connections used up 500 descriptors, and no caller got an answer any more. An exception in a handler ended the process. Cause: only the platform's daemon divided its resources; its event loop alone caught exceptions. Fix: the settings of serve have the same resources, which give the number of connections, the budget for callers and operators, and the buffers of their connections. Without them both commands take what the system grants: memory, address space, control groups, descriptors. Less than 32 MB is refused, since a process needs 11 MB idle. Both commands run the same event loop and limit the allocator.

--- a/caller/caller_frontend.cpp
+++ b/caller/caller_frontend.cpp
@@ -60,7 +60,8 @@
   refusal.kind = aFault == net::HttpRequestError::BodyTooLarge ? RefusalKind::BodyTooLarge
                                                                : RefusalKind::Malformed;
   refusal.reason = "the request could not be read: " + std::string(net::NameOf(aFault));
-  if (aFault == net::HttpRequestError::TooManyConnections) {
+  if (aFault == net::HttpRequestError::TooManyConnections ||
+      aFault == net::HttpRequestError::NotEnoughMemory) {
     refusal.kind = RefusalKind::Overloaded;
     refusal.retryAfter = kTooManyConnectionsRetryAfter;
   }
--- a/crowd/crowd_fixture.cpp
+++ b/crowd/crowd_fixture.cpp
@@ -232,6 +232,13 @@
             ("skylarkwing-crowd-" + std::to_string(getpid())))
 {
   std::filesystem::create_directories(mFolder);
+  for (const CrowdPort port : { CrowdPort::Callers,
+                                CrowdPort::Directory,
+                                CrowdPort::Readiness,
+                                CrowdPort::Peers,
+                                CrowdPort::Operators }) {
+    mAddresses[port] = FreeAddress(mLoop);
+  }
   mStore.Write("op/config", Configuration().dump());
   AddReplica("short").body = "short answer";
   AddReplica("medium").body.assign(kMediumAnswerBytes, 'x');
@@ -263,10 +270,6 @@
 CrowdFixture::StartDaemon(const CrowdBounds& aBounds)
 {
   mBounds = aBounds;
-  for (const CrowdPort port :
-       { CrowdPort::Callers, CrowdPort::Directory, CrowdPort::Readiness, CrowdPort::Peers }) {
-    mAddresses[port] = FreeAddress(mLoop);
-  }
   const json settings{ { "vm", "crowd-vm" },
                        { "failureDomain", "gent" },
                        { "region", "vlaanderen" },
@@ -283,12 +286,7 @@
                            { "descriptors", aBounds.descriptors } } },
                        { "extraAttempts", { { "ratio", 0.2 }, { "slack", 60 } } },
                        { "stopGraceSeconds", 3 } };
-  const std::string file = mFolder + "/settings.json";
-  std::ofstream(file) << settings.dump(2);
-  mProcess = std::make_unique<soak::DaemonProcess>(CROWD_PROGRAM, file, mFolder + "/log");
-  mProcess->Start();
-  const rlimit limit{ aBounds.descriptors, aBounds.descriptors };
-  BOOST_REQUIRE(prlimit(mProcess->Pid(), RLIMIT_NOFILE, &limit, nullptr) == 0);
+  StartProcess("platform", settings.dump(2), aBounds.descriptors);
   net::HttpRequest request;
   request.target = "/readiness";
   BOOST_REQUIRE(
@@ -297,6 +295,58 @@
   mIdleKilobytes = ReadStatus(mProcess->Pid(), "VmHWM");
 }
 
+void
+CrowdFixture::StartServe(const CrowdBounds& aBounds)
+{
+  mBounds = aBounds;
+  BOOST_REQUIRE(mServeStore.Start());
+  BOOST_REQUIRE(mVmList.Start());
+  mVmList.Set({ { "crowd-vm",
+                  "gent",
+                  "vlaanderen",
+                  mAddresses[CrowdPort::Callers],
+                  mAddresses[CrowdPort::Peers],
+                  false } });
+  const std::string token = mFolder + "/token";
+  std::ofstream(token) << "token-of-the-crowd-tests\n";
+  const json settings{
+    { "vm", "crowd-vm" },
+    { "failureDomain", "gent" },
+    { "region", "vlaanderen" },
+    { "clusterName", "crowd" },
+    { "listen",
+      { { "caller", mAddresses[CrowdPort::Callers] },
+        { "peer", mAddresses[CrowdPort::Peers] },
+        { "operator", mAddresses[CrowdPort::Operators] } } },
+    { "store", { { "endpoints", { mServeStore.Address() } } } },
+    { "vmList", { { "address", mVmList.Address() } } },
+    { "operators", { { "readTokenFile", token }, { "changeTokenFile", token } } },
+    { "resources",
+      { { "memoryMegabytes", aBounds.memoryMegabytes }, { "descriptors", aBounds.descriptors } } }
+  };
+  StartProcess("serve", settings.dump(2), aBounds.descriptors);
+  net::HttpRequest request;
+  request.target = "/v1/entry-points";
+  BOOST_REQUIRE(RunUntil([&] {
+    return !mProcess->IsRunning() || AskOnce(mAddresses[CrowdPort::Callers], request) == kOk;
+  }));
+  BOOST_REQUIRE(mProcess->IsRunning());
+  mIdleKilobytes = ReadStatus(mProcess->Pid(), "VmHWM");
+}
+
+void
+CrowdFixture::StartProcess(const std::string& aCommand,
+                           const std::string& aSettings,
+                           std::size_t aDescriptors)
+{
+  const std::string file = mFolder + "/settings.json";
+  std::ofstream(file) << aSettings;
+  mProcess = std::make_unique<soak::DaemonProcess>(CROWD_PROGRAM, file, mFolder + "/log", aCommand);
+  mProcess->Start();
+  const rlimit limit{ aDescriptors, aDescriptors };
+  BOOST_REQUIRE(prlimit(mProcess->Pid(), RLIMIT_NOFILE, &limit, nullptr) == 0);
+}
+
 bool
 CrowdFixture::RunUntil(const std::function<bool()>& aCondition)
 {
--- a/crowd/crowd_fixture.h
+++ b/crowd/crowd_fixture.h
@@ -5,6 +5,8 @@
 #include "net/http_message.h"
 #include "platform/tests/platform_fakes.h"
 #include "soak/daemon_process.h"
+#include "standin/store_standin.h"
+#include "standin/vm_list_standin.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,6 +34,7 @@
   Directory,
   Readiness,
   Peers,
+  Operators,
 };
 
 /** What the crowd's clients have in common. */
@@ -74,6 +77,9 @@
   /** Starts the process and waits until it is ready. */
   void StartDaemon(const CrowdBounds& aBounds);
 
+  /** Starts a daemon of the other kind, `serve`, and waits until it answers. */
+  void StartServe(const CrowdBounds& aBounds);
+
   /**
    * Connects all clients, and waits until each has sent its bytes, lost its connection or can't
    * send more, and the process has read what it reads of them.
@@ -102,6 +108,8 @@
   boost::asio::io_context mLoop;
   core::AsioTimerService mTimers{ mLoop };
   platform::tests::FakePlatformStore mStore{ mLoop, mTimers };
+  standin::StoreStandin mServeStore{ mLoop, mTimers };
+  standin::VmListStandin mVmList{ mLoop, mTimers, core::Duration::zero() };
   /** By service. */
   std::map<std::string, std::unique_ptr<platform::tests::FakePlatformReplica>> mReplicas;
   std::string mFolder;
@@ -130,6 +138,10 @@
                            net::HttpRequest aRequest,
                            std::shared_ptr<std::optional<unsigned>> aStatus);
   unsigned AskOnce(const std::string& aAddress, const net::HttpRequest& aRequest);
+  /** @param aDescriptors limit that the system enforces. */
+  void StartProcess(const std::string& aCommand,
+                    const std::string& aSettings,
+                    std::size_t aDescriptors);
   void SampleResources();
   /** Runs the event loop until a value doesn't change any more. */
   void AwaitSteady(const std::function<std::size_t()>& aValue);
--- a/crowd/crowd_test.cpp
+++ b/crowd/crowd_test.cpp
@@ -106,6 +106,22 @@
   fixture.CheckProcess();
 }
 
+/** The same for a daemon that runs `serve`. */
+void
+CheckServeCrowd(const CrowdBounds& aBounds, const CrowdPlan& aPlan)
+{
+  CrowdFixture fixture;
+  fixture.StartServe(aBounds);
+  fixture.StartCrowd(aPlan);
+  for (int n = 0; n < kOrdinaryRequests; ++n) {
+    BOOST_TEST(fixture.Ask("GET", "/v1/entry-points", "") == kOk);
+  }
+  fixture.CheckProcess();
+  fixture.EndCrowd();
+  BOOST_TEST(fixture.Ask("GET", "/v1/entry-points", "") == kOk);
+  fixture.CheckProcess();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(crowd)
@@ -288,6 +304,31 @@
   CheckCrowd({ 32, 4100 }, plan);
 }
 
+// The limits have to hold for both kinds of daemon.
+BOOST_AUTO_TEST_CASE(serve_large_chunks_that_stop_short)
+{
+  CrowdPlan plan;
+  plan.clients = 300;
+  plan.bytes = ChunkedRequestWithoutEnd(50, std::size_t{ 16 } * 1000);
+  CheckServeCrowd({ 64, 2000 }, plan);
+}
+
+BOOST_AUTO_TEST_CASE(serve_idle_connections_beyond_the_descriptors)
+{
+  CrowdPlan plan;
+  plan.clients = 600;
+  CheckServeCrowd({ 64, 500 }, plan);
+}
+
+BOOST_AUTO_TEST_CASE(serve_bodies_at_the_port_of_operators)
+{
+  CrowdPlan plan;
+  plan.clients = 100;
+  plan.bytes = ChunkedRequestWithoutEnd(200, std::size_t{ 16 } * 1000);
+  plan.port = CrowdPort::Operators;
+  CheckServeCrowd({ 64, 2000 }, plan);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace skylarkwing::crowd
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -17,9 +17,19 @@
 constexpr core::Duration kNoticeMargin = std::chrono::seconds{ 2 };
 /** Limit for declarations as written by operators; the stored form is smaller. */
 constexpr std::size_t kMaxDeclarationBytes = std::size_t{ 4 } * 1024 * 1024;
+/** Log lines for clients that are closed for want of progress. */
+constexpr std::uint32_t kClosureLinesPerSecond = 2;
 /** Time to send the last answers to other daemons before the sockets are closed. */
 constexpr core::Duration kFinalSendTime = std::chrono::milliseconds{ 200 };
 
+net::ConnectionLimits
+MakeConnectionLimits(const settings::Settings& aSettings)
+{
+  return aSettings.resources ? net::DeriveConnectionLimits(aSettings.resources->memoryBytes,
+                                                           aSettings.resources->maxDescriptors)
+                             : net::ConnectionLimits{};
+}
+
 std::uint64_t
 ChooseSeed(const settings::Settings& aSettings)
 {
@@ -39,6 +49,9 @@
   , incarnation(random.Token())
   , startedAt(timers.Now())
   , loadMeter(timers, LoadMeter::ThreadProcessorTime)
+  , connectionLimits(MakeConnectionLimits(settings))
+  , clientMemory(net::MakeBudget(connectionLimits))
+  , closureLines(kClosureLinesPerSecond)
 {
 }
 
@@ -53,17 +66,54 @@
 Daemon::Parts::WireServers()
 {
   callerServer = std::make_unique<net::HttpServer>(
-    loop, net::HttpServerLimits{}, [this](net::HttpRequest aRequest) {
+    loop, ClientServerLimits(connectionLimits.callers), [this](net::HttpRequest aRequest) {
       return front->Handle(std::move(aRequest));
     });
   callerServer->SetErrorHandler(
     [this](net::HttpRequestError aError) { return front->RefuseUnreadable(aError); });
-  net::HttpServerLimits operatorLimits;
+  net::HttpServerLimits operatorLimits = ClientServerLimits(connectionLimits.peers);
   operatorLimits.bodyBytes = kMaxDeclarationBytes;
   operatorServer =
     std::make_unique<net::HttpServer>(loop, operatorLimits, [this](net::HttpRequest aRequest) {
       return operators->Handle(std::move(aRequest));
     });
+  for (net::HttpServer* server : { callerServer.get(), operatorServer.get() }) {
+    server->SetClosureHandler([this](net::ClientPhase aPhase) { RecordClosure(aPhase); });
+    server->SetBudget(clientMemory);
+  }
+}
+
+net::HttpServerLimits
+Daemon::Parts::ClientServerLimits(std::size_t aMaxConnections) const
+{
+  net::HttpServerLimits limits;
+  limits.connections = aMaxConnections;
+  if (connectionLimits.isDerived) {
+    limits.closeStalled = true;
+    limits.sendBufferBytes = net::kClientSendBufferBytes;
+    limits.receiveBufferBytes = net::kClientReceiveBufferBytes;
+  }
+  return limits;
+}
+
+void
+Daemon::Parts::RecordClosure(net::ClientPhase aPhase)
+{
+  const std::string phase(net::NameOf(aPhase));
+  metrics
+    .Counter("skylarkwing_clients_closed_total",
+             "Connections of clients that were closed for want of progress.",
+             { { "phase", phase } })
+    .Increment();
+  if (closureLines.Allow(timers.Now())) {
+    core::LogEvent(core::LogLevel::Warning,
+                   "daemon",
+                   "client_closed",
+                   { { "phase", phase },
+                     { "callers", std::to_string(callerServer->OpenConnections()) },
+                     { "memory_bytes", std::to_string(clientMemory->UsedBytes()) },
+                     { "unlogged", std::to_string(closureLines.TakeDroppedCount()) } });
+  }
 }
 
 bool
--- a/daemon/daemon_parts.h
+++ b/daemon/daemon_parts.h
@@ -4,6 +4,7 @@
 #include "console/burn_tracker.h"
 #include "console/operator_api.h"
 #include "core/asio_timer_service.h"
+#include "core/log_rate_limiter.h"
 #include "core/metrics.h"
 #include "core/random_source.h"
 #include "daemon/burn_exchange.h"
@@ -16,7 +17,9 @@
 #include "membership/handover.h"
 #include "membership/membership_service.h"
 #include "membership/warmup_promises.h"
+#include "net/connection_limits.h"
 #include "net/http_server.h"
+#include "net/memory_budget.h"
 #include "net/nng_peer_bus.h"
 #include "net/retrying_sender.h"
 #include "query/query_engine.h"
@@ -47,6 +50,8 @@
   // daemon.cpp
   void WireServers();
   bool Listen();
+  net::HttpServerLimits ClientServerLimits(std::size_t aMaxConnections) const;
+  void RecordClosure(net::ClientPhase aPhase);
   /** @return whether work for callers or other daemons is still running. */
   bool IsBusy() const;
 
@@ -98,6 +103,10 @@
   LoadMeter loadMeter;
   declaration::ConfigurationKeeper keeper;
   IndexViewCache views;
+  net::ConnectionLimits connectionLimits;
+  /** Memory for what callers and operators send and get; null without resources. */
+  std::shared_ptr<net::MemoryBudget> clientMemory;
+  core::LogRateLimiter closureLines;
   std::unique_ptr<net::NngPeerBus> bus;
   std::unique_ptr<net::RetryingSender> replySender;
   std::unique_ptr<store::StoreClient> storeClient;
--- a/main/platform_command.cpp
+++ b/main/platform_command.cpp
@@ -3,6 +3,7 @@
 #include "core/exit_code.h"
 #include "core/log.h"
 #include "core/task.h"
+#include "main/event_loop.h"
 #include "main/settings_options.h"
 #include "platform/boot_settings.h"
 #include "platform/platform_daemon.h"
@@ -10,8 +11,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <malloc.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -43,13 +42,6 @@
   "\n"
   "Exit codes: 0 stopped, 1 failed, 2 wrong usage or settings.\n";
 
-/**
- * Blocks from this size on are mapped on their own, so that the system gets them back when they are
- * freed. Otherwise the allocator keeps freed bodies and answers, and a crowd of slow readers of
- * answers of 3 MB took 91 MB where they were limited to 20 MB.
- */
-constexpr int kMappedBlockBytes = 128 * 1024;
-
 /** Reloads the settings on each SIGHUP; invalid settings are ignored. */
 core::Task<void>
 ReloadAtSignal(asio::io_context& aLoop, platform::PlatformDaemon& aDaemon, std::string aPath)
@@ -78,27 +70,15 @@
   aLoop.stop();
 }
 
-/** Runs the event loop. An exception ends only the handler that it escapes from. */
-void
-RunLoop(asio::io_context& aLoop)
-{
-  while (true) {
-    try {
-      aLoop.run();
-      return;
-    } catch (const std::exception& error) {
-      core::LogEvent(
-        core::LogLevel::Error, "platform", "handler_failed", { { "error", error.what() } });
-    }
-  }
-}
-
 int
-Serve(const platform::BootSettings& aSettings, const std::string& aPath)
+Serve(platform::BootSettings aSettings, const std::string& aPath)
 {
   core::InitializeLog(core::LogLevel::Info, core::LogFormat::Json, core::LogTarget::Output);
   core::SetLogVm(aSettings.vm);
-  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+  LimitAllocator();
+  if (!aSettings.resources) {
+    aSettings.resources = core::DetectResources();
+  }
   asio::io_context loop(1);
   platform::PlatformDaemon daemon(loop, aSettings);
   if (!daemon.Setup()) {
@@ -108,7 +88,7 @@
   core::Start(loop.get_executor(), StopAtSignal(loop, daemon));
   core::Start(loop.get_executor(), ReloadAtSignal(loop, daemon, aPath));
   daemon.Start();
-  RunLoop(loop);
+  RunEventLoop(loop, "platform");
   // Pending tasks refer to the daemon, so the process exits without destroying it.
   std::cout.flush();
   std::_Exit(kExitSuccess);
@@ -125,11 +105,11 @@
   if (options.exitCode >= 0) {
     return options.exitCode;
   }
-  const platform::BootSettingsResult loaded = platform::LoadBootSettings(options.settingsFile);
+  platform::BootSettingsResult loaded = platform::LoadBootSettings(options.settingsFile);
   if (const auto exitCode = ReportSettings(options, loaded.faults)) {
     return *exitCode;
   }
-  return Serve(*loaded.settings, options.settingsFile);
+  return Serve(std::move(*loaded.settings), options.settingsFile);
 }
 
 } // namespace skylarkwing
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/task.h"
 #include "daemon/daemon.h"
+#include "main/event_loop.h"
 #include "main/settings_options.h"
 #include "settings/settings.h"
 
@@ -52,6 +53,10 @@
 Serve(settings::Settings aSettings)
 {
   core::InitializeLog(aSettings.logLevel, aSettings.logFormat);
+  LimitAllocator();
+  if (!aSettings.resources) {
+    aSettings.resources = core::DetectResources();
+  }
   asio::io_context loop(1);
   daemon::Daemon daemon(loop, std::move(aSettings));
   if (!daemon.Setup()) {
@@ -60,7 +65,7 @@
   }
   core::Start(loop.get_executor(), StopAtSignal(loop, daemon));
   daemon.Start();
-  loop.run();
+  RunEventLoop(loop, "daemon");
   daemon.Cleanup();
   return kExitSuccess;
 }
--- a/net/client_queue.cpp
+++ b/net/client_queue.cpp
@@ -1,5 +1,7 @@
 #include "net/client_queue.h"
 
+#include "core/name_table.h"
+
 namespace skylarkwing::net {
 
 namespace {
@@ -16,8 +18,18 @@
  */
 constexpr core::Duration kStallTime = std::chrono::milliseconds{ 500 };
 
+constexpr core::NameTable<ClientPhase, 5> kPhaseNames{
+  { "transfer", "unused", "idle", "handling", "pipelining" }
+};
+
 } // namespace
 
+std::string_view
+NameOf(ClientPhase aPhase)
+{
+  return kPhaseNames.NameOf(aPhase);
+}
+
 std::list<ClientQueue::Client>&
 ClientQueue::ListOf(ClientPhase aPhase)
 {
--- a/net/client_queue.h
+++ b/net/client_queue.h
@@ -8,6 +8,7 @@
 #include <initializer_list>
 #include <list>
 #include <optional>
+#include <string_view>
 
 namespace skylarkwing::net {
 
@@ -26,6 +27,10 @@
   Pipelining,
 };
 
+/** @return the name of a phase, for logs and metric labels. */
+std::string_view
+NameOf(ClientPhase aPhase);
+
 /**
  * Order in which connections of clients are given up: first those that were longest without
  * progress in a transfer, then those that never carried a request, then idle ones, which clients
--- a/net/connection_limits.cpp
+++ b/net/connection_limits.cpp
@@ -46,4 +46,10 @@
   return limits;
 }
 
+std::shared_ptr<MemoryBudget>
+MakeBudget(const ConnectionLimits& aLimits)
+{
+  return aLimits.isDerived ? std::make_shared<MemoryBudget>(aLimits.clientBytes) : nullptr;
+}
+
 } // namespace skylarkwing::net
--- a/net/connection_limits.h
+++ b/net/connection_limits.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "net/memory_budget.h"
+
 #include <cstddef>
+#include <memory>
 
 namespace skylarkwing::net {
 
@@ -10,6 +13,19 @@
 /** Memory of another daemon's connection that the clients of this one can't take. */
 inline constexpr std::size_t kPeerConnectionBytes = std::size_t{ 64 } * 1024;
 
+/**
+ * Send buffer of a client's connection, which the kernel would let grow to 4 MB: with 200 slow
+ * readers, all sockets of the machine took 185 MB, and 73 MB with this size. A VM of 200 Mbit/s and
+ * a round trip of 2 ms need 50 kB.
+ */
+inline constexpr std::size_t kClientSendBufferBytes = std::size_t{ 128 } * 1024;
+
+/**
+ * Receive buffer of a connection: what a client sends while nothing is read of it. The kernel takes
+ * twice the size for its own use, and would let it grow to 6 MB.
+ */
+inline constexpr std::size_t kClientReceiveBufferBytes = std::size_t{ 32 } * 1024;
+
 /** How many connections a process accepts, and how much memory its clients get. */
 struct ConnectionLimits
 {
@@ -38,4 +54,8 @@
 ConnectionLimits
 DeriveConnectionLimits(std::size_t aMemoryBytes, std::size_t aDescriptors);
 
+/** @return the budget for the memory of clients; null if there is no limit. */
+std::shared_ptr<MemoryBudget>
+MakeBudget(const ConnectionLimits& aLimits);
+
 } // namespace skylarkwing::net
--- a/settings/settings.cpp
+++ b/settings/settings.cpp
@@ -107,6 +107,10 @@
     ReadLog(aLog, aTarget);
   };
   aReader.Object("log", readLog, Presence::Optional);
+  const JsonReader::ObjectFunction readResources = [&aTarget](JsonReader& aResources) {
+    core::ReadResources(aResources, aTarget.resources.emplace());
+  };
+  aReader.Object("resources", readResources, Presence::Optional);
   aReader.Integer(
     "stopGraceSeconds", aTarget.stopGraceSeconds, kStopGraceSeconds, Presence::Optional);
   aReader.Integer64("randomSeed", aTarget.randomSeed, kRandomSeed, Presence::Optional);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "core/json_reader.h"
 #include "core/log.h"
+#include "core/process_resources.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,8 @@
   core::LogFormat logFormat = core::LogFormat::Plain;
   /** Maximum time, in seconds, that a graceful shutdown waits for running work. */
   std::uint32_t stopGraceSeconds = 60;
+  /** Nothing when the system's limits count. */
+  std::optional<core::ProcessResources> resources;
   /** Seed for reproducible random decisions; taken from the system if absent. */
   std::optional<std::uint64_t> randomSeed;
 };
--- a/settings/tests/settings_test.cpp
+++ b/settings/tests/settings_test.cpp
@@ -48,6 +48,24 @@
   BOOST_TEST(!result.settings->randomSeed.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(resources_are_optional)
+{
+  json document = ValidDocument();
+  BOOST_TEST(!ParseSettings(document.dump()).settings->resources.has_value());
+  document["resources"] = { { "memoryMegabytes", 160 }, { "descriptors", 4100 } };
+  const LoadResult result = ParseSettings(document.dump());
+  BOOST_TEST_REQUIRE(result.settings.has_value());
+  BOOST_TEST(result.settings->resources->memoryBytes == 160U * 1024 * 1024);
+  BOOST_TEST(result.settings->resources->maxDescriptors == 4100U);
+}
+
+// An idle process needs 11 MB, so that one with less memory could not serve a single caller.
+BOOST_AUTO_TEST_CASE(too_little_memory_is_refused)
+{
+  BOOST_TEST(OnlyFaultWith("/resources", { { "memoryMegabytes", 24 }, { "descriptors", 4100 } }) ==
+             "/resources/memoryMegabytes: expected a whole number from 32 to 1048576, found 24");
+}
+
 BOOST_AUTO_TEST_CASE(a_fault_has_path_and_expected_and_found_values)
 {
   BOOST_TEST(OnlyFaultWith("/store/endpoints/0", "store.example:2379") ==
--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -17,10 +17,14 @@
 
 } // namespace
 
-DaemonProcess::DaemonProcess(std::string aProgram, std::string aSettingsFile, std::string aLogFile)
+DaemonProcess::DaemonProcess(std::string aProgram,
+                             std::string aSettingsFile,
+                             std::string aLogFile,
+                             std::string aCommand)
   : mProgram(std::move(aProgram))
   , mSettingsFile(std::move(aSettingsFile))
   , mLogFile(std::move(aLogFile))
+  , mCommand(std::move(aCommand))
 {
 }
 
@@ -42,10 +46,9 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, mLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  std::string command = "platform";
   std::string option = "--settings";
   const std::array<char*, 5> arguments{
-    mProgram.data(), command.data(), option.data(), mSettingsFile.data(), nullptr
+    mProgram.data(), mCommand.data(), option.data(), mSettingsFile.data(), nullptr
   };
   const int error =
     posix_spawn(&mPid, mProgram.c_str(), &actions, nullptr, arguments.data(), environ);
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -14,8 +14,12 @@
    * @param aProgram path of the executable.
    * @param aSettingsFile path of its settings file.
    * @param aLogFile path of the file for its output; a restart appends to it.
+   * @param aCommand command of the executable that runs a daemon.
    */
-  DaemonProcess(std::string aProgram, std::string aSettingsFile, std::string aLogFile);
+  DaemonProcess(std::string aProgram,
+                std::string aSettingsFile,
+                std::string aLogFile,
+                std::string aCommand = "platform");
   DaemonProcess(const DaemonProcess&) = delete;
   DaemonProcess& operator=(const DaemonProcess&) = delete;
   ~DaemonProcess();
@@ -42,6 +46,7 @@
   std::string mProgram;
   std::string mSettingsFile;
   std::string mLogFile;
+  std::string mCommand;
   pid_t mPid = -1;
   /** Status of the last exit, in the encoding of waitpid(). */
   int mLastStatus = 0;
