Soak: clients that misbehave, and a bound on the memory of each process

Crowds of up to 120 clients come to one daemon after another beside the other faults: unfinished bodies in large and in tiny chunks, unfinished heads, heads of tiny fields, pipelined requests whose answers nobody reads, idle ones. The daemons get resources (96 MB), and a process that exceeds them is a violation.

--- a/crowd/crowd_fixture.cpp
+++ b/crowd/crowd_fixture.cpp
@@ -123,22 +123,6 @@
                    { "idle_timeout_ms", 60000 } } } };
 }
 
-/** @return a value in kilobytes from the status that the kernel shows of a process. */
-std::size_t
-ReadStatus(pid_t aProcess, const std::string& aName)
-{
-  std::ifstream file("/proc/" + std::to_string(aProcess) + "/status");
-  std::string word;
-  std::size_t value = 0;
-  while (file >> word) {
-    if (word == aName + ":") {
-      file >> value;
-      break;
-    }
-  }
-  return value;
-}
-
 /** @return the inodes of the sockets that a process has open. */
 std::set<std::string>
 ListSockets(pid_t aProcess)
@@ -292,7 +276,7 @@
   BOOST_REQUIRE(
     RunUntil([&] { return AskOnce(mAddresses[CrowdPort::Readiness], request) == kOk; }));
   BOOST_REQUIRE(Ask("GET", "/short/first", "") == kOk);
-  mIdleKilobytes = ReadStatus(mProcess->Pid(), "VmHWM");
+  mIdleKilobytes = mProcess->ReadStatus("VmHWM");
 }
 
 void
@@ -331,7 +315,7 @@
     return !mProcess->IsRunning() || AskOnce(mAddresses[CrowdPort::Callers], request) == kOk;
   }));
   BOOST_REQUIRE(mProcess->IsRunning());
-  mIdleKilobytes = ReadStatus(mProcess->Pid(), "VmHWM");
+  mIdleKilobytes = mProcess->ReadStatus("VmHWM");
 }
 
 void
@@ -379,7 +363,7 @@
     ReadKernelBytes(ToListedAddress(mAddresses[CrowdPort::Callers]), sockets);
   mPeakKernelBytes = std::max(mPeakKernelBytes, kernelBytes);
   mPeakBytes =
-    std::max(mPeakBytes, kernelBytes + ReadStatus(mProcess->Pid(), "VmRSS") * kBytesPerKilobyte);
+    std::max(mPeakBytes, kernelBytes + mProcess->ReadStatus("VmRSS") * kBytesPerKilobyte);
 }
 
 core::Task<void>
@@ -444,7 +428,7 @@
     // A client that the process doesn't read from stays busy.
     AwaitSteady([this] { return mBusyClients == 0 ? 0 : mSentBytes; });
     // What the clients have sent may still be in the kernel's buffers.
-    AwaitSteady([this] { return ReadStatus(mProcess->Pid(), "VmRSS"); });
+    AwaitSteady([this] { return mProcess->ReadStatus("VmRSS"); });
   }
 }
 
@@ -526,7 +510,7 @@
   BOOST_TEST_REQUIRE(mProcess->IsRunning(), mProcess->DescribeUnexpectedExit());
   SampleResources();
   const std::size_t bound = mBounds.memoryMegabytes * kKilobytesPerMegabyte;
-  const std::size_t peak = ReadStatus(mProcess->Pid(), "VmHWM");
+  const std::size_t peak = mProcess->ReadStatus("VmHWM");
   const std::size_t peakWithKernel = mPeakBytes / kBytesPerKilobyte;
   BOOST_TEST_MESSAGE("memory: " << mIdleKilobytes << " kB idle, " << peak << " kB at most, "
                                 << peakWithKernel << " kB with the kernel's "
--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -68,6 +69,21 @@
   return mPid > 0;
 }
 
+std::size_t
+DaemonProcess::ReadStatus(const std::string& aName) const
+{
+  std::ifstream file("/proc/" + std::to_string(mPid) + "/status");
+  std::string word;
+  std::size_t value = 0;
+  while (file >> word) {
+    if (word == aName + ":") {
+      file >> value;
+      break;
+    }
+  }
+  return value;
+}
+
 void
 DaemonProcess::Signal(int aSignal)
 {
--- a/soak/daemon_process.h
+++ b/soak/daemon_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 
 namespace skylarkwing::soak {
@@ -33,6 +34,9 @@
   /** @return the process id while it runs, otherwise -1. */
   pid_t Pid() const { return mPid; }
 
+  /** @return a value in kilobytes from the status that the kernel shows of the process. */
+  std::size_t ReadStatus(const std::string& aName) const;
+
   /** Sends a signal to the process if it runs. */
   void Signal(int aSignal);
 
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -96,7 +96,8 @@
               << " sent, " << counts.answered << " answered (" << counts.partial << " partial), "
               << counts.refused << " refused, " << counts.failed << " failed, " << counts.unanswered
               << " unanswered, " << run.EndsUnderRequests() << " ends under requests, "
-              << violations.size() << " violations\n";
+              << run.MisbehavingClientCount() << " misbehaving clients, " << violations.size()
+              << " violations\n";
     for (const std::string& violation : violations) {
       std::cout << "  " << violation << '\n';
     }
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -46,6 +46,9 @@
 constexpr int kSeeds = 3;
 constexpr int kPortsPerRun = 200;
 constexpr std::uint64_t kPortRanges = 40;
+/** Resources of each daemon. */
+constexpr std::size_t kMemoryMegabytes = 96;
+constexpr int kDescriptors = 4100;
 /** The failure domains of the daemons. */
 const std::vector<std::string> kDomains{ "east", "west" };
 
@@ -109,6 +112,8 @@
   for (int n = 0; n < mOptions.clients; ++n) {
     core::Start(mLoop.get_executor(), RunClient(static_cast<std::uint64_t>(n)));
   }
+  core::Start(mLoop.get_executor(), mMisbehavingClients->Run(end));
+  core::Start(mLoop.get_executor(), CheckMemory());
   core::Start(mLoop.get_executor(), CheckRecovery());
   mLoop.run();
   CheckLedger();
@@ -164,6 +169,11 @@
   hooks.addressOf = [this](std::size_t aDaemon) { return mDaemons[aDaemon].address; };
   hooks.isInTouch = [this](std::size_t aDaemon) { return IsInTouch(aDaemon); };
   hooks.onRefused = [this](const std::string& aId) { mRefusedIds.push_back(aId); };
+  MisbehavingClientHooks clientHooks;
+  clientHooks.daemonCount = hooks.daemonCount;
+  clientHooks.addressOf = hooks.addressOf;
+  mMisbehavingClients = std::make_unique<MisbehavingClients>(
+    mLoop, mTimers, mOptions.seed + 2 * kSeedOffset, std::move(clientHooks));
   mCrashingRequests = std::make_unique<CrashingRequests>(
     mLoop, mTimers, mOptions.seed + kSeedOffset, std::move(hooks));
   WriteConfiguration();
@@ -191,20 +201,23 @@
   daemon.domain = static_cast<std::size_t>(aNumber) % kDomains.size();
   daemon.runsOtherProgram = !mOptions.otherProgram.empty() && aNumber / 2 % 2 == 1;
   daemon.storeProxy = std::make_unique<TcpProxy>(mLoop, mTimers, mStoreViews[daemon.domain]);
-  const json settings{ { "vm", daemon.name },
-                       { "failureDomain", kDomains[daemon.domain] },
-                       { "region", "land" },
-                       { "regions", { { "east", "land" }, { "west", "land" } } },
-                       { "listen",
-                         { { "callers", address(0) },
-                           { "readiness", address(1) },
-                           { "directory", address(2) },
-                           { "peers", address(kPeerOffset) } } },
-                       { "seeds", seeds },
-                       { "store", { { "address", daemon.storeProxy->Address() } } },
-                       { "capacity", { { "share", 1.0 } } },
-                       { "extraAttempts", { { "ratio", 0.2 }, { "slack", 60 } } },
-                       { "stopGraceSeconds", 3 } };
+  const json settings{
+    { "vm", daemon.name },
+    { "failureDomain", kDomains[daemon.domain] },
+    { "region", "land" },
+    { "regions", { { "east", "land" }, { "west", "land" } } },
+    { "listen",
+      { { "callers", address(0) },
+        { "readiness", address(1) },
+        { "directory", address(2) },
+        { "peers", address(kPeerOffset) } } },
+    { "seeds", seeds },
+    { "store", { { "address", daemon.storeProxy->Address() } } },
+    { "capacity", { { "share", 1.0 } } },
+    { "resources", { { "memoryMegabytes", kMemoryMegabytes }, { "descriptors", kDescriptors } } },
+    { "extraAttempts", { { "ratio", 0.2 }, { "slack", 60 } } },
+    { "stopGraceSeconds", 3 }
+  };
   const std::string file = mOptions.folder + "/" + daemon.name + ".json";
   std::ofstream(file) << settings.dump(2);
   daemon.process = std::make_unique<DaemonProcess>(daemon.runsOtherProgram ? mOptions.otherProgram
@@ -289,6 +302,21 @@
   }
 }
 
+core::Task<void>
+SoakRun::CheckMemory()
+{
+  constexpr std::size_t kKilobytesPerMegabyte = 1024;
+  while (!mIsFinished) {
+    for (const Daemon& daemon : mDaemons) {
+      const std::size_t peak = daemon.process->ReadStatus("VmHWM");
+      if (peak > kMemoryMegabytes * kKilobytesPerMegabyte) {
+        AddViolation(daemon.name + " used " + std::to_string(peak) + " kB");
+      }
+    }
+    co_await core::Sleep(mTimers, milliseconds{ 500 });
+  }
+}
+
 core::Task<void>
 SoakRun::InjectFaults(core::TimePoint aEnd)
 {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -6,6 +6,7 @@
 #include "platform/tests/platform_fakes.h"
 #include "soak/crashing_requests.h"
 #include "soak/daemon_process.h"
+#include "soak/misbehaving_clients.h"
 #include "soak/soak_replica.h"
 #include "soak/tcp_proxy.h"
 
@@ -69,6 +70,9 @@
   /** @return the number of replicas that ended under requests that end them. */
   std::uint64_t EndsUnderRequests() const { return mCrashingRequests->Ends(); }
 
+  /** @return the number of clients that misbehaved. */
+  std::size_t MisbehavingClientCount() const { return mMisbehavingClients->Count(); }
+
 private:
   /** A daemon and its proxy to the store. */
   struct Daemon
@@ -126,6 +130,7 @@
   Tally mCutTries;
   Tally mOtherTries;
   std::unique_ptr<CrashingRequests> mCrashingRequests;
+  std::unique_ptr<MisbehavingClients> mMisbehavingClients;
   core::TimePoint mStoreDisturbedAt{};
   std::vector<std::string> mViolations;
   /** Ids of requests refused as not run; these must never run. */
@@ -161,6 +166,8 @@
   core::Task<void> StopGracefully(Daemon& aDaemon);
   core::Task<void> RunClient(std::uint64_t aNumber);
   core::Task<void> CheckRecovery();
+  /** Checks that no process uses more memory than its settings name. */
+  core::Task<void> CheckMemory();
   net::HttpRequest MakeRequest(std::uint64_t aKind, std::string aId) const;
   void CheckResponse(std::uint64_t aKind, const std::string& aId, const net::HttpResult& aReply);
   void CheckSearchResponse(const std::string& aId, const net::HttpResponse& aResponse);
