--- a/crowd/crowd_fixture.cpp
+++ b/crowd/crowd_fixture.cpp
@@ -48,6 +48,7 @@
 constexpr std::size_t kKilobytesPerMegabyte = 1024;
 constexpr auto kMemorySampleInterval = std::chrono::milliseconds{ 100 };
 constexpr auto kReturnPause = std::chrono::milliseconds{ 20 };
+constexpr std::size_t kMaxBodyBytes = std::size_t{ 256 } * 1024;
 constexpr int kShards = 24;
 constexpr int kConnections = 20;
 constexpr int kShardConnections = 60;
@@ -91,7 +92,7 @@
 
 /** The times are long, so that no client of a crowd is closed just because the machine is slow. */
 json
-Configuration()
+Configuration(int aVersion, std::size_t aMaxBodyBytes)
 {
   json services = json::array();
   json routes = json::array();
@@ -113,12 +114,12 @@
     sharded["fanout_services"].push_back(ShardName(n));
   }
   routes.push_back(sharded);
-  return json{ { "version", 1 },
+  return json{ { "version", aVersion },
                { "routes", routes },
                { "services", services },
                { "limits",
                  { { "max_header_bytes", 16384 },
-                   { "max_body_bytes", 262144 },
+                   { "max_body_bytes", aMaxBodyBytes },
                    { "header_timeout_ms", 30000 },
                    { "idle_timeout_ms", 60000 } } } };
 }
@@ -223,7 +224,7 @@
                                 CrowdPort::Operators }) {
     mAddresses[port] = FreeAddress(mLoop);
   }
-  mStore.Write("op/config", Configuration().dump());
+  mStore.Write("op/config", Configuration(1, kMaxBodyBytes).dump());
   AddReplica("short").body = "short answer";
   AddReplica("medium").body.assign(kMediumAnswerBytes, 'x');
   AddReplica("long").body.assign(kLongAnswerBytes, 'x');
@@ -504,6 +505,21 @@
   return status;
 }
 
+void
+CrowdFixture::ChangeLimits()
+{
+  mProcess->Signal(SIGHUP);
+  mStore.Write("op/config", Configuration(2, kMaxBodyBytes / 2).dump());
+}
+
+void
+CrowdFixture::Stop()
+{
+  mProcess->Signal(SIGTERM);
+  BOOST_TEST(RunUntil([this] { return !mProcess->IsRunning(); }));
+  BOOST_TEST(mProcess->DescribeUnexpectedExit() == "");
+}
+
 void
 CrowdFixture::CheckProcess()
 {
--- a/crowd/crowd_fixture.h
+++ b/crowd/crowd_fixture.h
@@ -97,6 +97,12 @@
    */
   unsigned Ask(const std::string& aMethod, const std::string& aTarget, const std::string& aBody);
 
+  /** Makes the process read its settings again, and writes a configuration with a lower limit. */
+  void ChangeLimits();
+
+  /** Stops the process, and checks that it ends in order. */
+  void Stop();
+
   /**
    * Checks that the process runs, and that its memory and its sockets stayed under the bounds from
    * its start until now. Bytes that the kernel holds for its sockets count as its memory: received
--- a/crowd/crowd_test.cpp
+++ b/crowd/crowd_test.cpp
@@ -304,6 +304,35 @@
   CheckCrowd({ 32, 4100 }, plan);
 }
 
+// A crowd must not keep a process from taking a change, nor from ending.
+BOOST_AUTO_TEST_CASE(readers_that_stay_over_a_change_and_a_stop)
+{
+  CrowdPlan plan;
+  plan.clients = 200;
+  plan.bytes = Get("long");
+  plan.receiveBuffer = 4096;
+  CrowdFixture fixture;
+  fixture.StartDaemon({ 64, 2000 });
+  fixture.StartCrowd(plan);
+  fixture.ChangeLimits();
+  BOOST_TEST(fixture.Ask("GET", "/short/beside", "") == kOk);
+  fixture.CheckProcess();
+  fixture.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(held_requests_that_stay_over_a_change_and_a_stop)
+{
+  CrowdFixture fixture;
+  fixture.StartDaemon({ 64, 2000 });
+  CrowdPlan plan = HeldRequestAndMore();
+  plan.clients = 100;
+  fixture.StartCrowd(plan);
+  fixture.ChangeLimits();
+  BOOST_TEST(fixture.Ask("GET", "/short/beside", "") == kOk);
+  fixture.CheckProcess();
+  fixture.Stop();
+}
+
 // The limits have to hold for both kinds of daemon.
 BOOST_AUTO_TEST_CASE(serve_large_chunks_that_stop_short)
 {
