--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -324,7 +324,7 @@
   core::Task<beast::error_code> AwaitFirstByte(ConnectionPointer aConnection,
                                                beast::flat_buffer& aBuffer);
   void CountUnsent(Connection& aConnection);
-  bool HasStoppedReceiving(const Connection& aConnection) const;
+  bool ResetIfStopped(Connection& aConnection);
   core::Task<void> AwaitDelivery(ConnectionPointer aConnection);
   void SetPhase(Connection& aConnection, ClientPhase aPhase);
   std::size_t Charge(std::size_t aBytes) const;
@@ -650,11 +650,19 @@
   }
 }
 
+/** Makes a connection reset when it is closed, if its client has stopped receiving. */
 bool
-HttpServer::State::HasStoppedReceiving(const Connection& aConnection) const
+HttpServer::State::ResetIfStopped(Connection& aConnection)
 {
-  return aConnection.unsent.Bytes() > 0 &&
-         std::chrono::steady_clock::now() - aConnection.receivedAt > limits.writeTimeout;
+  if (aConnection.unsent.Bytes() == 0 ||
+      std::chrono::steady_clock::now() - aConnection.receivedAt <= limits.writeTimeout) {
+    return false;
+  }
+  if (closureHandler) {
+    closureHandler(aConnection.client->phase);
+  }
+  SetResetOnClose(aConnection.stream->socket(), true);
+  return true;
 }
 
 /** Keeps a connection that is to be closed until the client has received its last answer. */
@@ -670,8 +678,7 @@
   SetPhase(*aConnection, ClientPhase::Transfer);
   asio::steady_timer timer(loop);
   while (!isClosed && socket.is_open() && aConnection->unsent.Bytes() > 0) {
-    if (HasStoppedReceiving(*aConnection)) {
-      SetResetOnClose(socket, true);
+    if (ResetIfStopped(*aConnection)) {
       co_return;
     }
     timer.expires_after(kDrainInterval);
@@ -702,8 +709,7 @@
         SetPhase(*aConnection, ClientPhase::Idle);
       }
     }
-    if (HasStoppedReceiving(*aConnection)) {
-      SetResetOnClose(stream->socket(), true);
+    if (ResetIfStopped(*aConnection)) {
       stream->close();
       co_return asio::error::timed_out;
     }
