--- a/caller/entry_frontend.cpp
+++ b/caller/entry_frontend.cpp
@@ -283,6 +283,9 @@
     if (!terms.customer.empty()) {
       input += ", " + terms.customer + " at " + FormatDecimal(use) + " of its share";
     }
+    if (mOnOverload) {
+      mOnOverload();
+    }
     return RefuseNotRun(metadata, "overloaded", input, *retryAfter);
   }
   return std::nullopt;
--- a/caller/entry_frontend.h
+++ b/caller/entry_frontend.h
@@ -114,6 +114,9 @@
   void InterruptRunning(core::Duration aMinAge);
 
   EntryAdmission& Admission() { return mAdmission; }
+
+  /** Sets what is called for each request that is refused for load; it may end others. */
+  void SetOverloadHandler(std::function<void()> aHandler) { mOnOverload = std::move(aHandler); }
   const EntryAdmission& Admission() const { return mAdmission; }
 
   /** Begins to refuse requests that can't end before the process exits. */
@@ -138,6 +141,7 @@
   query::CrashGuard& mCrashGuard;
   CallerProtocol mProtocol;
   EntryAdmission mAdmission;
+  std::function<void()> mOnOverload;
   StopAdmission mStopAdmission;
   std::set<std::shared_ptr<query::RequestRun>> mRunning;
   PeerForwarder* mForwarder = nullptr;
--- a/crowd/crowd_test.cpp
+++ b/crowd/crowd_test.cpp
@@ -211,6 +211,15 @@
   CheckDepartedCrowd({ 32, 2000 }, plan, CrowdEnd::Reset);
 }
 
+// The end of such a connection is behind what the process doesn't read.
+BOOST_AUTO_TEST_CASE(clients_that_close_behind_a_full_buffer)
+{
+  CrowdPlan plan;
+  plan.clients = 300;
+  plan.bytes = Get("held") + std::string(std::size_t{ 2 } * 1000 * 1000, 'b');
+  CheckDepartedCrowd({ 64, 2000 }, plan, CrowdEnd::Close);
+}
+
 // Requests whose answers wait for memory must not use up the number of requests that may run.
 BOOST_AUTO_TEST_CASE(slow_readers_that_return)
 {
--- a/net/client_queue.cpp
+++ b/net/client_queue.cpp
@@ -110,6 +110,12 @@
     aNow);
 }
 
+std::optional<std::uint64_t>
+ClientQueue::NextPipelining(core::TimePoint aNow) const
+{
+  return NextIn(ClientPhase::Pipelining, aNow);
+}
+
 std::size_t
 ClientQueue::Count(ClientPhase aPhase) const
 {
--- a/net/client_queue.h
+++ b/net/client_queue.h
@@ -72,6 +72,9 @@
   /** @return the same, but only among those that hold more than a connection without a request. */
   std::optional<std::uint64_t> NextWithMemory(core::TimePoint aNow) const;
 
+  /** @return the connection whose client has sent on during its request for longest. */
+  std::optional<std::uint64_t> NextPipelining(core::TimePoint aNow) const;
+
   /** @return the number of connections in a phase. */
   std::size_t Count(ClientPhase aPhase) const;
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -959,6 +959,13 @@
   return ec ? std::string() : ToString(endpoint);
 }
 
+bool
+HttpServer::ClosePipelining()
+{
+  return mState->limits.closeStalled &&
+         mState->GiveUp(mState->clients.NextPipelining(std::chrono::steady_clock::now()));
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -104,6 +104,14 @@
   /** @return why Listen() failed. */
   const std::string& LastError() const { return mLastError; }
 
+  /**
+   * Gives up a connection whose client has sent on while its request is handled. Such a client may
+   * have left, which doesn't show while the kernel's buffer is full of what it sent.
+   *
+   * @return false if there is none.
+   */
+  bool ClosePipelining();
+
   /** Stops accepting connections; open connections stay open. */
   void StopAccepting();
 
