Server: a reset connection has nothing to send

A client that reset its connection with an answer under way kept 10 s of memory and a descriptor: the kernel goes on counting what it has dropped. Ruled out: the error state in poll(), which a read has taken by then.

--- a/net/socket_queues.cpp
+++ b/net/socket_queues.cpp
@@ -3,6 +3,7 @@
 #include <boost/system/error_code.hpp>
 
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 
@@ -20,8 +21,16 @@
 UnsentBytes(boost::asio::ip::tcp::socket& aSocket)
 {
   int n = 0;
-  return ioctl(aSocket.native_handle(), SIOCOUTQ, &n) == 0 && n > 0 ? static_cast<std::size_t>(n)
-                                                                    : 0;
+  if (ioctl(aSocket.native_handle(), SIOCOUTQ, &n) != 0 || n <= 0) {
+    return 0;
+  }
+  // The kernel drops the bytes of a connection that was reset, but still counts them.
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const bool isClosed =
+    getsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+    info.tcpi_state == TCP_CLOSE;
+  return isClosed ? 0 : static_cast<std::size_t>(n);
 }
 
 void
--- a/net/socket_queues.h
+++ b/net/socket_queues.h
@@ -10,7 +10,10 @@
 std::size_t
 UnreadBytes(const boost::asio::ip::tcp::socket& aSocket);
 
-/** @return the bytes that were written and not received yet; 0 if the system doesn't tell. */
+/**
+ * @return the bytes that were written and not received yet; 0 if the system doesn't tell, or the
+ *         connection was reset.
+ */
 std::size_t
 UnsentBytes(boost::asio::ip::tcp::socket& aSocket);
 
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -161,6 +161,31 @@
   BOOST_TEST(budget->UsedBytes() == 0U);
 }
 
+// The kernel counts the bytes of a reset connection for good, which would hold memory for nobody.
+BOOST_AUTO_TEST_CASE(a_client_that_resets_its_connection_returns_the_memory_of_its_answer)
+{
+  Fixture fixture;
+  fixture.answerBytes = 100 * 1000;
+  fixture.limits.sendBufferBytes = 256 * 1024;
+  fixture.budget = std::make_shared<MemoryBudget>(kMegabyte);
+  fixture.Listen();
+  auto socket = std::make_shared<asio::ip::tcp::socket>(fixture.loop);
+  socket->open(asio::ip::tcp::v4());
+  socket->set_option(asio::socket_base::receive_buffer_size(4096));
+  const std::string address = fixture.server->Address();
+  const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+  socket->connect({ asio::ip::make_address("127.0.0.1"), port });
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(*socket, asio::buffer(request));
+  fixture.RunLong();
+  BOOST_TEST(fixture.budget->UsedBytes() > fixture.answerBytes / 2);
+  socket->set_option(asio::socket_base::linger(true, 0));
+  socket->close();
+  fixture.RunLong();
+  BOOST_TEST(fixture.budget->UsedBytes() == 0U);
+  BOOST_TEST(fixture.server->OpenConnections() == 0U);
+}
+
 // Waiting answers take connections of replicas, and memory that isn't counted.
 BOOST_AUTO_TEST_CASE(few_answers_may_wait_for_memory)
 {
