Server: rejected and refused clients make room at once

What callers saw: beside 300 clients that send bytes of another protocol to a process with 187 places, 5 of 5 ordinary connections were closed without an answer. Cause: a connection whose request was rejected stayed for up to 500 ms, so that the client gets the answer, and held a place that nobody could take. Beyond 16 refused connections newcomers were closed without an answer, while the older ones lingered with theirs. Fix: rejected connections are given up first, at any time, and the oldest refused one makes room for the next. Ruled out: no linger, which loses the answers of ordinary clients.

--- a/crowd/crowd_test.cpp
+++ b/crowd/crowd_test.cpp
@@ -342,6 +342,26 @@
   fixture.Stop();
 }
 
+// Connections that are opened and closed at a high rate, also in the middle of an answer.
+BOOST_AUTO_TEST_CASE(clients_that_come_and_go)
+{
+  CrowdPlan plan;
+  plan.clients = 300;
+  plan.bytes = "GET /nowhere HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n";
+  plan.isReturning = true;
+  CheckCrowd({ 48, 500 }, plan);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_of_another_protocol)
+{
+  CrowdPlan plan;
+  plan.clients = 300;
+  plan.bytes = std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11) +
+               std::string(std::size_t{ 20 } * 1000, '\0');
+  plan.isReturning = true;
+  CheckCrowd({ 48, 500 }, plan);
+}
+
 // The limits have to hold for both kinds of daemon.
 BOOST_AUTO_TEST_CASE(serve_large_chunks_that_stop_short)
 {
--- a/net/client_queue.cpp
+++ b/net/client_queue.cpp
@@ -18,8 +18,8 @@
  */
 constexpr core::Duration kStallTime = std::chrono::milliseconds{ 500 };
 
-constexpr core::NameTable<ClientPhase, 5> kPhaseNames{
-  { "transfer", "unused", "idle", "handling", "pipelining" }
+constexpr core::NameTable<ClientPhase, 7> kPhaseNames{
+  { "transfer", "unused", "idle", "handling", "pipelining", "rejected", "refused" }
 };
 
 } // namespace
@@ -79,7 +79,10 @@
 ClientQueue::NextIn(ClientPhase aPhase, core::TimePoint aNow) const
 {
   const auto& list = mClients.at(static_cast<std::size_t>(aPhase));
-  if (list.empty() || aNow - list.front().since < kStallTime) {
+  const core::Duration stallTime = aPhase == ClientPhase::Rejected || aPhase == ClientPhase::Refused
+                                     ? core::Duration::zero()
+                                     : kStallTime;
+  if (list.empty() || aNow - list.front().since < stallTime) {
     return std::nullopt;
   }
   return list.front().id;
@@ -105,9 +108,12 @@
 std::optional<std::uint64_t>
 ClientQueue::Next(core::TimePoint aNow) const
 {
-  return NextOf(
-    { ClientPhase::Transfer, ClientPhase::Unused, ClientPhase::Idle, ClientPhase::Pipelining },
-    aNow);
+  return NextOf({ ClientPhase::Rejected,
+                  ClientPhase::Transfer,
+                  ClientPhase::Unused,
+                  ClientPhase::Idle,
+                  ClientPhase::Pipelining },
+                aNow);
 }
 
 std::optional<std::uint64_t>
@@ -116,6 +122,12 @@
   return NextIn(ClientPhase::Pipelining, aNow);
 }
 
+std::optional<std::uint64_t>
+ClientQueue::NextRefused(core::TimePoint aNow) const
+{
+  return NextIn(ClientPhase::Refused, aNow);
+}
+
 std::size_t
 ClientQueue::Count(ClientPhase aPhase) const
 {
--- a/net/client_queue.h
+++ b/net/client_queue.h
@@ -25,6 +25,10 @@
   Handling,
   /** The process has to answer, and the client has sent much of further requests meanwhile. */
   Pipelining,
+  /** A request was rejected; the connection stays for a moment, so that the client gets to know. */
+  Rejected,
+  /** The connection itself was refused; the same, but it takes no place of another one. */
+  Refused,
 };
 
 /** @return the name of a phase, for logs and metric labels. */
@@ -32,9 +36,10 @@
 NameOf(ClientPhase aPhase);
 
 /**
- * Order in which connections of clients are given up: first those that were longest without
- * progress in a transfer, then those that never carried a request, then idle ones, which clients
- * reuse, then those whose client sends on while its request is handled.
+ * Order in which connections of clients are given up: first those with a rejected request, at any
+ * time; then, after some time, those that were longest without progress in a transfer, then those
+ * that never carried a request, then idle ones, which clients reuse, then those whose client sends
+ * on while its request is handled.
  */
 class ClientQueue
 {
@@ -75,11 +80,14 @@
   /** @return the connection whose client has sent on during its request for longest. */
   std::optional<std::uint64_t> NextPipelining(core::TimePoint aNow) const;
 
+  /** @return the connection that was refused first, of those that got an answer. */
+  std::optional<std::uint64_t> NextRefused(core::TimePoint aNow) const;
+
   /** @return the number of connections in a phase. */
   std::size_t Count(ClientPhase aPhase) const;
 
 private:
-  static constexpr std::size_t kPhases = 5;
+  static constexpr std::size_t kPhases = 7;
 
   /** By phase, each in the order of Client::since. */
   std::array<std::list<Client>, kPhases> mClients;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -51,7 +51,7 @@
 constexpr std::size_t kSmallFieldBytes = std::size_t{ 8 } * 1024;
 /** Bytes in the kernel's queue of a connection that are part of what each connection takes. */
 constexpr std::size_t kSmallQueueBytes = std::size_t{ 4 } * 1024;
-/** Refused connections that get an answer; beyond them, newcomers are closed without one. */
+/** Refused connections that get an answer; beyond them, the oldest that has it is closed. */
 constexpr std::size_t kMaxRefusing = 16;
 constexpr int kAcceptBacklog = 1024;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
@@ -375,7 +375,8 @@
     connection->isRefused = true;
     ++refusing;
     SetPhase(*connection, ClientPhase::Handling);
-    if (limits.closeStalled && refusing > kMaxRefusing) {
+    if (limits.closeStalled && refusing > kMaxRefusing &&
+        !GiveUp(clients.NextRefused(std::chrono::steady_clock::now()))) {
       connection->stream->socket().close(ignored);
     }
   }
@@ -424,8 +425,9 @@
     return false;
   }
   Connection& connection = *connections.at(*aId);
-  if (closureHandler) {
-    closureHandler(connection.client->phase);
+  const ClientPhase phase = connection.client->phase;
+  if (closureHandler && phase != ClientPhase::Rejected && phase != ClientPhase::Refused) {
+    closureHandler(phase);
   }
   SetPhase(connection, ClientPhase::Handling);
   // Its task returns the memory itself, which is soon but not now.
@@ -441,6 +443,7 @@
   if (!connection.isGivenUp) {
     connection.isGivenUp = true;
     ++givenUp;
+    refusing -= std::exchange(connection.isRefused, false) ? 1 : 0;
   }
   beast::error_code ignored;
   connection.stream->socket().close(ignored);
@@ -864,6 +867,7 @@
   }
   response.status = ToStatus(aError);
   co_await Respond(aConnection, std::move(response), false);
+  SetPhase(aConnection, aConnection.isRefused ? ClientPhase::Refused : ClientPhase::Rejected);
   // Closing a socket with unread bytes would reset the connection, and the response could be lost.
   beast::error_code ec;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -123,6 +123,20 @@
   BOOST_TEST(queue.Count(ClientPhase::Transfer) == 0U);
 }
 
+// Clients that send what is no request took all connections for as long as their answers lingered.
+BOOST_AUTO_TEST_CASE(a_rejected_client_makes_room_at_once)
+{
+  ClientQueue queue;
+  const core::TimePoint start{};
+  const auto rejected = queue.Add(1, start);
+  const auto stalled = queue.Add(2, start);
+  queue.SetPhase(stalled, ClientPhase::Transfer, start);
+  queue.SetPhase(rejected, ClientPhase::Rejected, start + 2s);
+  BOOST_TEST(queue.Next(start + 2s).value() == 1U);
+  queue.Remove(rejected);
+  BOOST_TEST(queue.Next(start + 2s).value() == 2U);
+}
+
 // A client that only sends must not hold memory for as long as its request runs.
 BOOST_AUTO_TEST_CASE(a_client_that_sends_on_during_its_request_is_given_up_last)
 {
--- a/net/tests/client_memory_property_test.cpp
+++ b/net/tests/client_memory_property_test.cpp
@@ -145,7 +145,7 @@
     for (const auto& client : closed) {
       held += client->request.Bytes() + client->answer.Bytes();
     }
-    for (int n = 0; n <= static_cast<int>(ClientPhase::Pipelining); ++n) {
+    for (int n = 0; n <= static_cast<int>(ClientPhase::Refused); ++n) {
       queued += queue.Count(static_cast<ClientPhase>(n));
     }
     RC_ASSERT(held == budget->UsedBytes());
