--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -179,8 +179,8 @@
 BOOST_AUTO_TEST_CASE(a_client_that_resets_its_connection_returns_the_memory_of_its_answer)
 {
   Fixture fixture;
-  fixture.answerBytes = 100 * 1000;
-  fixture.limits.sendBufferBytes = 256 * 1024;
+  fixture.answerBytes = std::size_t{ 100 } * 1000;
+  fixture.limits.sendBufferBytes = std::size_t{ 256 } * 1024;
   fixture.budget = std::make_shared<MemoryBudget>(kMegabyte);
   fixture.Listen();
   auto socket = std::make_shared<asio::ip::tcp::socket>(fixture.loop);
