HTTP server: a refused client gets its answer, and after its request

Two causes, both in the refusal of newcomers when all places are taken: - More than 16 newcomers refused at one moment were closed unanswered.

Now a refused connection is answered when its request arrives, or after 20 ms, and no connection is accepted while 16 wait for that. A silent flood costs newcomers at most those 20 ms for each 16 in front of them.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -55,6 +55,7 @@
 constexpr std::size_t kMaxRefusing = 16;
 constexpr int kAcceptBacklog = 1024;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
+constexpr core::Duration kRefusalPause = std::chrono::milliseconds{ 1 };
 constexpr core::Duration kStreamWriteTimeout = std::chrono::seconds{ 30 };
 constexpr std::size_t kLingerReadBytes = std::size_t{ 4 } * 1024;
 /** How often it is looked at how much of an answer a client has received. */
@@ -296,6 +297,7 @@
   bool isClosed = false;
 
   core::Task<void> Accept(std::shared_ptr<State> aSelf);
+  core::Task<void> AwaitRefusals();
   void Admit(asio::ip::tcp::socket aSocket);
   std::optional<HttpRequestError> RefuseNewcomer(Connection& aConnection);
   bool CloseStalled();
@@ -336,6 +338,7 @@
                                       const std::string& aHead,
                                       const std::string& aBody);
   core::Task<bool> RespondStreamed(beast::tcp_stream& aStream, HttpResponse aResponse);
+  core::Task<void> Refuse(Connection& aConnection, HttpRequestError aError);
   core::Task<void> RejectAndLinger(Connection& aConnection, HttpRequestError aError);
 };
 
@@ -354,6 +357,19 @@
       continue;
     }
     Admit(std::move(socket));
+    co_await AwaitRefusals();
+  }
+}
+
+/** Waits until a refused connection may take the place of another one that has its answer. */
+core::Task<void>
+HttpServer::State::AwaitRefusals()
+{
+  asio::steady_timer pause(loop);
+  while (limits.closeStalled && refusing > kMaxRefusing &&
+         !GiveUp(clients.NextRefused(std::chrono::steady_clock::now()))) {
+    pause.expires_after(kRefusalPause);
+    co_await pause.async_wait(kAsTuple);
   }
 }
 
@@ -375,10 +391,6 @@
     connection->isRefused = true;
     ++refusing;
     SetPhase(*connection, ClientPhase::Handling);
-    if (limits.closeStalled && refusing > kMaxRefusing &&
-        !GiveUp(clients.NextRefused(std::chrono::steady_clock::now()))) {
-      connection->stream->socket().close(ignored);
-    }
   }
   core::Start(loop.get_executor(), Serve(shared_from_this(), std::move(connection), refusal));
 }
@@ -483,7 +495,7 @@
                             std::string aClientAddress)
 {
   if (aRefusal) {
-    co_await RejectAndLinger(*aConnection, *aRefusal);
+    co_await Refuse(*aConnection, *aRefusal);
     co_return;
   }
   auto buffer = std::make_shared<beast::flat_buffer>();
@@ -855,6 +867,21 @@
   co_return false;
 }
 
+/**
+ * Rejects the first request of a connection. A client takes an answer that arrives before it has
+ * sent a request for a fault of the connection, and can't tell that it was refused.
+ */
+core::Task<void>
+HttpServer::State::Refuse(Connection& aConnection, HttpRequestError aError)
+{
+  auto isTimedOut = std::make_shared<bool>(false);
+  asio::steady_timer timer(loop);
+  CancelAfter(timer, limits.refusalWait, aConnection.stream, isTimedOut);
+  co_await aConnection.stream->socket().async_wait(asio::ip::tcp::socket::wait_read, kAsTuple);
+  timer.cancel();
+  co_await RejectAndLinger(aConnection, aError);
+}
+
 core::Task<void>
 HttpServer::State::RejectAndLinger(Connection& aConnection, HttpRequestError aError)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -29,6 +29,8 @@
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
   /** A client that takes no byte of a response for this long is closed. */
   core::Duration writeTimeout = std::chrono::seconds{ 10 };
+  /** A refused connection gets its answer after this time if its request hasn't arrived. */
+  core::Duration refusalWait = std::chrono::milliseconds{ 20 };
   /** Sets HttpRequest::client. A client that closes its sending side counts as disconnected. */
   bool watchClients = false;
   /**
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -73,6 +74,22 @@
   /** Runs the loop for longer than a connection may be without progress. */
   void RunLong() { loop.run_for(700ms); }
 
+  /** @return the first line of an answer, or an empty one if the connection ended before. */
+  std::string ReadStatusLine(asio::ip::tcp::socket& aSocket)
+  {
+    const std::string end = "\r\n";
+    std::string bytes;
+    bool isDone = false;
+    asio::async_read_until(aSocket,
+                           asio::dynamic_buffer(bytes),
+                           end,
+                           [&](const boost::system::error_code&, std::size_t) { isDone = true; });
+    while (!isDone) {
+      loop.run_one();
+    }
+    return bytes.substr(0, bytes.find(end));
+  }
+
   /** @return the status of the answer, or 0 without one. */
   unsigned Ask(const std::string& aBody = "")
   {
@@ -305,6 +322,41 @@
 }
 
 // A reader that takes nothing holds the whole answer.
+// A client that gets its refusal before it has sent the request takes the connection for broken.
+BOOST_AUTO_TEST_CASE(a_refused_client_gets_its_answer_after_its_request)
+{
+  Fixture fixture;
+  fixture.limits.connections = 1;
+  fixture.limits.refusalWait = kTestTimeout;
+  fixture.Listen();
+  const auto first = fixture.Connect("");
+  const auto refused = fixture.Connect("");
+  while (fixture.server->OpenConnections() < 2) {
+    fixture.loop.run_one();
+  }
+  fixture.loop.run_for(50ms);
+  BOOST_TEST(refused->available() == 0U);
+  asio::write(*refused, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  BOOST_TEST(fixture.ReadStatusLine(*refused) == "HTTP/1.1 503 Service Unavailable");
+}
+
+// Also those that come at one moment, and those that don't send a request.
+BOOST_AUTO_TEST_CASE(every_refused_client_gets_an_answer)
+{
+  constexpr int kRefused = 100;
+  Fixture fixture;
+  fixture.limits.connections = 1;
+  fixture.Listen();
+  const auto first = fixture.Connect("");
+  std::vector<std::shared_ptr<asio::ip::tcp::socket>> refused;
+  for (int n = 0; n < kRefused; ++n) {
+    refused.push_back(fixture.Connect(""));
+  }
+  for (const auto& it : refused) {
+    BOOST_TEST(fixture.ReadStatusLine(*it) == "HTTP/1.1 503 Service Unavailable");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_is_not_read_makes_room)
 {
   Fixture fixture;
