HTTP client: large bodies for replicas that read slowly are limited

Cause: each attempt handed its whole body to the kernel at once. The body in the process is shared by all shards, but the send buffer of each connection held a copy of it that no budget counted.

Now a body of more than 16 kB is written in pieces of 64 kB, each after a reservation for it and for what the kernel still has to send. Without room the write waits until the last piece has arrived, and sends 4 kB, so that a slow server delays the body but never stops it.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -4,13 +4,18 @@
 #include "net/endpoint.h"
 #include "net/http_reading.h"
 #include "net/http_serialization.h"
+#include "net/socket_queues.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffers_prefix.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <array>
 #include <tuple>
 #include <utility>
 
@@ -48,6 +53,15 @@
 /** How often a response that waits for memory asks again; stalled clients are closed meanwhile. */
 constexpr core::Duration kMemoryPause = std::chrono::milliseconds{ 20 };
 
+/** A request body of this size or less is written at once, because ordinary ones are as small. */
+constexpr std::size_t kOrdinaryRequestBytes = std::size_t{ 16 } * 1024;
+/** Larger ones are written in pieces of this size, each when there is memory for it. */
+constexpr std::size_t kPieceBytes = std::size_t{ 64 } * 1024;
+/** A piece of this size is written also without memory, once the last one was received. */
+constexpr std::size_t kSmallPieceBytes = std::size_t{ 4 } * 1024;
+/** How often it is looked at how much of such a request the server has received. */
+constexpr core::Duration kDeliveryPause = std::chrono::milliseconds{ 20 };
+
 const auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
 HttpResult
@@ -107,15 +121,29 @@
 /** State of a request that is being written. */
 struct RequestWrite
 {
-  explicit RequestWrite(HttpRequest aRequest)
+  RequestWrite(const asio::any_io_executor& aExecutor, HttpRequest aRequest)
     : body(TakeBody(aRequest))
     , head(MakeHead(aRequest, body->size()))
+    , pause(aExecutor)
+  {
+  }
+
+  /** Ends the write with the first error, or when all is written. */
+  void SetDone(beast::error_code aError)
   {
+    isDone = true;
+    error = aError;
+    body.reset();
+    head = {};
   }
 
   std::shared_ptr<const std::string> body;
   std::string head;
+  /** Runs while the write waits for the server. */
+  asio::steady_timer pause;
   bool isDone = false;
+  /** Whether the exchange has ended. */
+  bool isOver = false;
   beast::error_code error;
   std::size_t written = 0;
 };
@@ -211,6 +239,9 @@
   bool HasUnexpectedData();
   core::Task<HttpClientError> Send(HttpRequest aRequest, core::Duration aTimeout);
   void StartWrite(const std::shared_ptr<RequestWrite>& aWrite);
+  core::Task<void> WriteInPieces(std::shared_ptr<State> aSelf,
+                                 std::shared_ptr<RequestWrite> aWrite);
+  core::Task<beast::error_code> WritePieces(RequestWrite& aWrite, MemoryReservation& aMemory);
   core::Task<HttpResult> ExchangeWithBody(HttpRequest aRequest, core::Duration aTimeout);
   core::Task<HttpResult> ReadResponse();
   core::Task<HttpResult> ReadOneResponse();
@@ -248,7 +279,7 @@
   isAwaitingResponse = true;
   isHead = aRequest.method == "HEAD";
   waitLimit = aRequest.memoryWaitLimit;
-  RequestWrite write(std::move(aRequest));
+  RequestWrite write(stream.get_executor(), std::move(aRequest));
   ExpireAfter(aTimeout);
   std::tie(write.error, write.written) =
     co_await asio::async_write(stream, MessageBuffers(write.head, *write.body), kAsTuple);
@@ -264,11 +295,8 @@
   const auto buffers = MessageBuffers(aWrite->head, *aWrite->body);
   auto onWritten = [self = shared_from_this(), write = aWrite](beast::error_code aError,
                                                                std::size_t aBytes) {
-    write->isDone = true;
-    write->error = aError;
     write->written = aBytes;
-    write->body.reset();
-    write->head = {};
+    write->SetDone(aError);
     if (aError && aBytes == 0) {
       // Nothing was sent, so there will be no response.
       self->Close();
@@ -277,6 +305,64 @@
   asio::async_write(stream, buffers, std::move(onWritten));
 }
 
+/**
+ * Writes a request in pieces, and counts what the kernel has to send of it: many large requests to
+ * servers that read slowly would take far more memory than their bodies, which they share.
+ */
+core::Task<void>
+TcpHttpConnection::State::WriteInPieces([[maybe_unused]] std::shared_ptr<State> aSelf,
+                                        std::shared_ptr<RequestWrite> aWrite)
+{
+  MemoryReservation memory(budget, MemoryUse::Request);
+  const beast::error_code ec = co_await WritePieces(*aWrite, memory);
+  aWrite->SetDone(ec);
+  if (ec && aWrite->written == 0) {
+    Close();
+  }
+  while (!ec && !aWrite->isOver) {
+    memory.ForceResize(UnsentBytes(stream.socket()));
+    if (memory.Bytes() == 0) {
+      co_return;
+    }
+    aWrite->pause.expires_after(kDeliveryPause);
+    co_await aWrite->pause.async_wait(kAsTuple);
+  }
+}
+
+core::Task<beast::error_code>
+TcpHttpConnection::State::WritePieces(RequestWrite& aWrite, MemoryReservation& aMemory)
+{
+  beast::buffers_suffix<std::array<asio::const_buffer, 2>> rest(
+    MessageBuffers(aWrite.head, *aWrite.body));
+  std::size_t size = aWrite.head.size() + aWrite.body->size();
+  while (size > 0) {
+    if (!isOpen || aWrite.isOver) {
+      co_return asio::error::operation_aborted;
+    }
+    const std::size_t unsent = UnsentBytes(stream.socket());
+    std::size_t piece = std::min(size, kPieceBytes);
+    if (!aMemory.Resize(unsent + piece)) {
+      if (unsent > 0) {
+        aMemory.ForceResize(unsent);
+        aWrite.pause.expires_after(kDeliveryPause);
+        co_await aWrite.pause.async_wait(kAsTuple);
+        continue;
+      }
+      piece = std::min(size, kSmallPieceBytes);
+      aMemory.ForceResize(piece);
+    }
+    const auto [ec, n] =
+      co_await stream.async_write_some(beast::buffers_prefix(piece, rest), kAsTuple);
+    aWrite.written += n;
+    if (ec) {
+      co_return ec;
+    }
+    rest.consume(n);
+    size -= n;
+  }
+  co_return beast::error_code();
+}
+
 /**
  * Writes a request with a body while reading the response: a server may respond before it has read
  * the body, and may never read the rest. In that case the connection is not reused.
@@ -291,9 +377,13 @@
   isAwaitingResponse = true;
   isHead = aRequest.method == "HEAD";
   waitLimit = aRequest.memoryWaitLimit;
-  const auto write = std::make_shared<RequestWrite>(std::move(aRequest));
+  const auto write = std::make_shared<RequestWrite>(stream.get_executor(), std::move(aRequest));
   ExpireAfter(aTimeout);
-  StartWrite(write);
+  if (budget && write->body->size() > kOrdinaryRequestBytes) {
+    core::Start(stream.get_executor(), WriteInPieces(shared_from_this(), write));
+  } else {
+    StartWrite(write);
+  }
   HttpResult result = co_await ReadResponse();
   if (result.error != HttpClientError::None && write->isDone && write->error) {
     result.error = ToWriteError(*write);
@@ -302,6 +392,8 @@
     isAwaitingResponse = true;
     Close();
   }
+  write->isOver = true;
+  write->pause.cancel();
   while (!write->isDone) {
     // Close() has cancelled the write, and its handler is already queued.
     co_await asio::post(stream.get_executor(), asio::use_awaitable);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -80,7 +80,7 @@
 class TcpHttpConnection : public HttpConnection
 {
 public:
-  /** @param aBudget budget for the responses; null for no limit on all of them together. */
+  /** @param aBudget budget for responses and unsent requests; null for no limit on all of them. */
   explicit TcpHttpConnection(boost::asio::any_io_executor aExecutor,
                              std::shared_ptr<MemoryBudget> aBudget = nullptr);
   ~TcpHttpConnection() override;
@@ -104,7 +104,7 @@
 };
 
 /**
- * @param aBudget budget for the responses; null for no limit on all of them together.
+ * @param aBudget budget for responses and unsent requests; null for no limit on all of them.
  * @return a factory for TCP connections.
  */
 HttpConnectionFactory
--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -1,5 +1,6 @@
 #include "net/client_queue.h"
 #include "net/connection_limits.h"
+#include "net/endpoint.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/memory_budget.h"
@@ -11,6 +12,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <poll.h>
+
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -113,6 +117,43 @@
   }
 };
 
+/** The server's side of a connection whose request isn't read at first. */
+struct SilentServer
+{
+  explicit SilentServer(asio::ip::tcp::socket aSocket)
+    : socket(std::move(aSocket))
+  {
+  }
+
+  asio::ip::tcp::socket socket;
+  std::string received;
+
+  /** Reads without the event loop until nothing more arrives. */
+  void ReadWhatArrives()
+  {
+    constexpr int kQuietMs = 100;
+    pollfd descriptor{ socket.native_handle(), POLLIN, 0 };
+    while (poll(&descriptor, 1, kQuietMs) > 0) {
+      std::string bytes(socket.available(), '\0');
+      bytes.resize(socket.read_some(asio::buffer(bytes)));
+      received += bytes;
+    }
+  }
+
+  /** Reads the rest of the request, and answers it. */
+  core::Task<void> Answer(std::size_t aBodyBytes)
+  {
+    const std::string end = "\r\n\r\n";
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(received), end, kAsTuple);
+    const std::size_t size = received.find(end) + end.size() + aBodyBytes;
+    const std::size_t rest = size - std::min(size, received.size());
+    co_await asio::async_read(
+      socket, asio::dynamic_buffer(received), asio::transfer_exactly(rest), kAsTuple);
+    const std::string answer = "HTTP/1.1 204 No Content\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(answer), kAsTuple);
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(client_limits)
@@ -346,6 +387,7 @@
   constexpr int kRefused = 100;
   Fixture fixture;
   fixture.limits.connections = 1;
+  fixture.limits.refusalWait = 20ms;
   fixture.Listen();
   const auto first = fixture.Connect("");
   std::vector<std::shared_ptr<asio::ip::tcp::socket>> refused;
@@ -400,6 +442,51 @@
   BOOST_TEST(statuses.back() == 200U);
 }
 
+// What the kernel holds for servers that don't read is limited, and goes on when they read again.
+BOOST_AUTO_TEST_CASE(requests_that_are_not_read_take_memory_of_the_budget)
+{
+  constexpr int kServers = 40;
+  constexpr std::size_t kBodyBytes = 300000;
+  asio::io_context loop;
+  asio::ip::tcp::acceptor acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+  const auto budget = std::make_shared<MemoryBudget>(kMegabyte);
+  int answered = 0;
+  const auto ask = [&]() -> core::Task<void> {
+    TcpHttpConnection connection(loop.get_executor(), budget);
+    co_await connection.Connect(ToString(acceptor.local_endpoint()), kTestTimeout);
+    HttpRequest request;
+    request.method = "POST";
+    request.body.assign(kBodyBytes, 'b');
+    const HttpResult result = co_await connection.Exchange(std::move(request), kTestTimeout);
+    answered += result.response.status == 204 ? 1 : 0;
+  };
+  for (int n = 0; n < kServers; ++n) {
+    core::Start(loop.get_executor(), ask());
+  }
+  loop.run_for(500ms);
+  BOOST_TEST(budget->UsedBytes() > 0U);
+
+  // The loop doesn't run meanwhile, so that only what the kernel has to send arrives.
+  std::vector<SilentServer> servers;
+  std::size_t unsent = 0;
+  for (int n = 0; n < kServers; ++n) {
+    servers.emplace_back(acceptor.accept());
+    const std::size_t arrived = servers.back().socket.available();
+    servers.back().ReadWhatArrives();
+    unsent += servers.back().received.size() - arrived;
+  }
+  BOOST_TEST_MESSAGE("the kernel had " << unsent << " bytes to send");
+  BOOST_TEST(unsent <= budget->TotalBytes());
+
+  for (SilentServer& it : servers) {
+    core::Start(loop.get_executor(), it.Answer(kBodyBytes));
+  }
+  loop.run_for(kTestTimeout);
+  BOOST_TEST(answered == kServers);
+  BOOST_TEST(budget->UsedBytes() == 0U);
+}
+
 // Failing a response for want of memory would count against a replica that did nothing wrong.
 BOOST_AUTO_TEST_CASE(a_response_waits_for_memory)
 {
