HTTP server: connections that wait to be accepted hold little memory

Now connections wait only while their buffers fit in half of the memory for clients; beyond that, the oldest refused one is answered at once.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -88,6 +88,7 @@
 {
   net::HttpServerLimits limits;
   limits.connections = aMaxConnections;
+  limits.refusalWait = net::kClientRefusalWait;
   if (connectionLimits.isDerived) {
     limits.closeStalled = true;
     limits.sendBufferBytes = net::kClientSendBufferBytes;
--- a/net/client_queue.cpp
+++ b/net/client_queue.cpp
@@ -18,8 +18,8 @@
  */
 constexpr core::Duration kStallTime = std::chrono::milliseconds{ 500 };
 
-constexpr core::NameTable<ClientPhase, 7> kPhaseNames{
-  { "transfer", "unused", "idle", "handling", "pipelining", "rejected", "refused" }
+constexpr core::NameTable<ClientPhase, 8> kPhaseNames{
+  { "transfer", "unused", "idle", "handling", "pipelining", "rejected", "refusing", "refused" }
 };
 
 } // namespace
@@ -79,9 +79,9 @@
 ClientQueue::NextIn(ClientPhase aPhase, core::TimePoint aNow) const
 {
   const auto& list = mClients.at(static_cast<std::size_t>(aPhase));
-  const core::Duration stallTime = aPhase == ClientPhase::Rejected || aPhase == ClientPhase::Refused
-                                     ? core::Duration::zero()
-                                     : kStallTime;
+  const bool isRejected = aPhase == ClientPhase::Rejected || aPhase == ClientPhase::Refusing ||
+                          aPhase == ClientPhase::Refused;
+  const core::Duration stallTime = isRejected ? core::Duration::zero() : kStallTime;
   if (list.empty() || aNow - list.front().since < stallTime) {
     return std::nullopt;
   }
@@ -128,6 +128,12 @@
   return NextIn(ClientPhase::Refused, aNow);
 }
 
+std::optional<std::uint64_t>
+ClientQueue::NextRefusing(core::TimePoint aNow) const
+{
+  return NextIn(ClientPhase::Refusing, aNow);
+}
+
 std::size_t
 ClientQueue::Count(ClientPhase aPhase) const
 {
--- a/net/client_queue.h
+++ b/net/client_queue.h
@@ -27,7 +27,9 @@
   Pipelining,
   /** A request was rejected; the connection stays for a moment, so that the client gets to know. */
   Rejected,
-  /** The connection itself was refused; the same, but it takes no place of another one. */
+  /** The connection itself was refused; its request is awaited before the answer. */
+  Refusing,
+  /** The same, with its answer; it stays for a moment, but takes no place of another one. */
   Refused,
 };
 
@@ -83,11 +85,14 @@
   /** @return the connection that was refused first, of those that got an answer. */
   std::optional<std::uint64_t> NextRefused(core::TimePoint aNow) const;
 
+  /** @return the connection that was refused first, of those whose request is awaited. */
+  std::optional<std::uint64_t> NextRefusing(core::TimePoint aNow) const;
+
   /** @return the number of connections in a phase. */
   std::size_t Count(ClientPhase aPhase) const;
 
 private:
-  static constexpr std::size_t kPhases = 7;
+  static constexpr std::size_t kPhases = 8;
 
   /** By phase, each in the order of Client::since. */
   std::array<std::list<Client>, kPhases> mClients;
--- a/net/connection_limits.h
+++ b/net/connection_limits.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "core/timer_service.h"
 #include "net/memory_budget.h"
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 
@@ -26,6 +28,9 @@
  */
 inline constexpr std::size_t kClientReceiveBufferBytes = std::size_t{ 32 } * 1024;
 
+/** How long the request of a refused client is awaited, so that it can tell what is refused. */
+inline constexpr core::Duration kClientRefusalWait = std::chrono::milliseconds{ 20 };
+
 /** How many connections a process accepts, and how much memory its clients get. */
 struct ConnectionLimits
 {
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -53,7 +53,8 @@
 constexpr std::size_t kSmallQueueBytes = std::size_t{ 4 } * 1024;
 /** Refused connections that get an answer; beyond them, the oldest that has it is closed. */
 constexpr std::size_t kMaxRefusing = 16;
-constexpr int kAcceptBacklog = 1024;
+/** Part of the memory for clients that connections may hold before they are accepted. */
+constexpr std::size_t kQueueParts = 2;
 constexpr core::Duration kAcceptRetryDelay = std::chrono::milliseconds{ 20 };
 constexpr core::Duration kRefusalPause = std::chrono::milliseconds{ 1 };
 constexpr core::Duration kStreamWriteTimeout = std::chrono::seconds{ 30 };
@@ -298,6 +299,9 @@
 
   core::Task<void> Accept(std::shared_ptr<State> aSelf);
   core::Task<void> AwaitRefusals();
+  bool IsQueueFull();
+  void RefuseAtOnce();
+  HttpResponse MakeRejection(HttpRequestError aError) const;
   void Admit(asio::ip::tcp::socket aSocket);
   std::optional<HttpRequestError> RefuseNewcomer(Connection& aConnection);
   bool CloseStalled();
@@ -361,18 +365,56 @@
   }
 }
 
-/** Waits until a refused connection may take the place of another one that has its answer. */
+/**
+ * Waits until a refused connection may take the place of another one, which has its answer.
+ * Connections that are not accepted meanwhile hold memory in the kernel.
+ */
 core::Task<void>
 HttpServer::State::AwaitRefusals()
 {
   asio::steady_timer pause(loop);
   while (limits.closeStalled && refusing > kMaxRefusing &&
          !GiveUp(clients.NextRefused(std::chrono::steady_clock::now()))) {
+    const bool mayWait = limits.refusalWait > core::Duration::zero() && !IsQueueFull();
+    if (!mayWait) {
+      RefuseAtOnce();
+      co_return;
+    }
     pause.expires_after(kRefusalPause);
     co_await pause.async_wait(kAsTuple);
   }
 }
 
+/** @return whether the connections that wait to be accepted may hold their share of the memory. */
+bool
+HttpServer::State::IsQueueFull()
+{
+  return budget && QueuedConnections(acceptor) * 2 * limits.receiveBufferBytes >
+                     budget->TotalBytes() / kQueueParts;
+}
+
+/** Answers the connection that was refused first, and closes it. */
+void
+HttpServer::State::RefuseAtOnce()
+{
+  const auto id = clients.NextRefusing(std::chrono::steady_clock::now());
+  if (!id) {
+    return;
+  }
+  const HttpResponse response = MakeRejection(HttpRequestError::TooManyConnections);
+  http::response<http::string_body> message;
+  message.result(response.status);
+  FillHeader(message, response, false);
+  message.body() = response.body;
+  message.prepare_payload();
+  auto& socket = connections.at(*id)->stream->socket();
+  beast::error_code ignored;
+  socket.non_blocking(true, ignored);
+  // The send buffer of a new connection has room for it.
+  socket.write_some(MessageBuffers(SerializeHead(message), message.body()), ignored);
+  GiveUp(id);
+}
+
 void
 HttpServer::State::Admit(asio::ip::tcp::socket aSocket)
 {
@@ -390,7 +432,7 @@
   if (refusal) {
     connection->isRefused = true;
     ++refusing;
-    SetPhase(*connection, ClientPhase::Handling);
+    SetPhase(*connection, ClientPhase::Refusing);
   }
   core::Start(loop.get_executor(), Serve(shared_from_this(), std::move(connection), refusal));
 }
@@ -438,7 +480,8 @@
   }
   Connection& connection = *connections.at(*aId);
   const ClientPhase phase = connection.client->phase;
-  if (closureHandler && phase != ClientPhase::Rejected && phase != ClientPhase::Refused) {
+  if (closureHandler && phase != ClientPhase::Rejected && phase != ClientPhase::Refused &&
+      phase != ClientPhase::Refusing) {
     closureHandler(phase);
   }
   SetPhase(connection, ClientPhase::Handling);
@@ -867,6 +910,19 @@
   co_return false;
 }
 
+HttpResponse
+HttpServer::State::MakeRejection(HttpRequestError aError) const
+{
+  HttpResponse response;
+  if (errorHandler) {
+    response = errorHandler(aError);
+  } else {
+    response.body = R"({"error":")" + std::string(NameOf(aError)) + R"("})";
+  }
+  response.status = ToStatus(aError);
+  return response;
+}
+
 /**
  * Rejects the first request of a connection. A client takes an answer that arrives before it has
  * sent a request for a fault of the connection, and can't tell that it was refused.
@@ -874,11 +930,16 @@
 core::Task<void>
 HttpServer::State::Refuse(Connection& aConnection, HttpRequestError aError)
 {
-  auto isTimedOut = std::make_shared<bool>(false);
-  asio::steady_timer timer(loop);
-  CancelAfter(timer, limits.refusalWait, aConnection.stream, isTimedOut);
-  co_await aConnection.stream->socket().async_wait(asio::ip::tcp::socket::wait_read, kAsTuple);
-  timer.cancel();
+  if (limits.refusalWait > core::Duration::zero()) {
+    auto isTimedOut = std::make_shared<bool>(false);
+    asio::steady_timer timer(loop);
+    CancelAfter(timer, limits.refusalWait, aConnection.stream, isTimedOut);
+    co_await aConnection.stream->socket().async_wait(asio::ip::tcp::socket::wait_read, kAsTuple);
+  }
+  if (aConnection.isGivenUp) {
+    co_return;
+  }
+  SetPhase(aConnection, ClientPhase::Handling);
   co_await RejectAndLinger(aConnection, aError);
 }
 
@@ -886,14 +947,7 @@
 HttpServer::State::RejectAndLinger(Connection& aConnection, HttpRequestError aError)
 {
   beast::tcp_stream& stream = *aConnection.stream;
-  HttpResponse response;
-  if (errorHandler) {
-    response = errorHandler(aError);
-  } else {
-    response.body = R"({"error":")" + std::string(NameOf(aError)) + R"("})";
-  }
-  response.status = ToStatus(aError);
-  co_await Respond(aConnection, std::move(response), false);
+  co_await Respond(aConnection, MakeRejection(aError), false);
   SetPhase(aConnection, aConnection.isRefused ? ClientPhase::Refused : ClientPhase::Rejected);
   // Closing a socket with unread bytes would reset the connection, and the response could be lost.
   beast::error_code ec;
@@ -971,7 +1025,7 @@
     acceptor.bind(*endpoint, ec);
   }
   if (!ec) {
-    acceptor.listen(kAcceptBacklog, ec);
+    acceptor.listen(static_cast<int>(mState->limits.backlog), ec);
   }
   if (ec) {
     mLastError = aAddress + ": " + ec.message();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -25,12 +25,17 @@
   /** Received, unparsed bytes besides a header, such as the framing of a chunk. */
   std::size_t unparsedBytes = std::size_t{ 128 } * 1024;
   std::size_t connections = 4096;
+  /** Connections that wait to be accepted, applied by Listen(); each may hold a receive buffer. */
+  std::size_t backlog = 1024;
   core::Duration idleTimeout = std::chrono::seconds{ 60 };
   core::Duration requestTimeout = std::chrono::seconds{ 5 };
   /** A client that takes no byte of a response for this long is closed. */
   core::Duration writeTimeout = std::chrono::seconds{ 10 };
-  /** A refused connection gets its answer after this time if its request hasn't arrived. */
-  core::Duration refusalWait = std::chrono::milliseconds{ 20 };
+  /**
+   * A refused connection gets its answer after this time if its request hasn't arrived; 0 to answer
+   * at once.
+   */
+  core::Duration refusalWait = core::Duration::zero();
   /** Sets HttpRequest::client. A client that closes its sending side counts as disconnected. */
   bool watchClients = false;
   /**
--- a/net/socket_queues.cpp
+++ b/net/socket_queues.cpp
@@ -33,6 +33,18 @@
   return isClosed ? 0 : static_cast<std::size_t>(n);
 }
 
+std::size_t
+QueuedConnections(boost::asio::ip::tcp::acceptor& aAcceptor)
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(aAcceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return 0;
+  }
+  // For a listening socket, the kernel reports the length of its queue here.
+  return info.tcpi_unacked;
+}
+
 void
 SetResetOnClose(boost::asio::ip::tcp::socket& aSocket, bool aIsReset)
 {
--- a/net/socket_queues.h
+++ b/net/socket_queues.h
@@ -17,6 +17,10 @@
 std::size_t
 UnsentBytes(boost::asio::ip::tcp::socket& aSocket);
 
+/** @return the connections that a listening socket has not accepted yet; 0 if it isn't known. */
+std::size_t
+QueuedConnections(boost::asio::ip::tcp::acceptor& aAcceptor);
+
 /**
  * Sets whether closing the connection resets it. A reset discards what was not received yet, which
  * the kernel would otherwise keep for minutes for a client that doesn't read.
