--- a/net/tests/client_limits_test.cpp
+++ b/net/tests/client_limits_test.cpp
@@ -391,6 +391,7 @@
   fixture.Listen();
   const auto first = fixture.Connect("");
   std::vector<std::shared_ptr<asio::ip::tcp::socket>> refused;
+  refused.reserve(kRefused);
   for (int n = 0; n < kRefused; ++n) {
     refused.push_back(fixture.Connect(""));
   }
