--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -43,7 +43,7 @@
  * of this size, so that thousands of them need little.
  */
 constexpr std::size_t kFirstReadBytes = std::size_t{ 4 } * 1024;
-/** Longer bodies are counted twice while they are handled: each attempt has a copy. */
+/** Longer bodies are counted twice while they are handled: attempts have written them, too. */
 constexpr std::size_t kSmallBodyBytes = std::size_t{ 4 } * 1024;
 /** Memory of a field of a request besides its text, in the parser and in an HttpRequest. */
 constexpr std::size_t kFieldBytes = 256;
