Store client: names of keys in queries are encoded by one rule

While an entry with a name such as "a+b" stood in the list of replicas and the list was longer than one page, daemons that started served nothing: every request got 503, and the store got reads without end.

Cause: boost::urls::params_ref::append leaves "+" as it is, and readers of queries, Boost's included, take it for a blank. A page that was asked for after "a+b" began after "a b", so that it was the same page again; 200 calls later the read was given up as malformed, and begun anew, at every daemon.

net::MakeTarget() now builds all targets with parameters, and encodes everything but the unreserved characters, so that a name survives a reader of either kind. The calls to the store and to relays, the console's commands and the bench's load driver use it; the operators' interface decodes with the same file. Looked at and left: calls that only have numbers (/kv-keep, /kv-lease-end), the trial's store, whose keys are base64 in JSON, and forwarded targets, which stay as the caller wrote them. /kv-range and /kv-watch of relays read what MakeTarget() writes.

--- a/bench/load_driver.cpp
+++ b/bench/load_driver.cpp
@@ -3,6 +3,7 @@
 #include "core/random_source.h"
 #include "core/task.h"
 #include "net/http_client.h"
+#include "net/request_target.h"
 #include "standin/shard_contents.h"
 
 #include <nlohmann/json.hpp>
@@ -161,7 +162,8 @@
   net::HttpRequest request;
   request.target = "/v1/entry-points";
   if (!caller.failureDomain.empty()) {
-    request.target += "?failure-domain=" + caller.failureDomain;
+    request.target =
+      net::MakeTarget(request.target, { { "failure-domain", caller.failureDomain } });
   }
   const net::HttpResult reply =
     co_await Exchange(std::move(address), std::move(request), kEntryPointsTimeout);
--- a/console/operator_api.cpp
+++ b/console/operator_api.cpp
@@ -4,11 +4,10 @@
 #include "console/screen_page.h"
 #include "console/status_feed.h"
 #include "core/log.h"
+#include "net/request_target.h"
 
 #include <nlohmann/json.hpp>
 
-#include <boost/url/pct_string_view.hpp>
-
 #include <string_view>
 #include <utility>
 
@@ -115,11 +114,7 @@
     return std::nullopt;
   }
   const std::string segment = aPath.substr(aPrefix.size());
-  const auto encoded = boost::urls::make_pct_string_view(segment);
-  if (!encoded || segment.find('/') != std::string::npos) {
-    return std::nullopt;
-  }
-  return encoded->decode();
+  return segment.find('/') == std::string::npos ? net::PercentDecode(segment) : std::nullopt;
 }
 
 OperatorRight
--- a/console/operator_commands.cpp
+++ b/console/operator_commands.cpp
@@ -10,8 +10,8 @@
 #include "declaration/declaration_diff.h"
 #include "declaration/declaration_parser.h"
 #include "declaration/harm_check.h"
+#include "net/request_target.h"
 
-#include <cctype>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -311,24 +311,6 @@
   });
 }
 
-std::string
-PercentEncode(const std::string& aText)
-{
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char symbol : aText) {
-    const auto byte = static_cast<unsigned char>(symbol);
-    if (std::isalnum(byte) != 0 || symbol == '-' || symbol == '_' || symbol == '.') {
-      encoded += symbol;
-      continue;
-    }
-    encoded += '%';
-    encoded += kDigits[byte >> 4U];
-    encoded += kDigits[byte & 15U];
-  }
-  return encoded;
-}
-
 int
 Domain(const OperatorOptions& aOptions)
 {
@@ -338,7 +320,7 @@
     return kExitUsage;
   }
   return WithClient(aOptions, [&](OperatorClient& aClient) {
-    const std::string target = "/v1/domains/" + PercentEncode(aOptions.arguments[1]);
+    const std::string target = "/v1/domains/" + net::PercentEncode(aOptions.arguments[1]);
     return SubmitChange(aClient, target, { { "out", direction == "out" } }, aOptions);
   });
 }
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -67,7 +67,7 @@
   /** @return the target without the query string. */
   std::string Path() const;
 
-  /** @return the decoded value of a query string parameter. */
+  /** @return the decoded value of a query string parameter; "+" stands for a blank. */
   std::optional<std::string> QueryValue(std::string_view aName) const;
 };
 
