--- a/store/key_feed.cpp
+++ b/store/key_feed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace skylarkwing::store {
@@ -120,7 +121,7 @@
     // A relay that lags behind, or a late answer of the store before it was restored.
     co_return StoreStatus::Refused;
   }
-  ApplySnapshot(result.items, result.position);
+  ApplySnapshot(result);
   if (aSource.isStaleCopy) {
     mMirror.SetFresh(false);
     aSource.onStaleCopyRead(result);
@@ -141,24 +142,41 @@
 }
 
 void
-KeyFeed::ApplySnapshot(std::vector<KeyItem> aItems, const StorePosition& aPosition)
+KeyFeed::ApplySnapshot(const KeyListResult& aRead)
 {
-  const bool isRestored = HasData() && aPosition.era != mPosition.era;
+  std::vector<KeyItem> items = aRead.items;
+  const bool isRestored = HasData() && aRead.position.era != mPosition.era;
   mMayStoreBeOlder = mMayStoreBeOlder || isRestored;
   if (mMayStoreBeOlder) {
-    aItems = KeepNewerKeys(std::move(aItems));
+    items = KeepNewerKeys(std::move(items));
   }
   if (isRestored) {
-    mHooks.onEraChanged(mPosition, aPosition);
-    mLostKeys.Hold(KeysInForce(), aItems, mTimers.Now());
+    mHooks.onEraChanged(mPosition, aRead.position);
+    mLostKeys.Hold(KeysInForce(), items, mTimers.Now());
     ScheduleRelease();
+  } else if (aRead.isPartial) {
+    AddUnlistedKeys(items);
   }
-  for (const KeyItem& item : aItems) {
+  for (const KeyItem& item : items) {
     mLostKeys.Release(item.key);
   }
-  mPosition = aPosition;
+  mPosition = aRead.position;
   mHasRead = true;
-  mMirror.Reset(aItems, aPosition);
+  mMirror.Reset(items, aRead.position, aRead.isPartial);
+}
+
+void
+KeyFeed::AddUnlistedKeys(std::vector<KeyItem>& aItems) const
+{
+  std::unordered_set<std::string> listed;
+  for (const KeyItem& item : aItems) {
+    listed.insert(item.key);
+  }
+  for (KeyItem& known : mMirror.Items()) {
+    if (listed.count(known.key) == 0) {
+      aItems.push_back(std::move(known));
+    }
+  }
 }
 
 bool
--- a/store/key_feed.h
+++ b/store/key_feed.h
@@ -161,7 +161,9 @@
   core::Task<void> Step();
   core::Task<StoreStatus> ReadOnce(FeedSource aSource);
   core::Task<StoreStatus> WatchOnce(FeedSource aSource);
-  void ApplySnapshot(std::vector<KeyItem> aItems, const StorePosition& aPosition);
+  void ApplySnapshot(const KeyListResult& aRead);
+  /** Adds the known keys that a partial read doesn't list; they may still exist. */
+  void AddUnlistedKeys(std::vector<KeyItem>& aItems) const;
   std::vector<KeyItem> KeepNewerKeys(std::vector<KeyItem> aItems) const;
   bool IsKnownNewer(const KeyItem& aKnown, const KeyItem* aRead) const;
   std::vector<KeyItem> KeysInForce() const;
--- a/store/key_mirror.cpp
+++ b/store/key_mirror.cpp
@@ -11,8 +11,9 @@
 }
 
 void
-KeyMirror::Reset(const std::vector<KeyItem>& aItems, StorePosition aPosition)
+KeyMirror::Reset(const std::vector<KeyItem>& aItems, StorePosition aPosition, bool aIsPartial)
 {
+  mIsPartial = aIsPartial;
   mItems.clear();
   for (const KeyItem& item : aItems) {
     mItems.insert_or_assign(item.key, item);
--- a/store/key_mirror.h
+++ b/store/key_mirror.h
@@ -25,8 +25,12 @@
 
   KeyMirror();
 
-  /** Replaces all keys by those at a position and clears the log. */
-  void Reset(const std::vector<KeyItem>& aItems, StorePosition aPosition);
+  /**
+   * Replaces all keys by those at a position and clears the log.
+   *
+   * @param aIsPartial whether other keys may exist.
+   */
+  void Reset(const std::vector<KeyItem>& aItems, StorePosition aPosition, bool aIsPartial = false);
 
   /** Applies changes up to a revision; notifies the waiting readers if there are any changes. */
   void Apply(const std::vector<KeyItem>& aChanges, std::uint64_t aRevision);
@@ -39,6 +43,9 @@
 
   StorePosition Position() const { return mPosition; }
 
+  /** @return whether the copy may lack keys, since the read that it comes from ended early. */
+  bool IsPartial() const { return mIsPartial; }
+
   /** @return one existing key, or null. */
   const KeyItem* Find(const std::string& aKey) const;
 
@@ -67,6 +74,7 @@
   std::uint64_t mHistoryStart = 0;
   StorePosition mPosition;
   bool mIsFresh = false;
+  bool mIsPartial = false;
   std::map<WaiterId, std::function<void()>> mWaiters;
   WaiterId mLastWaiter = 0;
 
--- a/store/key_value_store.h
+++ b/store/key_value_store.h
@@ -61,6 +61,8 @@
   std::vector<KeyItem> items;
   /** Number of items that could not be decoded. */
   std::size_t unreadable = 0;
+  /** Whether a read has ended before its last page; keys that are not listed may then exist. */
+  bool isPartial = false;
   StorePosition position;
 };
 
--- a/store/tests/key_feed_test.cpp
+++ b/store/tests/key_feed_test.cpp
@@ -39,6 +39,8 @@
   bool isSilent = false;
   core::Duration answerTime = milliseconds{ 4 };
   core::Duration timeout = kPatientTimeout;
+  /** Number of keys after which reads end early; nothing for complete reads. */
+  std::optional<std::size_t> listedKeys;
   int reads = 0;
   int watches = 0;
   /** The result of serializable reads, if it differs from the current keys. */
@@ -101,6 +103,10 @@
     for (const auto& [key, value] : keys) {
       items.items.push_back({ key, value, revision, false });
     }
+    if (listedKeys && *listedKeys < items.items.size()) {
+      items.items.resize(*listedKeys);
+      items.isPartial = true;
+    }
     co_return items;
   }
 
@@ -252,6 +258,37 @@
   BOOST_TEST(keys.reads == 2);
 }
 
+BOOST_AUTO_TEST_CASE(keys_that_a_partial_read_does_not_list_stay_in_force)
+{
+  keys.Write("a", "1");
+  keys.Write("b", "1");
+  keys.Write("c", "1");
+  Start();
+  loop.Run(milliseconds{ 2490 });
+  keys.Write("a", "2");
+  keys.DropHistory();
+  keys.listedKeys = 1;
+  loop.Run(milliseconds{ 100 });
+  BOOST_TEST(keys.reads == 2);
+  BOOST_TEST((copy == keys.keys));
+  keys.Delete("b");
+  loop.Run(milliseconds{ 100 });
+  BOOST_TEST((copy == keys.keys));
+}
+
+BOOST_AUTO_TEST_CASE(a_partial_first_read_counts_and_the_watch_adds_what_is_written_later)
+{
+  keys.Write("a", "1");
+  keys.Write("b", "1");
+  keys.listedKeys = 1;
+  Start();
+  BOOST_TEST(copy.size() == 1U);
+  keys.Write("b", "2");
+  loop.Run(milliseconds{ 100 });
+  BOOST_TEST((copy == keys.keys));
+  BOOST_TEST(keys.reads == 1);
+}
+
 BOOST_AUTO_TEST_CASE(the_watch_makes_up_for_a_first_read_that_lags)
 {
   keys.Write("gone", "1");
