Headers: a text that would end its field is never written

An entry in the list of replicas under a name with CR LF and a header line had that line sent to a replica as a header field of its own: the name is the id in Expected-Instance, and went into the message as it was. The same held for the name of a customer (Tenant-Id) and for the name of a failure domain that is out of service, which daemons tell each other with forwarded requests.

- The HTTP client refuses to write a request whose method, target or header fields HTTP doesn't allow, with the new error invalid_request; nothing is sent, and the connection stays.
The server answers 502 in place of such a response, as for a handler that fails.
- Names of failure domains are percent-encoded between daemons.
Ordinary names read the same, so that builds of both kinds work beside each other.

--- a/caller/forward_terms.cpp
+++ b/caller/forward_terms.cpp
@@ -3,6 +3,7 @@
 #include "core/name_table.h"
 #include "core/parse_unsigned.h"
 #include "net/forwarded_headers.h"
+#include "net/request_target.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,7 +22,8 @@
 constexpr std::string_view kVersion = "Skylarkwing-Forward-Version";
 constexpr std::string_view kAgeMs = "Skylarkwing-Forward-Age-Ms";
 constexpr std::string_view kRepeat = "Skylarkwing-Forward-Repeat";
-/** May occur more than once. */
+/** May occur more than once. Encoded like a path segment, because a name may have any characters.
+ */
 constexpr std::string_view kDomainOut = "Skylarkwing-Forward-Domain-Out";
 constexpr std::string_view kVerdict = "Skylarkwing-Forward-Verdict";
 constexpr std::string_view kReason = "Skylarkwing-Forward-Reason";
@@ -66,7 +68,7 @@
     Add(aRequest.headers, kRepeat, "1");
   }
   for (const std::string& domain : aTerms.domainsOut) {
-    Add(aRequest.headers, kDomainOut, domain);
+    Add(aRequest.headers, kDomainOut, net::PercentEncode(domain));
   }
 }
 
@@ -80,7 +82,7 @@
   terms.isRepeat = aRequest.Header(kRepeat).has_value();
   for (const net::HttpHeader& header : aRequest.headers) {
     if (net::IsSameHeader(header.name, kDomainOut)) {
-      terms.domainsOut.push_back(header.value);
+      terms.domainsOut.push_back(net::PercentDecode(header.value).value_or(header.value));
     }
   }
   RemoveForwardHeaders(aRequest.headers);
--- a/caller/peer_forwarder.cpp
+++ b/caller/peer_forwarder.cpp
@@ -126,6 +126,10 @@
     result.failure = PeerFailure::Unreachable;
     co_return result;
   }
+  if (reply->error == HttpClientError::InvalidRequest) {
+    result.outcome = { ForwardVerdict::NotRun, std::string(net::NameOf(reply->error)) };
+    co_return result;
+  }
   if (reply->error != HttpClientError::None) {
     result.outcome = { ForwardVerdict::Lost, std::string(net::NameOf(reply->error)) };
     if (reply->error != HttpClientError::NotEnoughMemory) {
--- a/caller/tests/peer_forwarding_test.cpp
+++ b/caller/tests/peer_forwarding_test.cpp
@@ -232,6 +232,21 @@
   BOOST_TEST(request.headers[0].name == "Request-Id");
 }
 
+BOOST_AUTO_TEST_CASE(the_name_of_a_failure_domain_changes_or_ends_its_field)
+{
+  ForwardTerms terms;
+  terms.origin = "vm-1";
+  terms.domainsOut = {
+    "a\r\nX-Injected: 1", " b ", "c%41", "d,e", "f+g h", "\xc3\xa9\xff", "gent"
+  };
+  net::HttpRequest request;
+  AddForwardTerms(request, terms);
+  BOOST_TEST(net::IsWritable(request));
+  const auto read = TakeForwardTerms(request);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->domainsOut == terms.domainsOut));
+}
+
 BOOST_AUTO_TEST_CASE(terms_that_are_unreadable_are_used)
 {
   for (const char* age : { "", "-1", "soon", "99999999999" }) {
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -27,13 +27,14 @@
 
 namespace {
 
-constexpr core::NameTable<HttpClientError, 7> kErrorNames{ { "none",
+constexpr core::NameTable<HttpClientError, 8> kErrorNames{ { "none",
                                                              "connect_failed",
                                                              "nothing_sent",
                                                              "broken",
                                                              "timed_out",
                                                              "malformed",
-                                                             "not_enough_memory" } };
+                                                             "not_enough_memory",
+                                                             "invalid_request" } };
 /** Far above any expected body: the store sends at most 1 MB in base64. */
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 4 } * 1024 * 1024;
 /** Buffer for received, unparsed data; must hold a header or the framing of a chunk. */
@@ -528,6 +529,9 @@
 TcpHttpConnection::Exchange(HttpRequest aRequest, core::Duration aTimeout)
 {
   const auto state = mState;
+  if (!IsWritable(aRequest)) {
+    co_return Failure(HttpClientError::InvalidRequest);
+  }
   if (!aRequest.body.empty() || (aRequest.sharedBody && !aRequest.sharedBody->empty())) {
     co_return co_await state->ExchangeWithBody(std::move(aRequest), aTimeout);
   }
@@ -554,6 +558,9 @@
 TcpHttpConnection::OpenStream(HttpRequest aRequest, core::Duration aTimeout)
 {
   const auto state = mState;
+  if (!IsWritable(aRequest)) {
+    co_return Failure(HttpClientError::InvalidRequest);
+  }
   const HttpClientError sendError = co_await state->Send(std::move(aRequest), aTimeout);
   if (sendError != HttpClientError::None) {
     co_return Failure(sendError);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -31,6 +31,8 @@
   Malformed,
   /** There was no memory for the response; the server has processed the request. */
   NotEnoughMemory,
+  /** The request has a text that HTTP doesn't allow there; nothing was sent. */
+  InvalidRequest,
 };
 
 /** @return the name of an error, for logs and metric labels. */
@@ -56,7 +58,10 @@
   /** @return false when "IP:port" did not accept the connection within the timeout. */
   virtual core::Task<bool> Connect(std::string aAddress, core::Duration aTimeout) = 0;
 
-  /** Sends a request and reads the complete response. Any error closes the connection. */
+  /**
+   * Sends a request and reads the complete response. Any error but InvalidRequest closes the
+   * connection.
+   */
   virtual core::Task<HttpResult> Exchange(HttpRequest aRequest, core::Duration aTimeout) = 0;
 
   /** Reads another response, for when the last one did not belong to a request sent here. */
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -4,6 +4,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkwing::net {
@@ -22,8 +23,61 @@
   return std::nullopt;
 }
 
+constexpr unsigned char kDelete = 0x7F;
+
+bool
+IsControl(char aCharacter)
+{
+  const auto byte = static_cast<unsigned char>(aCharacter);
+  return byte < ' ' || byte == kDelete;
+}
+
+bool
+IsBlank(char aCharacter)
+{
+  return aCharacter == ' ' || aCharacter == '\t';
+}
+
+/** @return whether a text is not empty and has no character that ends a word of a head. */
+bool
+IsWord(std::string_view aText)
+{
+  return !aText.empty() && std::none_of(aText.begin(), aText.end(), [](char aCharacter) {
+    return IsControl(aCharacter) || IsBlank(aCharacter);
+  });
+}
+
+bool
+AreWritable(const std::vector<HttpHeader>& aHeaders)
+{
+  return std::all_of(aHeaders.begin(), aHeaders.end(), [](const HttpHeader& aHeader) {
+    return IsWord(aHeader.name) && aHeader.name.find(':') == std::string::npos &&
+           IsHeaderValue(aHeader.value);
+  });
+}
+
 } // namespace
 
+bool
+IsHeaderValue(std::string_view aText)
+{
+  return std::none_of(aText.begin(), aText.end(), [](char aCharacter) {
+    return IsControl(aCharacter) && aCharacter != '\t';
+  });
+}
+
+bool
+IsWritable(const HttpRequest& aRequest)
+{
+  return IsWord(aRequest.method) && IsWord(aRequest.target) && AreWritable(aRequest.headers);
+}
+
+bool
+IsWritable(const HttpResponse& aResponse)
+{
+  return IsHeaderValue(aResponse.contentType) && AreWritable(aResponse.headers);
+}
+
 void
 HttpClientWatch::SetDisconnected()
 {
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -21,6 +21,10 @@
   std::string value;
 };
 
+/** @return whether a header field can have a value: a control character might end the field. */
+bool
+IsHeaderValue(std::string_view aText);
+
 /** Lets a request handler detect that its client has disconnected. */
 class HttpClientWatch
 {
@@ -107,4 +111,12 @@
   std::optional<std::string> Header(std::string_view aName) const;
 };
 
+/** @return whether target and header fields of a request are as HTTP allows them. */
+bool
+IsWritable(const HttpRequest& aRequest);
+
+/** @return whether the header fields of a response are as HTTP allows them. */
+bool
+IsWritable(const HttpResponse& aResponse);
+
 } // namespace skylarkwing::net
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -669,10 +669,15 @@
     aRequest.client = aConnection->watch;
   }
   HttpResponse response;
+  std::string fault;
   try {
     response = co_await handler(std::move(aRequest));
+    fault = IsWritable(response) ? std::string() : "the response has an invalid header field";
   } catch (const std::exception& error) {
-    core::LogEvent(core::LogLevel::Error, "net", "request_failed", { { "error", error.what() } });
+    fault = error.what();
+  }
+  if (!fault.empty()) {
+    core::LogEvent(core::LogLevel::Error, "net", "request_failed", { { "error", fault } });
     // The request may have run, so the response must not say that it hasn't.
     response = {};
     response.status = static_cast<unsigned>(http::status::bad_gateway);
--- a/net/tests/http_test.cpp
+++ b/net/tests/http_test.cpp
@@ -130,10 +130,74 @@
   aResult = co_await connection.Exchange(std::move(request), 1s);
 }
 
+/** Sends a request with each header field, and then one without any. */
+core::Task<void>
+ExchangeHeaders(Fixture& aFixture,
+                std::vector<HttpHeader> aHeaders,
+                std::vector<HttpResult>& aResults)
+{
+  TcpHttpConnection connection(aFixture.loop.get_executor());
+  const bool isConnected = co_await connection.Connect(aFixture.server->Address(), 1s);
+  BOOST_TEST(isConnected);
+  for (const HttpHeader& header : aHeaders) {
+    HttpRequest request;
+    request.headers.push_back(header);
+    aResults.push_back(co_await connection.Exchange(std::move(request), 1s));
+  }
+  HttpRequest request;
+  request.target = "/a b";
+  aResults.push_back(co_await connection.Exchange(std::move(request), 1s));
+  request = {};
+  aResults.push_back(co_await connection.Exchange(std::move(request), 1s));
+  aFixture.server->Close();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http)
 
+BOOST_AUTO_TEST_CASE(a_text_that_would_end_its_field_is_not_written)
+{
+  Fixture fixture;
+  std::vector<std::string> injected;
+  fixture.server =
+    std::make_unique<HttpServer>(fixture.loop, fixture.limits, [&](HttpRequest aRequest) {
+      injected.push_back(aRequest.Header("X-Injected").value_or("none"));
+      return Echo(std::move(aRequest));
+    });
+  BOOST_REQUIRE(fixture.server->Listen("127.0.0.1:0"));
+  const std::vector<HttpHeader> headers{ { "Id", "a\r\nX-Injected: 1" },
+                                         { "Id", "a\nX-Injected: 1" },
+                                         { "Id", std::string("a\0b", 3) },
+                                         { "Id\r\nX-Injected", "1" },
+                                         { "Id: a", "1" },
+                                         { "", "1" } };
+  std::vector<HttpResult> results;
+  core::Start(fixture.loop.get_executor(), ExchangeHeaders(fixture, headers, results));
+  fixture.loop.run();
+  BOOST_REQUIRE(results.size() == headers.size() + 2);
+  for (std::size_t n = 0; n + 1 < results.size(); ++n) {
+    BOOST_TEST(NameOf(results[n].error) == "invalid_request");
+  }
+  BOOST_TEST(results.back().response.status == 200U);
+  BOOST_TEST(injected == std::vector<std::string>{ "none" });
+}
+
+BOOST_AUTO_TEST_CASE(a_response_with_a_text_that_would_end_its_field_is_replaced)
+{
+  Fixture fixture;
+  fixture.server = std::make_unique<HttpServer>(
+    fixture.loop, fixture.limits, [](HttpRequest) -> core::Task<HttpResponse> {
+      HttpResponse response;
+      response.headers.push_back({ "Name", "a\r\nX-Injected: 1" });
+      co_return response;
+    });
+  BOOST_REQUIRE(fixture.server->Listen("127.0.0.1:0"));
+  const std::string answer = fixture.SendRaw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  BOOST_TEST(answer.find("HTTP/1.1 502") == 0U);
+  BOOST_TEST(answer.find("X-Injected") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(exchanges_reuse_a_connection)
 {
   Fixture fixture;
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -41,6 +41,7 @@
   switch (aReply.error) {
     case net::HttpClientError::ConnectFailed:
     case net::HttpClientError::NothingSent:
+    case net::HttpClientError::InvalidRequest:
       return StoreError::Unavailable;
     case net::HttpClientError::Broken:
     case net::HttpClientError::TimedOut:
--- a/upstream/replica_client.cpp
+++ b/upstream/replica_client.cpp
@@ -65,6 +65,7 @@
   switch (aError) {
     case net::HttpClientError::ConnectFailed:
     case net::HttpClientError::NothingSent:
+    case net::HttpClientError::InvalidRequest:
       return AttemptStatus::NothingSent;
     case net::HttpClientError::TimedOut:
       return AttemptStatus::TimedOut;
--- a/upstream/upstream_connection.cpp
+++ b/upstream/upstream_connection.cpp
@@ -35,6 +35,7 @@
       return ExchangeError::None;
     case net::HttpClientError::ConnectFailed:
     case net::HttpClientError::NothingSent:
+    case net::HttpClientError::InvalidRequest:
       return ExchangeError::NothingSent;
     case net::HttpClientError::Broken:
       return ExchangeError::Broken;
