Log: a line break in a field doesn't begin another line

In the plain format, a field was quoted but its control characters went out as they were, so that a name in the store with a line break could look like a line of the log. Fields are now escaped as JSON strings are; ordinary text reads as before. The JSON format did so already.

core log/a_field_with_line_breaks_makes_one_line failed before on all three checks of the odd name.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -140,7 +140,10 @@
   std::ostringstream out;
   out << Timestamp() << ' ' << NameOf(aLevel) << ' ' << aComponent << ' ' << aEvent;
   for (const LogField& field : aFields) {
-    out << ' ' << field.name << '=' << std::quoted(field.value);
+    // Escapes line breaks as well, so that no text of another writer looks like a line of its own.
+    const nlohmann::json value(field.value);
+    out << ' ' << field.name << '='
+        << value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   }
   return out.str();
 }
