Balancer: entries that copy a replica's entry under other names don't fail requests

While entries of another writer had the values of live replicas' entries, a request could be sent under two wrong ids; each replica refused with 421, max_attempts was used up, and the caller got 503 though the service was well. With many copies, most requests met them.

Such an entry names no replica to use, but only the replica's answers, or what it announces, tell which one is the copy. Two changes: - A part that was refused because the replica has another id has not been run, so that it doesn't count as one of the attempts that max_attempts allows; the retry budget still does. - Of several entries with one address and start of process, only the likeliest is used: none that the process has refused, then one that it has answered to, then the one with the latest announcement, which a copy doesn't follow. Entries without a start are left out, because an address may be used again before the entry of its former replica is removed.

--- a/query/part_attempts.cpp
+++ b/query/part_attempts.cpp
@@ -443,6 +443,10 @@
   aAttempt.status = aStatus;
   aAttempt.endedAt = mTimers.Now();
   aAttempt.attempt.reset();
+  if (aStatus == AttemptStatus::WrongReplica && aAttempt.isFirst) {
+    // No replica of the service got the part. The entry itself isn't tried again.
+    Erase(mAsked, aAttempt.replica);
+  }
   if (aStatus == AttemptStatus::NotRun) {
     ++mRefusals;
     mRefusedBy.push_back(aAttempt.replica);
--- a/upstream/replica_balancer.cpp
+++ b/upstream/replica_balancer.cpp
@@ -149,6 +149,10 @@
 {
   const auto it = mClients.find(aReplica.id);
   if (it != mClients.end() && it->second->Replica().service == aReplica.service) {
+    if (!IsSameProcess(it->second->Replica(), aReplica)) {
+      mProcessClaims.Remove(it->second->Replica());
+      mProcessClaims.Add(aReplica);
+    }
     it->second->Update(aReplica);
     WakeAllIfUnusable(aReplica.service);
     return;
@@ -167,6 +171,7 @@
                                                 HooksFor(aReplica));
   SetQuotaOf(*client);
   mClients.emplace(aReplica.id, client);
+  mProcessClaims.Add(aReplica);
   ServiceOf(aReplica.service).clients.push_back(std::move(client));
   WakeWaiter(aReplica.service);
 }
@@ -182,6 +187,7 @@
   client->Retire();
   mRemoved.Keep(client->Replica(), client->Availability(), mTimers.Now());
   RemoveFromService(client);
+  mProcessClaims.Remove(client->Replica());
   mClients.erase(it);
   WakeAllIfUnusable(client->Replica().service);
 }
@@ -458,7 +464,8 @@
   const bool isDomainOut =
     mDomainsOut.count(replica.failureDomain) > 0 ||
     (aRequest.domainsOut != nullptr && Contains(*aRequest.domainsOut, replica.failureDomain));
-  if (isExcluded || !isInRegion || aClient.IsAddressReassigned() || isDomainOut) {
+  if (isExcluded || !isInRegion || aClient.IsAddressReassigned() || isDomainOut ||
+      IsLikelyCopy(aClient)) {
     return SendRefusal::NoReplica;
   }
   if (replica.isDraining || aClient.Availability().IsLeaving()) {
@@ -468,6 +475,18 @@
                                                             : SendRefusal::None;
 }
 
+bool
+ReplicaBalancer::IsLikelyCopy(const ReplicaClient& aClient) const
+{
+  return mProcessClaims.IsLikelyCopy(aClient.Replica(), [this](const std::string& aId) {
+    const ReplicaClient& client = *mClients.at(aId);
+    const AnnouncedReplica& replica = client.Replica();
+    return ProcessClaim{
+      replica.id, replica.sequence, client.HasAnswered(), client.IsAddressReassigned()
+    };
+  });
+}
+
 bool
 ReplicaBalancer::MayUse(const ReplicaClient& aClient, const AttemptRequest& aRequest) const
 {
--- a/upstream/replica_balancer.h
+++ b/upstream/replica_balancer.h
@@ -5,6 +5,7 @@
 #include "declaration/routing_table.h"
 #include "upstream/domain_spillover.h"
 #include "upstream/partition_detector.h"
+#include "upstream/process_claims.h"
 #include "upstream/replica_client.h"
 #include "upstream/request_terms.h"
 #include "upstream/retry_budget.h"
@@ -360,6 +361,7 @@
   std::shared_ptr<const declaration::RoutingTable> mTable;
   std::set<std::string> mDomainsOut;
   std::map<std::string, std::shared_ptr<ReplicaClient>> mClients;
+  ProcessClaims mProcessClaims;
   RemovedReplicas mRemoved;
   std::map<std::string, Service, std::less<>> mServices;
   SpeedChoices mSpeedChoices;
@@ -393,6 +395,8 @@
                                  const AttemptRequest& aRequest,
                                  AttemptCallback aCallback);
   bool MayUse(const ReplicaClient& aClient, const AttemptRequest& aRequest) const;
+  /** @return whether another entry is likelier the own one of the replica's process. */
+  bool IsLikelyCopy(const ReplicaClient& aClient) const;
   bool HasUsableReplica(std::string_view aService);
   bool HasRoom(std::string_view aService);
   static std::size_t CountAhead(const Service& aService, std::uint32_t aPriority);
--- a/upstream/replica_client.h
+++ b/upstream/replica_client.h
@@ -232,6 +232,9 @@
    */
   bool IsAddressReassigned() const { return mIsAddressReassigned; }
 
+  /** @return whether the process that is announced now has answered a request. */
+  bool HasAnswered() const { return mHasAnswered; }
+
   /** @return the availability of the replica, by its own answers. */
   const ReplicaAvailability& Availability() const { return mAvailability; }
 
