Soak: entries of another writer in the list of replicas

Names with characters of queries, line breaks and bytes that are no text appear and vanish before, between and behind the entries of replicas, with no value or that of a replica, while daemons restart and the store fails. A header field that such a name made at a replica is a violation. Numbers of their own leave the other faults of a seed as they are.

--- a/soak/soak_replica.cpp
+++ b/soak/soak_replica.cpp
@@ -73,6 +73,8 @@
   const std::string id = aRequest.Header("Request-Id").value_or("");
   net::HttpResponse response;
   response.contentType = "application/octet-stream";
+  mLedger.hasInjectedHeader =
+    mLedger.hasInjectedHeader || aRequest.Header("X-Injected").has_value();
   if (aRequest.Header("Expected-Instance").value_or("") != mId) {
     response.status = 421;
     co_return response;
--- a/soak/soak_replica.h
+++ b/soak/soak_replica.h
@@ -18,6 +18,8 @@
 {
   /** Number of runs by key, see Key(). */
   std::map<std::string, int> runs;
+  /** Whether a text of the store has become a header field of a request. */
+  bool hasInjectedHeader = false;
 
   /** @return the key for the runs of one request at one service. */
   static std::string Key(std::string_view aService, std::string_view aId);
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -103,6 +103,7 @@
   SetUp();
   const core::TimePoint end = mTimers.Now() + std::chrono::seconds(mOptions.seconds);
   core::Start(mLoop.get_executor(), WriteReplicaEntries());
+  core::Start(mLoop.get_executor(), WriteOddEntries(end));
   core::Start(mLoop.get_executor(), RestartDaemons());
   core::Start(mLoop.get_executor(), InjectFaults(end));
   core::Start(mLoop.get_executor(), RestoreStore(end));
@@ -281,6 +282,38 @@
   }
 }
 
+/** Writes entries that name no replica to use, and deletes some of them again. */
+core::Task<void>
+SoakRun::WriteOddEntries(core::TimePoint aEnd)
+{
+  const std::vector<std::string> names{
+    "&", "+", "#", "%41", " ", "\r\nX-Injected: 1", "\xc3\xa9"
+  };
+  const std::vector<std::string> unreadableNames{ "\\ud800", "\xff" };
+  // Its own random numbers leave the other faults of a seed as they are.
+  core::RandomSource random(mOptions.seed + 5 * kSeedOffset);
+  const auto oneOf = [&random](const std::vector<std::string>& aTexts) {
+    return aTexts[random.Below(aTexts.size())];
+  };
+  for (int n = 0; mTimers.Now() < aEnd; ++n) {
+    ++mCounts.faults;
+    const std::string own = "servers/" + mReplicas[random.Below(mReplicas.size())].server->Id();
+    // Before the entries of all replicas, between two of them, or behind them.
+    const std::string begin = oneOf({ "servers/a", own, "servers/z" });
+    const std::string end = std::to_string(n);
+    const std::string key = begin + oneOf(names) + end;
+    if (random.Below(4) == 0) {
+      const std::string name = begin + oneOf(unreadableNames) + end;
+      mStore->ShowKeyAs(key, name, name);
+    }
+    mStore->Write(key, random.Below(2) == 0 ? mStore->Read(own) : "{");
+    co_await core::Sleep(mTimers, milliseconds(50 + random.Below(700)));
+    if (random.Below(2) == 0) {
+      mStore->Delete(key);
+    }
+  }
+}
+
 /** Restarts daemons that have exited, as the platform does. */
 core::Task<void>
 SoakRun::RestartDaemons()
@@ -445,13 +478,19 @@
   }
 }
 
-/** @return a replica's entry with the address under which a failure domain reaches it. */
+/**
+ * @return a replica's entry, or a copy of it, with the address under which a failure domain reaches
+ *         the replica; any other value as it is.
+ */
 std::string
 SoakRun::AddressFor(std::size_t aDomain, const std::string& aKey, const std::string& aValue)
 {
+  json entry = aKey.rfind("servers/", 0) == 0 ? json::parse(aValue, nullptr, false) : json();
+  if (!entry.is_object()) {
+    return aValue;
+  }
   for (const Replica& replica : mReplicas) {
-    if (aKey == "servers/" + replica.server->Id()) {
-      json entry = json::parse(aValue);
+    if (entry.value("address", "") == replica.server->Address()) {
       entry["address"] = replica.proxies[aDomain]->Address();
       return entry.dump();
     }
@@ -752,6 +791,9 @@
       AddViolation(key + ": ran " + std::to_string(runs) + " times at one service");
     }
   }
+  if (mLedger.hasInjectedHeader) {
+    AddViolation("the name of an entry made a header field of its own at a replica");
+  }
   if (mCounts.answered == 0) {
     AddViolation("no request was answered");
   }
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -147,6 +147,7 @@
   void AddDaemon(int aNumber);
   void WriteConfiguration();
   core::Task<void> WriteReplicaEntries();
+  core::Task<void> WriteOddEntries(core::TimePoint aEnd);
   core::Task<void> RestartDaemons();
   core::Task<void> InjectFaults(core::TimePoint aEnd);
   core::Task<void> InjectFault();
