--- a/core/json_repair.cpp
+++ b/core/json_repair.cpp
@@ -46,9 +46,9 @@
   Utf8::encode(kFirstLower + (byte & kHalfMask), std::back_inserter(aTarget));
 }
 
-/** Appends the bytes that UTF-8 would use for a code point, also for one that it doesn't allow. */
+/** Appends the bytes that UTF-8 would use for a UTF-16 unit, also for a surrogate. */
 void
-AppendBytesOf(std::string& aTarget, std::uint16_t aUnit)
+AppendUnit(std::string& aTarget, std::uint16_t aUnit)
 {
   constexpr unsigned kLead = 0xE0;
   constexpr unsigned kTrail = 0x80;
@@ -98,7 +98,7 @@
     }
   }
   if (IsSurrogate(*unit) || IsReserved(*unit)) {
-    AppendBytesOf(aTarget, *unit);
+    AppendUnit(aTarget, *unit);
   } else {
     aTarget += aText.substr(0, kEscapeSize);
   }
