Soak: a replica that refuses a request for another one names its id

Replicas echo the id of a request in all answers. Without it, a refusal was taken for a late answer to another request, so that what follows a refusal was never played; the entries that copy those of replicas need it.

--- a/soak/soak_replica.cpp
+++ b/soak/soak_replica.cpp
@@ -77,6 +77,7 @@
     mLedger.hasInjectedHeader || aRequest.Header("X-Injected").has_value();
   if (aRequest.Header("Expected-Instance").value_or("") != mId) {
     response.status = 421;
+    response.headers.push_back({ "Request-Id", id });
     co_return response;
   }
   // The complete response to the previous request, alternating with and without its id.
