--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -301,9 +301,11 @@
     // Before the entries of all replicas, between two of them, or behind them.
     const std::string begin = oneOf({ "servers/a", own, "servers/z" });
     const std::string end = std::to_string(n);
-    const std::string key = begin + oneOf(names) + end;
+    std::string key = begin;
+    key.append(oneOf(names)).append(end);
     if (random.Below(4) == 0) {
-      const std::string name = begin + oneOf(unreadableNames) + end;
+      std::string name = begin;
+      name.append(oneOf(unreadableNames)).append(end);
       mStore->ShowKeyAs(key, name, name);
     }
     mStore->Write(key, random.Below(2) == 0 ? mStore->Read(own) : "{");
