Targets: a slash in a query stays as it is

Since the names of keys were encoded, it was prefix=op%2F. A slash has no meaning in a query, and readers agree on it; it is no longer encoded there. In a path segment it still is. The test is unchanged, and the calls read as before for ordinary names.

--- a/net/request_target.cpp
+++ b/net/request_target.cpp
@@ -6,6 +6,19 @@
 
 namespace skylarkwing::net {
 
+namespace {
+
+/** "/" has no meaning in a query. */
+constexpr boost::urls::grammar::lut_chars kPlainInQuery = boost::urls::unreserved_chars + '/';
+
+std::string
+EncodeForQuery(std::string_view aText)
+{
+  return boost::urls::encode({ aText.data(), aText.size() }, kPlainInQuery);
+}
+
+} // namespace
+
 std::string
 PercentEncode(std::string_view aText)
 {
@@ -25,7 +38,7 @@
   std::string target(aPath);
   char separator = '?';
   for (const QueryParameter& parameter : aParameters) {
-    target += separator + PercentEncode(parameter.name) + '=' + PercentEncode(parameter.value);
+    target += separator + EncodeForQuery(parameter.name) + '=' + EncodeForQuery(parameter.value);
     separator = '&';
   }
   return target;
--- a/net/request_target.h
+++ b/net/request_target.h
@@ -15,12 +15,7 @@
   std::string value;
 };
 
-/**
- * Encodes everything but the unreserved characters of RFC 3986, so that readers agree on the text
- * whether or not they take "+" for a blank, as HTML forms do.
- *
- * @return the text for use in a path segment or a query string.
- */
+/** @return the text for use as a path segment: all but the unreserved characters are encoded. */
 std::string
 PercentEncode(std::string_view aText);
 
@@ -28,7 +23,12 @@
 std::optional<std::string>
 PercentDecode(std::string_view aText);
 
-/** @return the target of a request; HttpRequest::QueryValue() reads the parameters. */
+/**
+ * Encodes everything in parameters but the unreserved characters of RFC 3986 and "/", so that
+ * readers agree on the text whether or not they take "+" for a blank, as HTML forms do.
+ *
+ * @return the target of a request; HttpRequest::QueryValue() reads the parameters.
+ */
 std::string
 MakeTarget(std::string_view aPath, const std::vector<QueryParameter>& aParameters);
 
